--- /dev/null
+++ b/src/wasabiroad/kernel/log.cpp
@@ -0,0 +1,83 @@
+#include "wasabiroad/kernel/log.hpp"
+
+#include <algorithm>
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace wasabiroad::kernel {
+
+namespace {
+
+/** Lines over this bound replace the oldest queued line, so that no traffic thread waits for output. */
+constexpr std::size_t queuedLines = 65536;
+
+bool needsQuotes(std::string_view value)
+{
+    return value.empty() || std::ranges::any_of(value, [](unsigned char character) {
+        return character <= ' ' || character == '"' || character == '=' || character == '\\' || character == 0x7f;
+    });
+}
+
+void appendEscaped(std::string& line, unsigned char character)
+{
+    if (character < ' ' || character == 0x7f) {
+        line += fmt::format("\\x{:02x}", character);
+        return;
+    }
+    if (character == '"' || character == '\\') {
+        line += '\\';
+    }
+    line += static_cast<char>(character);
+}
+
+void appendValue(std::string& line, std::string_view value)
+{
+    if (!needsQuotes(value)) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const auto character : value) {
+        appendEscaped(line, static_cast<unsigned char>(character));
+    }
+    line += '"';
+}
+
+} // namespace
+
+void startLogging()
+{
+    spdlog::init_thread_pool(queuedLines, 1);
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    auto logger = std::make_shared<spdlog::async_logger>(
+        "wasabiroad", std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ %v", spdlog::pattern_time_type::utc);
+    spdlog::set_default_logger(std::move(logger));
+    spdlog::flush_every(std::chrono::seconds { 1 });
+}
+
+void stopLogging() { spdlog::shutdown(); }
+
+std::string formatEvent(std::string_view event, std::initializer_list<Field> fields)
+{
+    std::string line { "event=" };
+    appendValue(line, event);
+    for (const auto& field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        appendValue(line, field.value);
+    }
+    return line;
+}
+
+void logEvent(std::string_view event, std::initializer_list<Field> fields)
+{
+    if (auto* const logger = spdlog::default_logger_raw()) {
+        logger->info(formatEvent(event, fields));
+    }
+}
+
+} // namespace wasabiroad::kernel
--- /dev/null
+++ b/src/wasabiroad/kernel/log.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace wasabiroad::kernel {
+
+/** @brief One key=value pair of a log line. */
+struct Field {
+    Field(std::string_view key, std::string_view value)
+        : key(key)
+        , value(value)
+    {
+    }
+    Field(std::string_view key, const char* value)
+        : key(key)
+        , value(value)
+    {
+    }
+    template <typename Number>
+        requires std::is_arithmetic_v<Number>
+    Field(std::string_view key, Number value)
+        : key(key)
+        , value(std::to_string(value))
+    {
+    }
+
+    const std::string_view key;
+    const std::string value;
+};
+
+/** @brief Sends log lines to the standard output through a bounded queue and one writer thread. */
+void startLogging();
+
+/** @brief Writes queued lines and stops the writer thread. */
+void stopLogging();
+
+/**
+ * @brief Logs one event as one line of key=value pairs.
+ * Values with spaces, quotes, equals signs or control characters are quoted and escaped.
+ * @param event Name of the event.
+ * @param fields Further pairs, in order.
+ */
+void logEvent(std::string_view event, std::initializer_list<Field> fields = {});
+
+/** @return The line that `logEvent` writes, without the timestamp. */
+std::string formatEvent(std::string_view event, std::initializer_list<Field> fields);
+
+} // namespace wasabiroad::kernel
