--- /dev/null
+++ b/src/wasabiroad/control/events.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "wasabiroad/model/manifest.hpp"
+#include "wasabiroad/model/vm_state.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace wasabiroad::control {
+
+/** @brief A manifest generation that is stored in the platform or was received from a peer. */
+struct Configuration {
+    const model::Generation generation {};
+    const std::string digest {};
+    /** @brief JSON text, kept so that peers can fetch it. */
+    const std::string text {};
+    const model::Manifest manifest;
+
+    friend auto operator<=>(const Configuration&, const Configuration&) = default;
+};
+
+using ConfigurationPointer = std::shared_ptr<const Configuration>;
+
+/** @brief This daemon adopted a higher manifest generation. */
+struct ConfigurationAdopted {
+    const ConfigurationPointer configuration;
+
+    friend bool operator==(const ConfigurationAdopted&, const ConfigurationAdopted&) = default;
+};
+
+/** @brief Current pool and state of a VM. */
+struct Assignment {
+    const model::PoolId pool;
+    const model::VmState state { model::VmState::Serving };
+
+    friend auto operator<=>(const Assignment&, const Assignment&) = default;
+};
+
+/** @brief Pools and states of VMs changed; VMs that are not listed keep their manifest pool and serve. */
+struct AssignmentsChanged {
+    const std::map<model::VmId, Assignment> assignments;
+
+    friend auto operator<=>(const AssignmentsChanged&, const AssignmentsChanged&) = default;
+};
+
+/** @brief The platform's list marks these VMs as leaving. */
+struct LeavingVmsChanged {
+    const std::set<model::VmId> leaving;
+
+    friend auto operator<=>(const LeavingVmsChanged&, const LeavingVmsChanged&) = default;
+};
+
+/** @brief Number of live entry VMs, this one included. */
+struct MembershipChanged {
+    const std::uint32_t entriesInZone { 1 };
+    const std::uint32_t entriesInSite { 1 };
+
+    friend auto operator<=>(const MembershipChanged&, const MembershipChanged&) = default;
+};
+
+} // namespace wasabiroad::control
--- /dev/null
+++ b/src/wasabiroad/control/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace wasabiroad::control {
+
+struct ControlState;
+struct ManifestAdopted;
+class SnapshotPublisher;
+
+} // namespace wasabiroad::control
--- /dev/null
+++ b/src/wasabiroad/daemon/main.cpp
@@ -0,0 +1,144 @@
+#include "wasabiroad/kernel/command.hpp"
+#include "wasabiroad/kernel/kernel.hpp"
+#include "wasabiroad/kernel/log.hpp"
+#include "wasabiroad/settings/settings.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+namespace {
+
+using namespace wasabiroad;
+using kernel::ResultCode;
+
+cxxopts::Options makeOptions()
+{
+    cxxopts::Options options { "wasabiroadd", "Daemon of an entry VM: places callers' requests on upstreams." };
+    options.add_options()("s,settings", "Settings file (JSON); - reads the standard input",
+        cxxopts::value<std::string>())("set", "Override, as in /callers=127.0.0.1:8080",
+        cxxopts::value<std::vector<std::string>>())("plugins", "List the plug-ins with their versions")(
+        "version", "Print the version")("h,help", "Print this help");
+    return options;
+}
+
+std::string helpText(const cxxopts::Options& options)
+{
+    return options.help() + "\nexample: wasabiroadd --settings examples/settings.json --set /traffic-threads=4\n";
+}
+
+ResultCode listPlugins()
+{
+    const auto ordered = kernel::Registry::global().order();
+    if (!ordered) {
+        std::cerr << "code=" << number(ordered.error().code) << " " << name(ordered.error().code) << ": "
+                  << ordered.error().where << " " << ordered.error().found << "\n";
+        return ordered.error().code;
+    }
+    for (const auto* plugin : *ordered) {
+        std::cout << plugin->name << " " << plugin->version.major << "." << plugin->version.minor << "\n";
+    }
+    return ResultCode::Ok;
+}
+
+kernel::Expected<std::string> readText(const std::string& path)
+{
+    std::ostringstream text;
+    if (path == "-") {
+        text << std::cin.rdbuf();
+        return text.str();
+    }
+    const std::ifstream file { path };
+    if (!file) {
+        return kernel::fail(ResultCode::FileUnreadable, path);
+    }
+    text << file.rdbuf();
+    return text.str();
+}
+
+settings::Overrides readOverrides(const cxxopts::ParseResult& arguments)
+{
+    settings::Overrides overrides;
+    if (arguments.count("set") == 0) {
+        return overrides;
+    }
+    for (const auto& text : arguments["set"].as<std::vector<std::string>>()) {
+        const auto equals = text.find('=');
+        overrides[text.substr(0, equals)] = equals == std::string::npos ? "" : text.substr(equals + 1);
+    }
+    return overrides;
+}
+
+ResultCode report(const kernel::Errors& errors)
+{
+    for (const auto& error : errors) {
+        std::cerr << "code=" << number(error.code) << " " << name(error.code) << " at '" << error.where
+                  << "': found " << error.found << "; allowed: " << error.allowed << "\n";
+    }
+    return errors.front().code;
+}
+
+ResultCode serve(const settings::Settings& settings)
+{
+    kernel::startLogging();
+    kernel::Kernel kernel { settings.trafficThreads };
+    kernel.provide(std::make_shared<const settings::Settings>(settings));
+    kernel::logEvent("daemon-started", { { "entry", settings.entry.text() }, { "zone", settings.zone.text() } });
+    if (const auto started = kernel.start(kernel::Registry::global()); !started) {
+        const auto code = report({ started.error() });
+        kernel::stopLogging();
+        return code;
+    }
+    boost::asio::signal_set signals { kernel.threads().control(), SIGINT, SIGTERM };
+    signals.async_wait([&kernel](boost::system::error_code failed, int) {
+        if (!failed) {
+            kernel.shutDown();
+        }
+    });
+    kernel.run();
+    kernel::stopLogging();
+    return ResultCode::Ok;
+}
+
+ResultCode run(int argc, char** argv)
+{
+    auto options = makeOptions();
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") != 0) {
+        std::cout << helpText(options);
+        return ResultCode::Ok;
+    }
+    if (arguments.count("version") != 0) {
+        std::cout << "wasabiroadd " WASABIROAD_VERSION "\n";
+        return ResultCode::Ok;
+    }
+    if (arguments.count("plugins") != 0) {
+        return listPlugins();
+    }
+    if (arguments.count("settings") == 0) {
+        std::cerr << "wasabiroadd: --settings is required\n" << helpText(options);
+        return ResultCode::InvalidArguments;
+    }
+    const auto text = readText(arguments["settings"].as<std::string>());
+    if (!text) {
+        return report({ text.error() });
+    }
+    const auto settings = settings::read(*text, readOverrides(arguments));
+    return settings ? serve(*settings) : report(settings.error());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return kernel::exitCode(run(argc, argv));
+    } catch (const cxxopts::exceptions::exception& exception) {
+        std::cerr << "wasabiroadd: " << exception.what() << "\n";
+        return kernel::exitCode(ResultCode::InvalidArguments);
+    }
+}
--- /dev/null
+++ b/src/wasabiroad/http/endpoint.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "wasabiroad/kernel/error.hpp"
+
+#include <string>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace wasabiroad::http {
+
+/**
+ * @brief Parses an IP address and a port, as in `127.0.0.1:8080`.
+ * @return The endpoint. Errors: ValueOutOfRange.
+ */
+kernel::Expected<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
+
+/** @return The endpoint as IP address and port. */
+std::string toText(const boost::asio::ip::tcp::endpoint& endpoint);
+
+} // namespace wasabiroad::http
--- /dev/null
+++ b/src/wasabiroad/http/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace wasabiroad::http {
+
+class Server;
+
+} // namespace wasabiroad::http
--- /dev/null
+++ b/src/wasabiroad/http/message.cpp
@@ -0,0 +1,28 @@
+#include "wasabiroad/http/message.hpp"
+
+namespace wasabiroad::http {
+
+namespace beast = boost::beast;
+
+Response respond(const Request& request, unsigned status, std::string_view contentType, std::string body)
+{
+    Response response { beast::http::int_to_status(status), request.version() };
+    response.set(beast::http::field::content_type, { contentType.data(), contentType.size() });
+    response.keep_alive(request.keep_alive());
+    response.body() = std::move(body);
+    response.prepare_payload();
+    return response;
+}
+
+Request makeRequest(beast::http::verb verb, std::string_view target, std::string body)
+{
+    constexpr unsigned version = 11;
+    Request request { verb, { target.data(), target.size() }, version };
+    request.set(beast::http::field::host, "wasabiroad");
+    request.keep_alive(true);
+    request.body() = std::move(body);
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace wasabiroad::http
--- /dev/null
+++ b/src/wasabiroad/http/server.cpp
@@ -0,0 +1,105 @@
+#include "wasabiroad/http/server.hpp"
+
+#include "wasabiroad/http/endpoint.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace wasabiroad::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+struct Server::State {
+    asio::io_context& context;
+    tcp::acceptor acceptor;
+    const Handler handler;
+    const ServerLimits limits;
+    bool closed { false };
+};
+
+namespace {
+
+template <typename State>
+asio::awaitable<void> serve(std::shared_ptr<State> state, tcp::socket socket)
+{
+    beast::tcp_stream stream { std::move(socket) };
+    beast::flat_buffer buffer;
+    boost::system::error_code failed;
+    while (!state->closed) {
+        beast::http::request_parser<beast::http::string_body> parser;
+        parser.header_limit(state->limits.headerBytes);
+        parser.body_limit(state->limits.bodyBytes);
+        stream.expires_after(state->limits.readTimeout.chrono());
+        co_await beast::http::async_read(
+            stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+        if (failed) {
+            break;
+        }
+        stream.expires_never();
+        auto response = co_await state->handler(parser.release());
+        stream.expires_after(state->limits.writeTimeout.chrono());
+        co_await beast::http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, failed));
+        if (failed || !response.keep_alive()) {
+            break;
+        }
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, failed);
+}
+
+template <typename State>
+asio::awaitable<void> accept(std::shared_ptr<State> state)
+{
+    while (!state->closed) {
+        boost::system::error_code failed;
+        auto socket = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failed));
+        if (failed) {
+            continue;
+        }
+        socket.set_option(tcp::no_delay(true), failed);
+        asio::co_spawn(state->context, serve(state, std::move(socket)), asio::detached);
+    }
+}
+
+} // namespace
+
+Server::Server(asio::io_context& context, Handler handler, ServerLimits limits)
+    : state(new State { context, tcp::acceptor { context }, std::move(handler), limits })
+{
+}
+
+kernel::Expected<std::string> Server::listen(const std::string& address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        return tl::unexpected(endpoint.error());
+    }
+    boost::system::error_code failed;
+    this->state->acceptor.open(endpoint->protocol(), failed);
+    this->state->acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+    this->state->acceptor.bind(*endpoint, failed);
+    if (!failed) {
+        this->state->acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        return kernel::fail(kernel::ResultCode::ListenFailed, address, failed.message(), "a free local address");
+    }
+    asio::co_spawn(this->state->context, accept(this->state), asio::detached);
+    return toText(this->state->acceptor.local_endpoint());
+}
+
+void Server::close()
+{
+    this->state->closed = true;
+    boost::system::error_code ignored;
+    this->state->acceptor.close(ignored);
+}
+
+} // namespace wasabiroad::http
--- /dev/null
+++ b/src/wasabiroad/json/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace wasabiroad::json {
+
+class Reader;
+
+} // namespace wasabiroad::json
--- a/src/wasabiroad/kernel/kernel.hpp
+++ b/src/wasabiroad/kernel/kernel.hpp
@@ -4,6 +4,7 @@
 #include "wasabiroad/kernel/registry.hpp"
 #include "wasabiroad/kernel/threads.hpp"
 
+#include <any>
 #include <memory>
 #include <typeindex>
 #include <unordered_map>
@@ -26,15 +27,16 @@
     template <typename Service>
     void provide(std::shared_ptr<Service> service)
     {
-        this->services[typeid(Service)] = std::move(service);
+        this->services[typeid(std::shared_ptr<Service>)] = std::move(service);
     }
 
     /** @return The object provided under the type, or null. */
     template <typename Service>
     std::shared_ptr<Service> find() const
     {
-        const auto found = this->services.find(typeid(Service));
-        return found == this->services.end() ? nullptr : std::static_pointer_cast<Service>(found->second);
+        using Pointer = std::shared_ptr<Service>;
+        const auto found = this->services.find(typeid(Pointer));
+        return found == this->services.end() ? nullptr : std::any_cast<Pointer>(found->second);
     }
 
     /**
@@ -55,7 +57,7 @@
 
     Threads threadSet;
     EventBus events {};
-    std::unordered_map<std::type_index, std::shared_ptr<void>> services {};
+    std::unordered_map<std::type_index, std::any> services {};
     std::vector<const Plugin*> started {};
     bool shuttingDown { false };
 };
--- /dev/null
+++ b/src/wasabiroad/lifecycle/machine.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <optional>
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace wasabiroad::lifecycle::internal {
+
+/** @brief MSM event that stands for one enumerator. */
+template <auto value>
+struct On { };
+
+/** @brief MSM state that records its enumerator in the machine on entry. */
+template <auto value>
+struct In : boost::msm::front::state<> {
+    template <typename Event, typename Machine>
+    void on_entry(const Event&, Machine& machine) // NOLINT(readability-identifier-naming): name given by MSM
+    {
+        machine.current = value;
+    }
+};
+
+/** @brief MSM front end that runs the transition table `Table` from the state `initial`. */
+template <typename Table, auto initial>
+struct Front : boost::msm::front::state_machine_def<Front<Table, initial>> {
+    using State = decltype(initial);
+    // The names of the following members are given by MSM.
+    // NOLINTBEGIN(readability-identifier-naming)
+    using initial_state = In<initial>;
+    using transition_table = typename Table::Rows;
+    using no_exception_thrown = int;
+    using no_message_queue = int;
+
+    template <typename Machine, typename Event>
+    void no_transition(const Event&, Machine& machine, int)
+    {
+        machine.handled = false;
+    }
+    // NOLINTEND(readability-identifier-naming)
+
+    State current { initial };
+    bool handled { true };
+};
+
+/** @brief Applies one event to a machine that starts in the state `initial`. */
+template <typename Table, auto initial, auto event>
+std::optional<decltype(initial)> step()
+{
+    boost::msm::back::state_machine<Front<Table, initial>> machine;
+    machine.start();
+    machine.process_event(On<event> {});
+    return machine.handled ? std::optional { machine.current } : std::nullopt;
+}
+
+} // namespace wasabiroad::lifecycle::internal
--- /dev/null
+++ b/src/wasabiroad/manifest/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace wasabiroad::manifest {
+
+struct Difference;
+
+} // namespace wasabiroad::manifest
--- /dev/null
+++ b/src/wasabiroad/metrics/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace wasabiroad::metrics {
+
+class Metrics;
+
+} // namespace wasabiroad::metrics
--- /dev/null
+++ b/src/wasabiroad/operations/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace wasabiroad::operations {
+
+struct Status;
+
+} // namespace wasabiroad::operations
--- /dev/null
+++ b/src/wasabiroad/routing/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace wasabiroad::routing {
+
+struct Candidate;
+
+} // namespace wasabiroad::routing
--- /dev/null
+++ b/src/wasabiroad/settings/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace wasabiroad::settings {
+
+struct Limits;
+struct Settings;
+
+} // namespace wasabiroad::settings
--- /dev/null
+++ b/src/wasabiroad/settings/settings.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "wasabiroad/kernel/clock.hpp"
+#include "wasabiroad/kernel/error.hpp"
+#include "wasabiroad/model/identifier.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace wasabiroad::settings {
+
+/** @brief Limits that protect a daemon from its callers and from a slow platform. */
+struct Limits {
+    const std::uint32_t headerBytes { 16384 };
+    const std::uint32_t bodyBytes { 1048576 };
+    /** @brief Time for a complete request header and body. */
+    const kernel::Duration headerTimeout { 5000 };
+    /** @brief Time that a connection may stay without a request. */
+    const kernel::Duration idleTimeout { 60000 };
+    /** @brief Connections of callers. */
+    const std::uint32_t connections { 4096 };
+    /** @brief Time for one call to the platform. */
+    const kernel::Duration platformTimeout { 2000 };
+
+    friend auto operator<=>(const Limits&, const Limits&) = default;
+};
+
+/** @brief Settings of one daemon. */
+struct Settings {
+    const model::EntryId entry;
+    const model::ZoneId zone;
+    /** @brief IP address and port for callers; port 0 lets the system choose. */
+    const std::string callers;
+    /** @brief IP address and port for operators. */
+    const std::string operators;
+    /** @brief IP address and port of the platform's key-value service. */
+    const std::string platform;
+    const std::uint32_t trafficThreads { 2 };
+    const Limits limits {};
+
+    friend auto operator<=>(const Settings&, const Settings&) = default;
+};
+
+/** @brief Values that replace members of the document, by JSON pointer; values are JSON or plain text. */
+using Overrides = std::map<std::string, std::string>;
+
+/**
+ * @brief Reads the settings of a daemon.
+ * @param text JSON text.
+ * @param overrides Values from the command line; they pass the same checks.
+ * @return The settings, or all errors, each with its JSON pointer.
+ */
+kernel::Checked<Settings> read(std::string_view text, const Overrides& overrides = {});
+
+} // namespace wasabiroad::settings
--- /dev/null
+++ b/src/wasabiroad/standin/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace wasabiroad::standin {
+
+class Platform;
+class Upstream;
+
+} // namespace wasabiroad::standin
--- /dev/null
+++ b/src/wasabiroad/tool/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace wasabiroad::tool {
+
+struct Invocation;
+
+} // namespace wasabiroad::tool
--- /dev/null
+++ b/src/wasabiroad/traffic/decode.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "wasabiroad/kernel/error.hpp"
+#include "wasabiroad/model/request.hpp"
+#include "wasabiroad/model/routing_snapshot.hpp"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+
+namespace wasabiroad::traffic {
+
+using RequestHeader = boost::beast::http::request_header<boost::beast::http::fields>;
+
+/**
+ * @brief Turns the header of a caller's HTTP request into a request of the model.
+ * @param header HTTP header.
+ * @param snapshot Snapshot that declares services, operations and teams.
+ * @param fallbackId Identifier for a request that carries none.
+ * @param now Current instant of the steady clock.
+ * @return The request. Errors: MethodNotAllowed, UnknownService, UnknownOperation, UnknownTeam,
+ * MalformedRequest, NotConfigured.
+ */
+kernel::Expected<model::Request> decode(const RequestHeader& header, const model::RoutingSnapshotPointer& snapshot,
+    const model::RequestId& fallbackId, kernel::Instant now);
+
+/** @return A header's value, or an empty text. */
+std::string_view valueOf(const boost::beast::http::fields& fields, std::string_view name);
+
+} // namespace wasabiroad::traffic
--- /dev/null
+++ b/src/wasabiroad/traffic/front_end.cpp
@@ -0,0 +1,194 @@
+#include "wasabiroad/traffic/front_end.hpp"
+
+#include "wasabiroad/http/endpoint.hpp"
+#include "wasabiroad/kernel/log.hpp"
+
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <sys/socket.h>
+
+namespace wasabiroad::traffic {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using kernel::ResultCode;
+
+namespace {
+
+/** Time in which answers close their connections before the listeners close. */
+constexpr kernel::Duration lameDuck { 500 };
+constexpr kernel::Duration drainPoll { 10 };
+
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string hexadecimal(std::uint64_t value)
+{
+    constexpr std::string_view digits { "0123456789abcdef" };
+    std::string text;
+    for (unsigned shift = 64; shift > 0; shift -= 4) {
+        text += digits[(value >> (shift - 4)) & 0xfU];
+    }
+    return text;
+}
+
+} // namespace
+
+FrontEnd::FrontEnd(
+    kernel::Threads& daemonThreads, const settings::Settings& daemonSettings, metrics::Metrics& daemonMetrics)
+    : threads(daemonThreads)
+    , settings(daemonSettings)
+    , metrics(daemonMetrics)
+    , port(daemonThreads.traffic(0), this->clock, randomSeed())
+{
+    const auto incarnation = hexadecimal(randomSeed());
+    for (std::size_t index = 0; index < this->threads.trafficCount(); ++index) {
+        auto& context = this->threads.traffic(index);
+        const auto prefix = this->settings.entry.text() + "-" + incarnation + "-" + std::to_string(index) + "-";
+        this->lanes.push_back(std::unique_ptr<Lane>(new Lane {
+            { .context = context, .pool = UpstreamPool { context }, .idPrefix = prefix },
+            tcp::acceptor { context }, asio::steady_timer { context } }));
+    }
+}
+
+kernel::Expected<std::string> FrontEnd::bind(Lane& lane, const tcp::endpoint& endpoint)
+{
+    boost::system::error_code failed;
+    lane.acceptor.open(endpoint.protocol(), failed);
+    lane.acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+    lane.acceptor.set_option(ReusePort(true), failed);
+    lane.acceptor.bind(endpoint, failed);
+    if (!failed) {
+        lane.acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        return kernel::fail(
+            ResultCode::ListenFailed, http::toText(endpoint), failed.message(), "a free local address");
+    }
+    asio::co_spawn(lane.thread.context, accept(lane), asio::detached);
+    return http::toText(lane.acceptor.local_endpoint());
+}
+
+kernel::Expected<std::string> FrontEnd::listen(const std::string& address)
+{
+    auto endpoint = http::parseEndpoint(address);
+    if (!endpoint) {
+        return tl::unexpected(endpoint.error());
+    }
+    // The first lane resolves port 0; the others share its port.
+    auto bound = *endpoint;
+    for (auto& lane : this->lanes) {
+        if (const auto result = bind(*lane, bound); !result) {
+            return result;
+        }
+        bound = lane->acceptor.local_endpoint();
+    }
+    return http::toText(bound);
+}
+
+void FrontEnd::subscribe(kernel::Publisher<model::RoutingSnapshot>& publisher)
+{
+    for (auto& lane : this->lanes) {
+        const bool runsDispatcher = lane == this->lanes.front();
+        publisher.subscribe(kernel::postTo(lane->thread.context),
+            [this, &lane = *lane, runsDispatcher](const model::RoutingSnapshotPointer& snapshot) {
+                lane.thread.snapshot = snapshot;
+                if (runsDispatcher) {
+                    this->port.update(snapshot);
+                }
+            });
+    }
+}
+
+asio::awaitable<void> FrontEnd::accept(Lane& lane)
+{
+    while (lane.acceptor.is_open()) {
+        boost::system::error_code failed;
+        auto socket = co_await lane.acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failed));
+        if (!failed) {
+            serve(lane, std::move(socket));
+        }
+    }
+}
+
+void FrontEnd::serve(Lane& lane, tcp::socket socket)
+{
+    const auto limit = std::max<std::size_t>(1, this->settings.limits.connections / this->lanes.size());
+    if (lane.thread.sessions >= limit) {
+        kernel::logEvent("connection-refused", { { "reason", "connection-limit" }, { "limit", limit } });
+        return;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto session = Session::create(
+        std::move(socket), lane.thread, this->port, this->settings.limits, this->clock, this->metrics);
+    auto* const key = session.get();
+    lane.sessions.emplace(key, session);
+    asio::co_spawn(lane.thread.context, session->run(),
+        [&lane, key](const std::exception_ptr&) { lane.sessions.erase(key); });
+}
+
+void FrontEnd::acceptPending(Lane& lane)
+{
+    boost::system::error_code failed;
+    lane.acceptor.cancel(failed);
+    lane.acceptor.non_blocking(true, failed);
+    while (!failed) {
+        tcp::socket socket { lane.thread.context };
+        lane.acceptor.accept(socket, failed);
+        if (!failed) {
+            serve(lane, std::move(socket));
+        }
+    }
+    lane.acceptor.close(failed);
+}
+
+asio::awaitable<void> FrontEnd::drainLane(Lane& lane)
+{
+    lane.thread.closing = true;
+    lane.timer.expires_after(lameDuck.chrono());
+    co_await lane.timer.async_wait(asio::use_awaitable);
+    acceptPending(lane);
+    if (&lane == this->lanes.front().get()) {
+        this->port.refuseAll(ResultCode::Stopping);
+    }
+    while (!lane.sessions.empty()) {
+        for (const auto& [key, weak] : lane.sessions) {
+            if (const auto session = weak.lock()) {
+                session->closeIfIdle();
+            }
+        }
+        lane.timer.expires_after(drainPoll.chrono());
+        co_await lane.timer.async_wait(asio::use_awaitable);
+    }
+    lane.thread.pool.clear();
+}
+
+void FrontEnd::laneDrained(const std::function<void()>& done)
+{
+    if (--this->lanesToDrain == 0) {
+        done();
+    }
+}
+
+void FrontEnd::drain(std::function<void()> done)
+{
+    this->lanesToDrain = this->lanes.size();
+    for (auto& lane : this->lanes) {
+        asio::co_spawn(lane->thread.context, drainLane(*lane), [this, done](const std::exception_ptr&) {
+            asio::post(this->threads.control(), [this, done] { laneDrained(done); });
+        });
+    }
+}
+
+} // namespace wasabiroad::traffic
