--- a/src/wasabiroad/admission/dispatcher.cpp
+++ b/src/wasabiroad/admission/dispatcher.cpp
@@ -209,8 +209,8 @@
     this->positions.erase(pending.handle.value);
     ++this->outstanding[upstream.vm];
     this->grants.emplace(pending.handle.value, Running { pending, upstream.vm });
-    return Grant { pending.handle, upstream.vm, upstream.address, upstream.connections, this->snapshot->sequence,
-        static_cast<std::uint32_t>(candidateCount), "own-pool" };
+    return Grant { pending.handle, upstream.vm, upstream.address, upstream.connections,
+        this->snapshot->sequence, static_cast<std::uint32_t>(candidateCount), "own-pool" };
 }
 
 } // namespace wasabiroad::admission
--- a/src/wasabiroad/control/configuration_follower.cpp
+++ b/src/wasabiroad/control/configuration_follower.cpp
@@ -29,7 +29,8 @@
     if (!adopted) {
         const auto& error = adopted.error();
         kernel::logEvent("configuration-rejected",
-            { { "generation", head.generation.value }, { "code", number(error.code) }, { "reason", name(error.code) } });
+            { { "generation", head.generation.value }, { "code", number(error.code) },
+                { "reason", name(error.code) } });
         return tl::unexpected(error);
     }
     this->current = *adopted;
@@ -59,7 +60,8 @@
             = co_await platform::watch(this->store, std::string { headKey }, revision, watchWait);
         if (!listing) {
             kernel::logEvent("platform-call-failed",
-                { { "call", "watch" }, { "code", number(listing.error().code) }, { "detail", listing.error().found } });
+                { { "call", "watch" }, { "code", number(listing.error().code) },
+                    { "detail", listing.error().found } });
             timer.expires_after(retryPause.chrono());
             co_await timer.async_wait(boost::asio::use_awaitable);
             continue;
--- a/src/wasabiroad/control/configuration_keys.cpp
+++ b/src/wasabiroad/control/configuration_keys.cpp
@@ -23,7 +23,8 @@
     const auto* const object = failed ? nullptr : document.if_object();
     const auto* const generation = object ? object->if_contains("generation") : nullptr;
     const auto* const digest = object ? object->if_contains("digest") : nullptr;
-    if (!generation || !generation->is_int64() || generation->get_int64() < 1 || !digest || !digest->is_string()) {
+    if (!generation || !generation->is_int64() || generation->get_int64() < 1 || !digest
+        || !digest->is_string()) {
         return kernel::fail(
             kernel::ResultCode::InvalidJson, std::string { headKey }, text, "a generation and a digest");
     }
--- a/src/wasabiroad/control/snapshots.cpp
+++ b/src/wasabiroad/control/snapshots.cpp
@@ -34,8 +34,8 @@
     if (!this->current->configuration) {
         return;
     }
-    const auto snapshot
-        = std::make_shared<const model::RoutingSnapshot>(assemble(*this->current, this->zone, ++this->sequence));
+    const auto snapshot = std::make_shared<const model::RoutingSnapshot>(
+        assemble(*this->current, this->zone, ++this->sequence));
     kernel::logEvent("snapshot-published",
         { { "snapshot", snapshot->sequence }, { "generation", snapshot->generation.value },
             { "upstreams", snapshot->upstreams.size() }, { "services", snapshot->services.size() } });
--- a/src/wasabiroad/daemon/main.cpp
+++ b/src/wasabiroad/daemon/main.cpp
@@ -18,7 +18,8 @@
 
 cxxopts::Options makeOptions()
 {
-    cxxopts::Options options { "wasabiroadd", "Daemon of an entry VM: places callers' requests on upstreams." };
+    cxxopts::Options options { "wasabiroadd",
+        "Daemon of an entry VM: places callers' requests on upstreams." };
     options.add_options()("s,settings", "Settings file (JSON); - reads the standard input",
         cxxopts::value<std::string>())("set", "Override, as in /callers=127.0.0.1:8080",
         cxxopts::value<std::vector<std::string>>())("plugins", "List the plug-ins with their versions")(
@@ -28,7 +29,8 @@
 
 std::string helpText(const cxxopts::Options& options)
 {
-    return options.help() + "\nexample: wasabiroadd --settings examples/settings.json --set /traffic-threads=4\n";
+    return options.help()
+        + "\nexample: wasabiroadd --settings examples/settings.json --set /traffic-threads=4\n";
 }
 
 ResultCode listPlugins()
@@ -87,7 +89,8 @@
     kernel::startLogging();
     kernel::Kernel kernel { settings.trafficThreads };
     kernel.provide(std::make_shared<const settings::Settings>(settings));
-    kernel::logEvent("daemon-started", { { "entry", settings.entry.text() }, { "zone", settings.zone.text() } });
+    kernel::logEvent(
+        "daemon-started", { { "entry", settings.entry.text() }, { "zone", settings.zone.text() } });
     if (const auto started = kernel.start(kernel::Registry::global()); !started) {
         const auto code = report({ started.error() });
         kernel::stopLogging();
--- a/src/wasabiroad/http/endpoint.cpp
+++ b/src/wasabiroad/http/endpoint.cpp
@@ -10,7 +10,8 @@
 kernel::Expected<tcp::endpoint> parseEndpoint(std::string_view text)
 {
     const auto invalid = [&] {
-        return kernel::fail(ResultCode::ValueOutOfRange, {}, std::string { text }, "an IP address and a port");
+        return kernel::fail(
+            ResultCode::ValueOutOfRange, {}, std::string { text }, "an IP address and a port");
     };
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos) {
--- a/src/wasabiroad/http/server.cpp
+++ b/src/wasabiroad/http/server.cpp
@@ -27,8 +27,7 @@
 
 namespace {
 
-template <typename State>
-asio::awaitable<void> serve(std::shared_ptr<State> state, tcp::socket socket)
+template <typename State> asio::awaitable<void> serve(std::shared_ptr<State> state, tcp::socket socket)
 {
     beast::tcp_stream stream { std::move(socket) };
     beast::flat_buffer buffer;
@@ -46,7 +45,8 @@
         stream.expires_never();
         auto response = co_await state->handler(parser.release());
         stream.expires_after(state->limits.writeTimeout.chrono());
-        co_await beast::http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, failed));
+        co_await beast::http::async_write(
+            stream, response, asio::redirect_error(asio::use_awaitable, failed));
         if (failed || !response.keep_alive()) {
             break;
         }
@@ -54,12 +54,12 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, failed);
 }
 
-template <typename State>
-asio::awaitable<void> accept(std::shared_ptr<State> state)
+template <typename State> asio::awaitable<void> accept(std::shared_ptr<State> state)
 {
     while (!state->closed) {
         boost::system::error_code failed;
-        auto socket = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failed));
+        auto socket
+            = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failed));
         if (failed) {
             continue;
         }
@@ -89,7 +89,8 @@
         this->state->acceptor.listen(asio::socket_base::max_listen_connections, failed);
     }
     if (failed) {
-        return kernel::fail(kernel::ResultCode::ListenFailed, address, failed.message(), "a free local address");
+        return kernel::fail(
+            kernel::ResultCode::ListenFailed, address, failed.message(), "a free local address");
     }
     asio::co_spawn(this->state->context, accept(this->state), asio::detached);
     return toText(this->state->acceptor.local_endpoint());
--- a/src/wasabiroad/json/document.cpp
+++ b/src/wasabiroad/json/document.cpp
@@ -49,8 +49,8 @@
     while (results.popError(error)) {
         const auto pointer = toPointer(error.context);
         if (!isParentReport(error) && seen.emplace(pointer, error.description).second) {
-            errors.emplace_back(
-                Error { ResultCode::SchemaViolation, pointer, excerpt(document, pointer), error.description });
+            errors.emplace_back(Error {
+                ResultCode::SchemaViolation, pointer, excerpt(document, pointer), error.description });
         }
     }
     return errors;
@@ -78,7 +78,8 @@
     boost::system::error_code failed;
     const auto document = boost::json::parse({ text.data(), text.size() }, failed);
     if (failed) {
-        return tl::unexpected(Errors { Error { ResultCode::InvalidJson, "", failed.message(), "well-formed JSON" } });
+        return tl::unexpected(
+            Errors { Error { ResultCode::InvalidJson, "", failed.message(), "well-formed JSON" } });
     }
     const auto schemaDocument = boost::json::parse({ schemaText.data(), schemaText.size() });
     valijson::Schema schema;
--- a/src/wasabiroad/json/reader.hpp
+++ b/src/wasabiroad/json/reader.hpp
@@ -24,11 +24,7 @@
         return std::string { value != nullptr ? std::string_view { value->as_string() } : fallback };
     }
 
-    template <typename Id>
-    Id id(std::string_view key) const
-    {
-        return Id { text(key) };
-    }
+    template <typename Id> Id id(std::string_view key) const { return Id { text(key) }; }
 
     std::int64_t integer(std::string_view key, std::int64_t fallback = 0) const
     {
@@ -61,8 +57,7 @@
         return elements;
     }
 
-    template <typename Id>
-    std::vector<Id> ids(std::string_view key) const
+    template <typename Id> std::vector<Id> ids(std::string_view key) const
     {
         return list<Id>(key, [](const auto& element) { return Id { std::string { element.as_string() } }; });
     }
--- a/src/wasabiroad/kernel/clock.cpp
+++ b/src/wasabiroad/kernel/clock.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-template <typename ChronoClock>
-Instant read()
+template <typename ChronoClock> Instant read()
 {
     const auto sinceEpoch = ChronoClock::now().time_since_epoch();
     return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count() };
--- a/src/wasabiroad/kernel/clock.hpp
+++ b/src/wasabiroad/kernel/clock.hpp
@@ -26,7 +26,10 @@
     }
 
     /** @return The same length for interfaces of the standard library and of Asio. */
-    constexpr std::chrono::milliseconds chrono() const { return std::chrono::milliseconds { this->milliseconds }; }
+    constexpr std::chrono::milliseconds chrono() const
+    {
+        return std::chrono::milliseconds { this->milliseconds };
+    }
 };
 
 /** @brief A point in time in milliseconds since an epoch that the clock defines. */
--- a/src/wasabiroad/kernel/command.cpp
+++ b/src/wasabiroad/kernel/command.cpp
@@ -12,8 +12,8 @@
 {
     std::cout << "usage: " << program << " COMMAND [OPTIONS]\n\ncommands:\n";
     for (const auto* command : commands) {
-        std::cout << "  " << command->name << "\n      " << command->summary << "\n      example: " << program << " "
-                  << command->example << "\n";
+        std::cout << "  " << command->name << "\n      " << command->summary << "\n      example: " << program
+                  << " " << command->example << "\n";
     }
 }
 
--- a/src/wasabiroad/kernel/error.hpp
+++ b/src/wasabiroad/kernel/error.hpp
@@ -26,12 +26,10 @@
 using Errors = std::vector<Error>;
 
 /** @brief Result of an operation that fails with one error. */
-template <typename Value>
-using Expected = tl::expected<Value, Error>;
+template <typename Value> using Expected = tl::expected<Value, Error>;
 
 /** @brief Result of a check that reports all errors at once. */
-template <typename Value>
-using Checked = tl::expected<Value, Errors>;
+template <typename Value> using Checked = tl::expected<Value, Errors>;
 
 /** @brief Wraps an error for return from a function with an expected result. */
 inline tl::unexpected<Error> fail(
--- a/src/wasabiroad/kernel/event_bus.hpp
+++ b/src/wasabiroad/kernel/event_bus.hpp
@@ -14,16 +14,15 @@
 class EventBus {
 public:
     /** @brief Calls `handler` for each published event of the type `Event`. */
-    template <typename Event>
-    void subscribe(std::function<void(const Event&)> handler)
+    template <typename Event> void subscribe(std::function<void(const Event&)> handler)
     {
-        this->handlers[typeid(Event)].push_back(
-            [handler = std::move(handler)](const void* event) { handler(*static_cast<const Event*>(event)); });
+        this->handlers[typeid(Event)].push_back([handler = std::move(handler)](const void* event) {
+            handler(*static_cast<const Event*>(event));
+        });
     }
 
     /** @brief Delivers an event to its subscribers in order of subscription. */
-    template <typename Event>
-    void publish(const Event& event) const
+    template <typename Event> void publish(const Event& event) const
     {
         const auto found = this->handlers.find(typeid(Event));
         if (found == this->handlers.end()) {
--- a/src/wasabiroad/kernel/kernel.hpp
+++ b/src/wasabiroad/kernel/kernel.hpp
@@ -24,15 +24,13 @@
     Threads& threads() { return this->threadSet; }
 
     /** @brief Makes an object available to other plug-ins under its type. */
-    template <typename Service>
-    void provide(std::shared_ptr<Service> service)
+    template <typename Service> void provide(std::shared_ptr<Service> service)
     {
         this->services[typeid(std::shared_ptr<Service>)] = std::move(service);
     }
 
     /** @return The object provided under the type, or null. */
-    template <typename Service>
-    std::shared_ptr<Service> find() const
+    template <typename Service> std::shared_ptr<Service> find() const
     {
         using Pointer = std::shared_ptr<Service>;
         const auto found = this->services.find(typeid(Pointer));
--- a/src/wasabiroad/kernel/log.cpp
+++ b/src/wasabiroad/kernel/log.cpp
@@ -11,12 +11,13 @@
 namespace {
 
 /** Lines over this bound replace the oldest queued line, so that no traffic thread waits for output. */
-constexpr std::size_t queuedLines = 65536;
+constexpr std::size_t queuedLines = 8192;
 
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || std::ranges::any_of(value, [](unsigned char character) {
-        return character <= ' ' || character == '"' || character == '=' || character == '\\' || character == 0x7f;
+        return character <= ' ' || character == '"' || character == '=' || character == '\\'
+            || character == 0x7f;
     });
 }
 
--- a/src/wasabiroad/kernel/log.hpp
+++ b/src/wasabiroad/kernel/log.hpp
@@ -19,8 +19,7 @@
     {
     }
     template <typename Number>
-        requires std::is_arithmetic_v<Number>
-    Field(std::string_view key, Number value)
+    requires std::is_arithmetic_v<Number> Field(std::string_view key, Number value)
         : key(key)
         , value(std::to_string(value))
     {
--- a/src/wasabiroad/kernel/publisher.hpp
+++ b/src/wasabiroad/kernel/publisher.hpp
@@ -15,8 +15,7 @@
  * Each subscriber receives the pointer as a message on its own thread. An atomic shared
  * pointer would spin on a lock bit in libstdc++, and a mutex would make traffic wait.
  */
-template <typename Snapshot>
-class Publisher {
+template <typename Snapshot> class Publisher {
 public:
     using Pointer = std::shared_ptr<const Snapshot>;
 
--- a/src/wasabiroad/lifecycle/machine.hpp
+++ b/src/wasabiroad/lifecycle/machine.hpp
@@ -9,12 +9,11 @@
 namespace wasabiroad::lifecycle::internal {
 
 /** @brief MSM event that stands for one enumerator. */
-template <auto value>
-struct On { };
+template <auto value> struct On {
+};
 
 /** @brief MSM state that records its enumerator in the machine on entry. */
-template <auto value>
-struct In : boost::msm::front::state<> {
+template <auto value> struct In : boost::msm::front::state<> {
     template <typename Event, typename Machine>
     void on_entry(const Event&, Machine& machine) // NOLINT(readability-identifier-naming): name given by MSM
     {
@@ -33,8 +32,7 @@
     using no_exception_thrown = int;
     using no_message_queue = int;
 
-    template <typename Machine, typename Event>
-    void no_transition(const Event&, Machine& machine, int)
+    template <typename Machine, typename Event> void no_transition(const Event&, Machine& machine, int)
     {
         machine.handled = false;
     }
@@ -45,8 +43,7 @@
 };
 
 /** @brief Applies one event to a machine that starts in the state `initial`. */
-template <typename Table, auto initial, auto event>
-std::optional<decltype(initial)> step()
+template <typename Table, auto initial, auto event> std::optional<decltype(initial)> step()
 {
     boost::msm::back::state_machine<Front<Table, initial>> machine;
     machine.start();
--- a/src/wasabiroad/lifecycle/request_machine.cpp
+++ b/src/wasabiroad/lifecycle/request_machine.cpp
@@ -15,8 +15,7 @@
 using Row = boost::msm::front::Row<internal::In<from>, internal::On<event>, internal::In<to>>;
 
 struct RequestTable {
-    using Rows = boost::mpl::vector<
-        Row<State::Received, Event::Enqueued, State::Queued>,
+    using Rows = boost::mpl::vector<Row<State::Received, Event::Enqueued, State::Queued>,
         Row<State::Received, Event::SlotGranted, State::Granted>,
         Row<State::Received, Event::Rejected, State::Refused>,
         Row<State::Received, Event::CallerGone, State::Cancelled>,
--- a/src/wasabiroad/lifecycle/vm_machine.cpp
+++ b/src/wasabiroad/lifecycle/vm_machine.cpp
@@ -14,8 +14,7 @@
 using Row = boost::msm::front::Row<internal::In<from>, internal::On<event>, internal::In<to>>;
 
 struct VmTable {
-    using Rows = boost::mpl::vector<
-        Row<VmState::Serving, VmEvent::DrainRequested, VmState::Draining>,
+    using Rows = boost::mpl::vector<Row<VmState::Serving, VmEvent::DrainRequested, VmState::Draining>,
         Row<VmState::Serving, VmEvent::FailureDetected, VmState::Failed>,
         Row<VmState::Draining, VmEvent::DrainCancelled, VmState::Serving>,
         Row<VmState::Draining, VmEvent::WorkFinished, VmState::Drained>,
--- a/src/wasabiroad/manifest/check.cpp
+++ b/src/wasabiroad/manifest/check.cpp
@@ -47,8 +47,8 @@
 }
 
 template <typename Ids, typename Id>
-void checkReferences(
-    const Ids& ids, const std::vector<Id>& list, const std::string& pointer, std::string_view kind, Errors& errors)
+void checkReferences(const Ids& ids, const std::vector<Id>& list, const std::string& pointer,
+    std::string_view kind, Errors& errors)
 {
     for (std::size_t index = 0; index < list.size(); ++index) {
         checkReference(ids, list[index], pointer + "/" + std::to_string(index), kind, errors);
@@ -110,8 +110,8 @@
 {
     const auto sum = weights.reserve + weights.rollOut + weights.moves + weights.waiting;
     if (sum != 100) {
-        errors.emplace_back(
-            Error { ResultCode::ValueOutOfRange, "/weights", std::to_string(sum), "weights with the sum 100" });
+        errors.emplace_back(Error {
+            ResultCode::ValueOutOfRange, "/weights", std::to_string(sum), "weights with the sum 100" });
     }
 }
 
--- a/src/wasabiroad/manifest/read.cpp
+++ b/src/wasabiroad/manifest/read.cpp
@@ -71,7 +71,8 @@
         .maxUnavailable = reader.count("max-unavailable"),
         .queueBound = reader.count("queue-bound", defaultQueueBound),
         .retryPercent = reader.count("retry-percent", defaultRetryPercent),
-        .atMostOnce = reader.text("at-most-once") == "claim" ? model::AtMostOnce::Claim : model::AtMostOnce::Ticket,
+        .atMostOnce
+        = reader.text("at-most-once") == "claim" ? model::AtMostOnce::Claim : model::AtMostOnce::Ticket,
         .borrowFrom = reader.ids<model::PoolId>("borrow-from"),
         .operations = reader.list<model::Operation>("operations", readOperation),
     };
@@ -142,7 +143,8 @@
         return {};
     }
     const Reader reader { *value };
-    return { reader.count("reserve"), reader.count("roll-out"), reader.count("moves"), reader.count("waiting") };
+    return { reader.count("reserve"), reader.count("roll-out"), reader.count("moves"),
+        reader.count("waiting") };
 }
 
 model::Manifest readManifest(const boost::json::value& document)
@@ -168,8 +170,8 @@
 kernel::Checked<model::Manifest> read(std::string_view text)
 {
     if (text.size() > maxBytes) {
-        return tl::unexpected(Errors { Error { ResultCode::DocumentTooLarge, "", std::to_string(text.size()) + " bytes",
-            "at most " + std::to_string(maxBytes) + " bytes" } });
+        return tl::unexpected(Errors { Error { ResultCode::DocumentTooLarge, "",
+            std::to_string(text.size()) + " bytes", "at most " + std::to_string(maxBytes) + " bytes" } });
     }
     const auto document = json::parseDocument(text, schema());
     if (!document) {
--- a/src/wasabiroad/metrics/metrics.cpp
+++ b/src/wasabiroad/metrics/metrics.cpp
@@ -12,9 +12,8 @@
 
 const prometheus::Histogram::BucketBoundaries& bucketsInMilliseconds()
 {
-    static const prometheus::Histogram::BucketBoundaries buckets {
-        1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000
-    };
+    static const prometheus::Histogram::BucketBoundaries buckets { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000,
+        2000, 5000, 10000, 30000 };
     return buckets;
 }
 
--- a/src/wasabiroad/model/identifier.hpp
+++ b/src/wasabiroad/model/identifier.hpp
@@ -9,8 +9,7 @@
 namespace wasabiroad::model {
 
 /** @brief Name of one kind of thing; names of different kinds do not mix. */
-template <typename Tag>
-class Identifier {
+template <typename Tag> class Identifier {
 public:
     Identifier() = default;
     explicit Identifier(std::string text)
@@ -48,8 +47,7 @@
 
 } // namespace wasabiroad::model
 
-template <typename Tag>
-struct std::hash<wasabiroad::model::Identifier<Tag>> {
+template <typename Tag> struct std::hash<wasabiroad::model::Identifier<Tag>> {
     std::size_t operator()(const wasabiroad::model::Identifier<Tag>& identifier) const noexcept
     {
         return std::hash<std::string> {}(identifier.text());
--- a/src/wasabiroad/operations/plugin.cpp
+++ b/src/wasabiroad/operations/plugin.cpp
@@ -15,7 +15,8 @@
 public:
     explicit Listener(kernel::Kernel& daemonKernel)
         : kernel(daemonKernel)
-        , server(daemonKernel.threads().control(), [this](http::Request request) { return handle(std::move(request)); })
+        , server(daemonKernel.threads().control(),
+              [this](http::Request request) { return handle(std::move(request)); })
     {
     }
 
--- a/src/wasabiroad/platform/memory_store.cpp
+++ b/src/wasabiroad/platform/memory_store.cpp
@@ -34,7 +34,8 @@
     const auto found = this->values.find(key);
     const auto current = found == this->values.end() ? 0 : found->second.version;
     if (current != *ifVersion) {
-        return kernel::fail(ResultCode::VersionConflict, key, std::to_string(current), std::to_string(*ifVersion));
+        return kernel::fail(
+            ResultCode::VersionConflict, key, std::to_string(current), std::to_string(*ifVersion));
     }
     return {};
 }
@@ -58,7 +59,8 @@
     return version;
 }
 
-kernel::Expected<std::uint64_t> MemoryStore::erase(const std::string& key, std::optional<std::uint64_t> ifVersion)
+kernel::Expected<std::uint64_t> MemoryStore::erase(
+    const std::string& key, std::optional<std::uint64_t> ifVersion)
 {
     if (!this->values.contains(key)) {
         return kernel::fail(ResultCode::KeyNotFound, key);
--- a/src/wasabiroad/platform/store.cpp
+++ b/src/wasabiroad/platform/store.cpp
@@ -38,7 +38,8 @@
 }
 
 /** Sends a call and parses the JSON of a response with status 200. */
-Result<boost::json::value> call(HttpStore store, http::Request request, std::string key, kernel::Duration timeout)
+Result<boost::json::value> call(
+    HttpStore store, http::Request request, std::string key, kernel::Duration timeout)
 {
     const auto response = co_await http::exchange(store.endpoint, std::move(request), timeout);
     if (!response) {
@@ -50,7 +51,8 @@
     boost::system::error_code failed;
     auto document = boost::json::parse(response->body(), failed);
     if (failed || !document.is_object()) {
-        co_return kernel::fail(ResultCode::PlatformRejected, http::toText(store.endpoint), "a body that is no object");
+        co_return kernel::fail(
+            ResultCode::PlatformRejected, http::toText(store.endpoint), "a body that is no object");
     }
     co_return document;
 }
@@ -58,13 +60,15 @@
 Entry readEntry(const boost::json::value& value)
 {
     const json::Reader reader { value };
-    return { reader.text("key"), reader.text("value"), static_cast<std::uint64_t>(reader.integer("version")) };
+    return { reader.text("key"), reader.text("value"),
+        static_cast<std::uint64_t>(reader.integer("version")) };
 }
 
 Listing readListing(const boost::json::value& value)
 {
     const json::Reader reader { value };
-    return { static_cast<std::uint64_t>(reader.integer("revision")), reader.list<Entry>("entries", readEntry) };
+    return { static_cast<std::uint64_t>(reader.integer("revision")),
+        reader.list<Entry>("entries", readEntry) };
 }
 
 ListedVm readListedVm(const boost::json::value& value)
@@ -115,28 +119,30 @@
 
 Result<Entry> get(Store store, std::string key)
 {
-    return std::visit([&](auto backEnd) { return getOver(std::move(backEnd), std::move(key)); }, std::move(store));
+    return std::visit(
+        [&](auto backEnd) { return getOver(std::move(backEnd), std::move(key)); }, std::move(store));
 }
 
 Result<Listing> list(Store store, std::string prefix)
 {
-    return std::visit(kernel::Overloaded {
-                          [&](HttpStore http) {
-                              return listOver(http, "/kv?prefix=" + encode(prefix), http.timeout);
-                          },
-                          [&](LocalStore local) -> Result<Listing> {
-                              return [](LocalStore store, std::string prefix) -> Result<Listing> {
-                                  co_return store.memory->list(prefix);
-                              }(local, prefix);
-                          },
-                      },
+    return std::visit(
+        kernel::Overloaded {
+            [&](HttpStore http) { return listOver(http, "/kv?prefix=" + encode(prefix), http.timeout); },
+            [&](LocalStore local) -> Result<Listing> {
+                return [](LocalStore store, std::string prefix) -> Result<Listing> {
+                    co_return store.memory->list(prefix);
+                }(local, prefix);
+            },
+        },
         std::move(store));
 }
 
 Result<std::uint64_t> put(Store store, std::string key, std::string value, std::uint64_t ifVersion)
 {
     return std::visit(
-        [&](auto backEnd) { return putOver(std::move(backEnd), std::move(key), std::move(value), ifVersion); },
+        [&](auto backEnd) {
+            return putOver(std::move(backEnd), std::move(key), std::move(value), ifVersion);
+        },
         std::move(store));
 }
 
@@ -144,8 +150,8 @@
 {
     return std::visit(kernel::Overloaded {
                           [&](HttpStore http) {
-                              const auto target = "/watch?prefix=" + encode(prefix) + "&after=" + std::to_string(after)
-                                  + "&wait-ms=" + std::to_string(wait.milliseconds);
+                              const auto target = "/watch?prefix=" + encode(prefix) + "&after="
+                                  + std::to_string(after) + "&wait-ms=" + std::to_string(wait.milliseconds);
                               return listOver(http, target, http.timeout + wait);
                           },
                           [&](LocalStore local) { return list(local, prefix); },
@@ -160,16 +166,15 @@
                           [](HttpStore http) {
                               return [](HttpStore http) -> Result<List> {
                                   auto request = http::makeRequest(verb::get, "/vms");
-                                  const auto document = co_await call(http, std::move(request), "/vms", http.timeout);
+                                  const auto document
+                                      = co_await call(http, std::move(request), "/vms", http.timeout);
                                   if (!document) {
                                       co_return tl::unexpected(document.error());
                                   }
                                   co_return json::Reader { *document }.list<ListedVm>("vms", readListedVm);
                               }(http);
                           },
-                          [](LocalStore) {
-                              return []() -> Result<List> { co_return List {}; }();
-                          },
+                          [](LocalStore) { return []() -> Result<List> { co_return List {}; }(); },
                       },
         std::move(store));
 }
--- a/src/wasabiroad/platform/store.hpp
+++ b/src/wasabiroad/platform/store.hpp
@@ -18,13 +18,13 @@
 /** @brief Back ends of the platform's key-value service. */
 using Store = std::variant<HttpStore, LocalStore>;
 
-template <typename Value>
-using Result = boost::asio::awaitable<kernel::Expected<Value>>;
+template <typename Value> using Result = boost::asio::awaitable<kernel::Expected<Value>>;
 
 /** @brief Reads a key. Errors: KeyNotFound, PlatformUnreachable, PlatformTimeout, PlatformRejected. */
 Result<Entry> get(Store store, std::string key);
 
-/** @brief Lists the entries under a prefix. Errors: PlatformUnreachable, PlatformTimeout, PlatformRejected. */
+/** @brief Lists the entries under a prefix. Errors: PlatformUnreachable, PlatformTimeout, PlatformRejected.
+ */
 Result<Listing> list(Store store, std::string prefix);
 
 /**
--- a/src/wasabiroad/routing/placement.cpp
+++ b/src/wasabiroad/routing/placement.cpp
@@ -37,12 +37,11 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    return std::visit(
-        kernel::Overloaded {
-            [&](const model::RoundRobin&) -> std::size_t { return draw % candidates.size(); },
-            [&](const model::LeastOutstanding&) { return leastOutstanding(candidates, draw); },
-            [&](const model::TwoChoices&) { return betterOfTwo(candidates, draw); },
-        },
+    return std::visit(kernel::Overloaded {
+                          [&](const model::RoundRobin&) -> std::size_t { return draw % candidates.size(); },
+                          [&](const model::LeastOutstanding&) { return leastOutstanding(candidates, draw); },
+                          [&](const model::TwoChoices&) { return betterOfTwo(candidates, draw); },
+                      },
         policy);
 }
 
--- a/src/wasabiroad/settings/settings.cpp
+++ b/src/wasabiroad/settings/settings.cpp
@@ -51,13 +51,14 @@
     boost::system::error_code failed;
     auto document = boost::json::parse({ text.data(), text.size() }, failed);
     if (failed) {
-        return tl::unexpected(Errors { Error { ResultCode::InvalidJson, "", failed.message(), "well-formed JSON" } });
+        return tl::unexpected(
+            Errors { Error { ResultCode::InvalidJson, "", failed.message(), "well-formed JSON" } });
     }
     Errors errors;
     for (const auto& [pointer, value] : overrides) {
         if (!setMember(document, pointer, parseOverride(value))) {
-            errors.emplace_back(
-                Error { ResultCode::InvalidArguments, pointer, value, "a JSON pointer to a member, as in /entry" });
+            errors.emplace_back(Error {
+                ResultCode::InvalidArguments, pointer, value, "a JSON pointer to a member, as in /entry" });
         }
     }
     if (!errors.empty()) {
--- a/src/wasabiroad/standin/platform.cpp
+++ b/src/wasabiroad/standin/platform.cpp
@@ -134,7 +134,8 @@
     return entry ? reply(request, 200, toJson(*entry)) : replyError(request, entry.error());
 }
 
-http::Response Platform::writeKey(const http::Request& request, const http::Target& target, const std::string& key)
+http::Response Platform::writeKey(
+    const http::Request& request, const http::Target& target, const std::string& key)
 {
     const auto leaseNumber = http::numberOf(target, "lease", 0);
     const auto leaseId = leaseNumber > 0
@@ -148,7 +149,8 @@
     return reply(request, 200, { { "version", *version } });
 }
 
-http::Response Platform::eraseKey(const http::Request& request, const http::Target& target, const std::string& key)
+http::Response Platform::eraseKey(
+    const http::Request& request, const http::Target& target, const std::string& key)
 {
     const auto version = this->store.erase(key, ifVersion(target));
     if (!version) {
@@ -201,12 +203,13 @@
 http::Response Platform::admin(const http::Request& request, const http::Target& target)
 {
     if (target.path == "/admin/calls") {
-        return reply(request, 200, { { "reads", this->calls["reads"] }, { "writes", this->calls["writes"] } });
+        return reply(
+            request, 200, { { "reads", this->calls["reads"] }, { "writes", this->calls["writes"] } });
     }
     if (target.path == "/admin/faults") {
-        this->faults = std::make_shared<const PlatformFaults>(
-            PlatformFaults { { http::numberOf(target, "delay-ms", 0) }, http::numberOf(target, "outage", 0) != 0,
-                http::numberOf(target, "lose-write-responses", 0) != 0 });
+        this->faults = std::make_shared<const PlatformFaults>(PlatformFaults {
+            { http::numberOf(target, "delay-ms", 0) }, http::numberOf(target, "outage", 0) != 0,
+            http::numberOf(target, "lose-write-responses", 0) != 0 });
         return reply(request, 200, { { "set", true } });
     }
     if (target.path == "/admin/vms" && target.query.contains("id")) {
--- a/src/wasabiroad/standin/platform_command.cpp
+++ b/src/wasabiroad/standin/platform_command.cpp
@@ -10,8 +10,10 @@
 
 kernel::ResultCode run(int argc, const char* const* argv)
 {
-    cxxopts::Options options { "wasabiroad-standin platform", "Stand-in of the platform's key-value service." };
-    options.add_options()("listen", "IP address and port", cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
+    cxxopts::Options options { "wasabiroad-standin platform",
+        "Stand-in of the platform's key-value service." };
+    options.add_options()(
+        "listen", "IP address and port", cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
     const auto arguments = options.parse(argc, argv);
     boost::asio::io_context context { 1 };
     Platform platform { context };
--- a/src/wasabiroad/standin/run.cpp
+++ b/src/wasabiroad/standin/run.cpp
@@ -14,8 +14,8 @@
 
 kernel::ResultCode reportError(const kernel::Error& error)
 {
-    std::cerr << "code=" << number(error.code) << " " << name(error.code) << " at '" << error.where << "': found "
-              << error.found << "; allowed: " << error.allowed << "\n";
+    std::cerr << "code=" << number(error.code) << " " << name(error.code) << " at '" << error.where
+              << "': found " << error.found << "; allowed: " << error.allowed << "\n";
     return error.code;
 }
 
--- a/src/wasabiroad/standin/run.hpp
+++ b/src/wasabiroad/standin/run.hpp
@@ -8,7 +8,8 @@
 
 namespace wasabiroad::standin {
 
-/** @brief Prints the address of a listener as one key=value line, for the program that started the stand-in. */
+/** @brief Prints the address of a listener as one key=value line, for the program that started the stand-in.
+ */
 void announce(const std::string& listener, const std::string& address);
 
 /** @brief Prints an error and returns its code. */
--- a/src/wasabiroad/standin/upstream.cpp
+++ b/src/wasabiroad/standin/upstream.cpp
@@ -55,8 +55,8 @@
         response.set(view(headers::started), "no");
         co_return response;
     }
-    this->log.emplace_back(
-        Run { valueOf(request, headers::requestId), valueOf(request, headers::attempt), this->behaviour->vm });
+    this->log.emplace_back(Run {
+        valueOf(request, headers::requestId), valueOf(request, headers::attempt), this->behaviour->vm });
     if (this->behaviour->failing) {
         co_return answer(request, 500, "failing\n");
     }
--- a/src/wasabiroad/standin/upstream.hpp
+++ b/src/wasabiroad/standin/upstream.hpp
@@ -44,7 +44,10 @@
     kernel::Expected<std::string> listen(const std::string& address) { return this->server.listen(address); }
 
     /** @brief Replaces the behaviour. */
-    void behave(const UpstreamBehaviour& next) { this->behaviour = std::make_shared<const UpstreamBehaviour>(next); }
+    void behave(const UpstreamBehaviour& next)
+    {
+        this->behaviour = std::make_shared<const UpstreamBehaviour>(next);
+    }
 
     /** @return The current behaviour. */
     const UpstreamBehaviour& current() const { return *this->behaviour; }
--- a/src/wasabiroad/standin/upstreams_command.cpp
+++ b/src/wasabiroad/standin/upstreams_command.cpp
@@ -38,8 +38,8 @@
 kernel::ResultCode run(int argc, const char* const* argv)
 {
     cxxopts::Options options { "wasabiroad-standin upstreams", "Stand-ins of all upstreams of a manifest." };
-    options.add_options()("manifest", "Manifest file", cxxopts::value<std::string>())(
-        "admin", "IP address and port for reading the runs",
+    options.add_options()("manifest", "Manifest file", cxxopts::value<std::string>())("admin",
+        "IP address and port for reading the runs",
         cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
         "any-port", "Bind 127.0.0.1 and a free port in place of the manifest's addresses");
     const auto arguments = options.parse(argc, argv);
@@ -51,7 +51,8 @@
     RunLog log;
     std::vector<std::unique_ptr<Upstream>> upstreams;
     for (const auto& vm : manifest->vms) {
-        upstreams.push_back(std::make_unique<Upstream>(context, UpstreamBehaviour { vm.id.text(), vm.slots }, log));
+        upstreams.push_back(
+            std::make_unique<Upstream>(context, UpstreamBehaviour { vm.id.text(), vm.slots }, log));
         const auto address
             = upstreams.back()->listen(arguments.count("any-port") != 0 ? "127.0.0.1:0" : vm.address);
         if (!address) {
--- a/src/wasabiroad/tool/apply.cpp
+++ b/src/wasabiroad/tool/apply.cpp
@@ -12,7 +12,8 @@
 kernel::Error conflict(const Head& found, model::Generation planned)
 {
     return { ResultCode::GenerationConflict, std::string { control::headKey },
-        "generation " + std::to_string(found.generation.value), "generation " + std::to_string(planned.value) };
+        "generation " + std::to_string(found.generation.value),
+        "generation " + std::to_string(planned.value) };
 }
 
 /** Writes a text under a key that no other text has, so an existing key already holds this text. */
@@ -67,7 +68,8 @@
     co_return StoredHead { *head, entry->version };
 }
 
-platform::Result<Head> apply(platform::Store store, std::string text, std::optional<model::Generation> planned)
+platform::Result<Head> apply(
+    platform::Store store, std::string text, std::optional<model::Generation> planned)
 {
     const auto current = co_await readHead(store);
     if (!current) {
--- a/src/wasabiroad/tool/apply_command.cpp
+++ b/src/wasabiroad/tool/apply_command.cpp
@@ -11,9 +11,10 @@
 kernel::ResultCode run(int argc, const char* const* argv)
 {
     auto options = makeOptions("apply", "Puts a manifest in force as the next generation.");
-    options.add_options()("manifest", "Manifest file; - reads the standard input", cxxopts::value<std::string>())(
-        "platform", "IP address and port of the platform", cxxopts::value<std::string>())("planned-against",
-        "Generation that the change was planned against", cxxopts::value<std::int64_t>());
+    options.add_options()(
+        "manifest", "Manifest file; - reads the standard input", cxxopts::value<std::string>())(
+        "platform", "IP address and port of the platform", cxxopts::value<std::string>())(
+        "planned-against", "Generation that the change was planned against", cxxopts::value<std::int64_t>());
     const Invocation invocation { std::move(options), argc, argv };
     if (invocation.helped()) {
         return kernel::ResultCode::Ok;
@@ -30,9 +31,9 @@
     if (!store) {
         return printErrors(format, { store.error() });
     }
-    const auto planned = invocation.has("planned-against")
-        ? std::optional { model::Generation { static_cast<std::uint64_t>(invocation.number("planned-against")) } }
-        : std::nullopt;
+    const auto planned = invocation.has("planned-against") ? std::optional { model::Generation {
+                             static_cast<std::uint64_t>(invocation.number("planned-against")) } }
+                                                           : std::nullopt;
     const auto head = wait(apply(*store, *text, planned));
     if (!head) {
         return printErrors(format, { head.error() });
--- a/src/wasabiroad/tool/invocation.cpp
+++ b/src/wasabiroad/tool/invocation.cpp
@@ -51,7 +51,8 @@
     }
     const std::ifstream stream { path };
     if (!stream) {
-        return kernel::fail(kernel::ResultCode::FileUnreadable, path, "no readable file", "a readable file or -");
+        return kernel::fail(
+            kernel::ResultCode::FileUnreadable, path, "no readable file", "a readable file or -");
     }
     content << stream.rdbuf();
     return content.str();
--- a/src/wasabiroad/tool/invocation.hpp
+++ b/src/wasabiroad/tool/invocation.hpp
@@ -22,7 +22,10 @@
     OutputFormat format() const;
     bool has(const std::string& option) const { return this->arguments.count(option) != 0; }
     std::string text(const std::string& option) const { return this->arguments[option].as<std::string>(); }
-    std::int64_t number(const std::string& option) const { return this->arguments[option].as<std::int64_t>(); }
+    std::int64_t number(const std::string& option) const
+    {
+        return this->arguments[option].as<std::int64_t>();
+    }
 
     /** @return The platform that `--platform` names. Errors: ValueOutOfRange. */
     kernel::Expected<platform::Store> platform() const;
--- a/src/wasabiroad/tool/output.cpp
+++ b/src/wasabiroad/tool/output.cpp
@@ -10,8 +10,8 @@
 {
     boost::json::array list;
     for (const auto& error : errors) {
-        list.push_back({ { "code", number(error.code) }, { "name", name(error.code) }, { "where", error.where },
-            { "found", error.found }, { "allowed", error.allowed } });
+        list.push_back({ { "code", number(error.code) }, { "name", name(error.code) },
+            { "where", error.where }, { "found", error.found }, { "allowed", error.allowed } });
         if (format == OutputFormat::Text) {
             std::cerr << "code=" << number(error.code) << " " << name(error.code) << " at '" << error.where
                       << "': found " << error.found << "; allowed: " << error.allowed << "\n";
--- a/src/wasabiroad/tool/validate_command.cpp
+++ b/src/wasabiroad/tool/validate_command.cpp
@@ -24,8 +24,9 @@
         return printErrors(invocation.format(), manifest.error());
     }
     printObject(invocation.format(),
-        { { "site", manifest->site.text() }, { "pools", manifest->pools.size() }, { "vms", manifest->vms.size() },
-            { "services", manifest->services.size() }, { "digest", manifest::digest(*text) } });
+        { { "site", manifest->site.text() }, { "pools", manifest->pools.size() },
+            { "vms", manifest->vms.size() }, { "services", manifest->services.size() },
+            { "digest", manifest::digest(*text) } });
     return kernel::ResultCode::Ok;
 }
 
--- a/src/wasabiroad/tool/wait.hpp
+++ b/src/wasabiroad/tool/wait.hpp
@@ -10,8 +10,7 @@
 namespace wasabiroad::tool {
 
 /** @brief Runs a coroutine to its end and returns its value. */
-template <typename Value>
-Value wait(boost::asio::awaitable<Value> operation)
+template <typename Value> Value wait(boost::asio::awaitable<Value> operation)
 {
     boost::asio::io_context context { 1 };
     std::optional<Value> result;
--- a/src/wasabiroad/traffic/attempt.cpp
+++ b/src/wasabiroad/traffic/attempt.cpp
@@ -80,11 +80,7 @@
     return Ending { std::string { stage } + ": " + failed.message() };
 }
 
-template <typename Ending>
-AttemptResult ended(std::string reason)
-{
-    return Ending { std::move(reason) };
-}
+template <typename Ending> AttemptResult ended(std::string reason) { return Ending { std::move(reason) }; }
 
 AttemptResult answered(unsigned status) { return Answered { status }; }
 
@@ -105,7 +101,8 @@
         result);
 }
 
-asio::awaitable<std::variant<UpstreamConnectionPointer, AttemptResult>> Exchange::connect(const Attempt& attempt)
+asio::awaitable<std::variant<UpstreamConnectionPointer, AttemptResult>> Exchange::connect(
+    const Attempt& attempt)
 {
     // An idle connection can break between its check and its use, which leaves the outcome open.
     if (attempt.request.idempotent) {
@@ -128,7 +125,8 @@
     co_return connection;
 }
 
-asio::awaitable<AttemptResult> Exchange::run(const Attempt& attempt, beast::tcp_stream& caller, kernel::Instant now)
+asio::awaitable<AttemptResult> Exchange::run(
+    const Attempt& attempt, beast::tcp_stream& caller, kernel::Instant now)
 {
     auto connected = co_await connect(attempt);
     if (const auto* const result = std::get_if<AttemptResult>(&connected)) {
@@ -185,8 +183,8 @@
         target.data = buffer.data();
         target.size = buffer.size();
         if (!parser.is_done()) {
-            co_await beast::http::async_read(
-                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+            co_await beast::http::async_read(connection.stream, connection.buffer, parser,
+                asio::redirect_error(asio::use_awaitable, failed));
             if (failed && failed != beast::http::error::need_buffer) {
                 if (begun) {
                     co_return ended<Truncated>("read", failed);
@@ -198,7 +196,8 @@
         answer.body().size = buffer.size() - target.size;
         answer.body().more = !parser.is_done();
         caller.expires_after(callerWriteTimeout.chrono());
-        co_await beast::http::async_write(caller, serializer, asio::redirect_error(asio::use_awaitable, failed));
+        co_await beast::http::async_write(
+            caller, serializer, asio::redirect_error(asio::use_awaitable, failed));
         begun = true;
         if (failed && failed != beast::http::error::need_buffer) {
             co_return ended<Truncated>("caller", failed);
--- a/src/wasabiroad/traffic/attempt.hpp
+++ b/src/wasabiroad/traffic/attempt.hpp
@@ -77,9 +77,10 @@
     void abort();
 
 private:
-    boost::asio::awaitable<std::variant<UpstreamConnectionPointer, AttemptResult>> connect(const Attempt& attempt);
-    boost::asio::awaitable<AttemptResult> forward(
-        const Attempt& attempt, UpstreamConnection& connection, boost::beast::tcp_stream& caller, bool& reusable);
+    boost::asio::awaitable<std::variant<UpstreamConnectionPointer, AttemptResult>> connect(
+        const Attempt& attempt);
+    boost::asio::awaitable<AttemptResult> forward(const Attempt& attempt, UpstreamConnection& connection,
+        boost::beast::tcp_stream& caller, bool& reusable);
 
     UpstreamPool& pool;
     UpstreamConnection* active { nullptr };
--- a/src/wasabiroad/traffic/decode.cpp
+++ b/src/wasabiroad/traffic/decode.cpp
@@ -42,7 +42,8 @@
     return Route { service->second, *operation };
 }
 
-kernel::Expected<std::optional<kernel::Duration>> readDuration(const http::fields& fields, std::string_view name)
+kernel::Expected<std::optional<kernel::Duration>> readDuration(
+    const http::fields& fields, std::string_view name)
 {
     const auto text = valueOf(fields, name);
     if (text.empty()) {
@@ -50,7 +51,8 @@
     }
     std::int64_t value = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (parsed.ec != std::errc {} || parsed.ptr != text.data() + text.size() || value < 1 || value > maxDurationMs) {
+    if (parsed.ec != std::errc {} || parsed.ptr != text.data() + text.size() || value < 1
+        || value > maxDurationMs) {
         return kernel::fail(ResultCode::MalformedRequest, std::string { name }, std::string { text },
             "milliseconds from 1 to " + std::to_string(maxDurationMs));
     }
@@ -59,7 +61,8 @@
 
 bool isPrintable(std::string_view text)
 {
-    return std::ranges::all_of(text, [](unsigned char character) { return character > ' ' && character < 0x7f; });
+    return std::ranges::all_of(
+        text, [](unsigned char character) { return character > ' ' && character < 0x7f; });
 }
 
 kernel::Expected<model::RequestId> readId(const http::fields& fields, const model::RequestId& fallback)
@@ -94,8 +97,8 @@
     if (text == "false") {
         return false;
     }
-    return kernel::fail(
-        ResultCode::MalformedRequest, std::string { headers::idempotent }, std::string { text }, "true or false");
+    return kernel::fail(ResultCode::MalformedRequest, std::string { headers::idempotent },
+        std::string { text }, "true or false");
 }
 
 } // namespace
@@ -109,8 +112,8 @@
     return { found->value().data(), found->value().size() };
 }
 
-kernel::Expected<model::Request> decode(const RequestHeader& header, const model::RoutingSnapshotPointer& snapshot,
-    const model::RequestId& fallbackId, kernel::Instant now)
+kernel::Expected<model::Request> decode(const RequestHeader& header,
+    const model::RoutingSnapshotPointer& snapshot, const model::RequestId& fallbackId, kernel::Instant now)
 {
     if (!snapshot) {
         return kernel::fail(ResultCode::NotConfigured);
@@ -120,7 +123,8 @@
         return tl::unexpected(route.error());
     }
     if (header.method() != http::verb::post) {
-        return kernel::fail(ResultCode::MethodNotAllowed, "method", std::string { header.method_string() }, "POST");
+        return kernel::fail(
+            ResultCode::MethodNotAllowed, "method", std::string { header.method_string() }, "POST");
     }
     const auto id = readId(header, fallbackId);
     const auto deadline = readDuration(header, headers::deadline);
--- a/src/wasabiroad/traffic/decode.hpp
+++ b/src/wasabiroad/traffic/decode.hpp
@@ -20,8 +20,8 @@
  * @return The request. Errors: MethodNotAllowed, UnknownService, UnknownOperation, UnknownTeam,
  * MalformedRequest, NotConfigured.
  */
-kernel::Expected<model::Request> decode(const RequestHeader& header, const model::RoutingSnapshotPointer& snapshot,
-    const model::RequestId& fallbackId, kernel::Instant now);
+kernel::Expected<model::Request> decode(const RequestHeader& header,
+    const model::RoutingSnapshotPointer& snapshot, const model::RequestId& fallbackId, kernel::Instant now);
 
 /** @return A header's value, or an empty text. */
 std::string_view valueOf(const boost::beast::http::fields& fields, std::string_view name);
--- a/src/wasabiroad/traffic/dispatch_port.cpp
+++ b/src/wasabiroad/traffic/dispatch_port.cpp
@@ -48,7 +48,8 @@
 void DispatchPort::finish(const SubmissionPointer& submission, admission::Outcome outcome)
 {
     boost::asio::dispatch(this->context, [this, submission, outcome] {
-        const bool mayContinue = outcome == admission::Outcome::NotStarted || outcome == admission::Outcome::Lost;
+        const bool mayContinue
+            = outcome == admission::Outcome::NotStarted || outcome == admission::Outcome::Lost;
         if (!mayContinue || submission->cancelled) {
             this->replies.erase(submission->handle.value);
         }
--- a/src/wasabiroad/traffic/front_end.cpp
+++ b/src/wasabiroad/traffic/front_end.cpp
@@ -54,10 +54,11 @@
     const auto incarnation = hexadecimal(randomSeed());
     for (std::size_t index = 0; index < this->threads.trafficCount(); ++index) {
         auto& context = this->threads.traffic(index);
-        const auto prefix = this->settings.entry.text() + "-" + incarnation + "-" + std::to_string(index) + "-";
-        this->lanes.push_back(std::unique_ptr<Lane>(new Lane {
-            { .context = context, .pool = UpstreamPool { context }, .idPrefix = prefix },
-            tcp::acceptor { context }, asio::steady_timer { context } }));
+        const auto prefix
+            = this->settings.entry.text() + "-" + incarnation + "-" + std::to_string(index) + "-";
+        this->lanes.push_back(std::unique_ptr<Lane>(
+            new Lane { { .context = context, .pool = UpstreamPool { context }, .idPrefix = prefix },
+                tcp::acceptor { context }, asio::steady_timer { context } }));
     }
 }
 
--- a/src/wasabiroad/traffic/session.cpp
+++ b/src/wasabiroad/traffic/session.cpp
@@ -23,7 +23,8 @@
 
 namespace {
 
-const model::Operation* findOperation(const model::RoutingSnapshotPointer& snapshot, const model::Request& request)
+const model::Operation* findOperation(
+    const model::RoutingSnapshotPointer& snapshot, const model::Request& request)
 {
     const auto service = snapshot->services.find(request.service);
     if (service == snapshot->services.end()) {
@@ -48,9 +49,9 @@
 void logPlacement(const model::Request& request, const admission::Grant& grant)
 {
     kernel::logEvent("placement",
-        { { "request", request.id.text() }, { "service", request.service.text() }, { "snapshot", grant.snapshot },
-            { "candidates", grant.candidates }, { "chosen", grant.vm.text() }, { "reason", grant.reason },
-            { "code", 0 } });
+        { { "request", request.id.text() }, { "service", request.service.text() },
+            { "snapshot", grant.snapshot }, { "candidates", grant.candidates }, { "chosen", grant.vm.text() },
+            { "reason", grant.reason }, { "code", 0 } });
 }
 
 void logRefusal(const SystemAnswer& answer)
@@ -80,8 +81,8 @@
 
 Session::~Session() { --this->thread.sessions; }
 
-std::shared_ptr<Session> Session::create(asio::ip::tcp::socket socket, ThreadState& thread, DispatchPort& port,
-    const settings::Limits& limits, kernel::Clock clock, metrics::Metrics& metrics)
+std::shared_ptr<Session> Session::create(asio::ip::tcp::socket socket, ThreadState& thread,
+    DispatchPort& port, const settings::Limits& limits, kernel::Clock clock, metrics::Metrics& metrics)
 {
     auto* const session = new Session { std::move(socket), thread, port, limits, clock, metrics };
     return { session, [&context = thread.context](Session* ended) {
@@ -148,8 +149,8 @@
     this->stream.expires_never();
     this->state = RequestState::Received;
     const bool keepAlive = parser.get().keep_alive() && !this->thread.closing;
-    const auto request
-        = decode(parser.get(), this->thread.snapshot, model::RequestId { makeId() }, kernel::now(this->clock));
+    const auto request = decode(
+        parser.get(), this->thread.snapshot, model::RequestId { makeId() }, kernel::now(this->clock));
     if (!request) {
         advance(RequestEvent::Rejected);
         const auto& error = request.error();
@@ -160,13 +161,15 @@
     co_return co_await dispatch(*request, parser.get().body(), keepAlive);
 }
 
-asio::awaitable<bool> Session::dispatch(const model::Request& request, const std::string& body, bool keepAlive)
+asio::awaitable<bool> Session::dispatch(
+    const model::Request& request, const std::string& body, bool keepAlive)
 {
     this->gone = false;
     this->decision.reset();
-    this->submission = this->port.submit(request, [self = shared_from_this()](const admission::Decision& made) {
-        asio::dispatch(self->thread.context, [self, made] { self->receive(made); });
-    });
+    this->submission
+        = this->port.submit(request, [self = shared_from_this()](const admission::Decision& made) {
+              asio::dispatch(self->thread.context, [self, made] { self->receive(made); });
+          });
     const CallerWatch watch { this->stream.socket(), [this, &request] { callerGone(request); } };
     advance(RequestEvent::Enqueued);
     while (!this->gone) {
@@ -177,7 +180,7 @@
         if (const auto* const grant = std::get_if<admission::Grant>(&made)) {
             const bool ended = co_await execute(request, body, *grant, keepAlive);
             if (ended) {
-                co_return keepAlive && this->state == RequestState::Answered;
+                co_return keepAlive&& this->state == RequestState::Answered;
             }
             continue;
         }
@@ -191,7 +194,8 @@
         const SystemAnswer unknown { request.id, unresolved.code, Certainty::Unknown, {}, unresolved.reason };
         co_return co_await answer(unknown, keepAlive);
     }
-    kernel::logEvent("request-cancelled", { { "request", request.id.text() }, { "state", name(this->state) } });
+    kernel::logEvent(
+        "request-cancelled", { { "request", request.id.text() }, { "state", name(this->state) } });
     co_return false;
 }
 
@@ -229,11 +233,12 @@
             },
         },
         result);
-    const auto reason = std::visit(kernel::Overloaded {
-                                       [](const Answered& answered) { return std::to_string(answered.status); },
-                                       [](const auto& failure) { return failure.reason; },
-                                   },
-        result);
+    const auto reason
+        = std::visit(kernel::Overloaded {
+                         [](const Answered& answered) { return std::to_string(answered.status); },
+                         [](const auto& failure) { return failure.reason; },
+                     },
+            result);
     kernel::logEvent("attempt-finished",
         { { "request", request.id.text() }, { "attempt", attempt.id }, { "vm", grant.vm.text() },
             { "state", name(this->state) }, { "result", reason },
@@ -297,7 +302,8 @@
 asio::awaitable<bool> Session::answer(const SystemAnswer& systemAnswer, bool keepAlive)
 {
     logRefusal(systemAnswer);
-    this->metrics.count("wasabiroad_refusals_total", { { "code", std::string { kernel::name(systemAnswer.code) } } });
+    this->metrics.count(
+        "wasabiroad_refusals_total", { { "code", std::string { kernel::name(systemAnswer.code) } } });
     auto response = encode(systemAnswer, keepAlive);
     boost::system::error_code failed;
     this->stream.expires_after(this->limits.headerTimeout.chrono());
--- a/src/wasabiroad/traffic/session.hpp
+++ b/src/wasabiroad/traffic/session.hpp
@@ -54,9 +54,10 @@
 
     boost::asio::awaitable<bool> readRequest(Parser& parser);
     boost::asio::awaitable<bool> serve(Parser& parser);
-    boost::asio::awaitable<bool> dispatch(const model::Request& request, const std::string& body, bool keepAlive);
-    boost::asio::awaitable<bool> execute(
-        const model::Request& request, const std::string& body, const admission::Grant& grant, bool keepAlive);
+    boost::asio::awaitable<bool> dispatch(
+        const model::Request& request, const std::string& body, bool keepAlive);
+    boost::asio::awaitable<bool> execute(const model::Request& request, const std::string& body,
+        const admission::Grant& grant, bool keepAlive);
     boost::asio::awaitable<admission::Decision> nextDecision();
     boost::asio::awaitable<bool> answer(const SystemAnswer& answer, bool keepAlive);
     void receive(const admission::Decision& decision);
--- a/src/wasabiroad/traffic/upstream_pool.cpp
+++ b/src/wasabiroad/traffic/upstream_pool.cpp
@@ -38,7 +38,8 @@
 
 UpstreamConnectionPointer UpstreamPool::create() const
 {
-    return std::make_unique<UpstreamConnection>(UpstreamConnection { boost::beast::tcp_stream { this->context } });
+    return std::make_unique<UpstreamConnection>(
+        UpstreamConnection { boost::beast::tcp_stream { this->context } });
 }
 
 void UpstreamPool::keep(const std::string& address, UpstreamConnectionPointer connection, std::size_t limit)
