--- /dev/null
+++ b/src/wasabiroad/launch/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace wasabiroad::launch {
+
+class Process;
+class Site;
+
+} // namespace wasabiroad::launch
--- a/src/wasabiroad/standin/upstreams_command.cpp
+++ b/src/wasabiroad/standin/upstreams_command.cpp
@@ -18,7 +18,11 @@
 kernel::Expected<model::Manifest> readManifest(const std::string& path)
 {
     std::ostringstream text;
-    text << std::ifstream { path }.rdbuf();
+    if (path == "-") {
+        text << std::cin.rdbuf();
+    } else {
+        text << std::ifstream { path }.rdbuf();
+    }
     auto manifest = manifest::read(text.str());
     if (!manifest) {
         return tl::unexpected(manifest.error().front());
@@ -38,8 +42,8 @@
 kernel::ResultCode run(int argc, const char* const* argv)
 {
     cxxopts::Options options { "wasabiroad-standin upstreams", "Stand-ins of all upstreams of a manifest." };
-    options.add_options()("manifest", "Manifest file", cxxopts::value<std::string>())("admin",
-        "IP address and port for reading the runs",
+    options.add_options()("manifest", "Manifest file; - reads the standard input",
+        cxxopts::value<std::string>())("admin", "IP address and port for reading the runs",
         cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
         "any-port", "Bind 127.0.0.1 and a free port in place of the manifest's addresses");
     const auto arguments = options.parse(argc, argv);
