--- a/src/wasabiroad/tool/invocation.hpp
+++ b/src/wasabiroad/tool/invocation.hpp
@@ -22,6 +22,10 @@
     OutputFormat format() const;
     bool has(const std::string& option) const { return this->arguments.count(option) != 0; }
     std::string text(const std::string& option) const { return this->arguments[option].as<std::string>(); }
+    std::vector<std::string> texts(const std::string& option) const
+    {
+        return this->arguments[option].as<std::vector<std::string>>();
+    }
     std::int64_t number(const std::string& option) const
     {
         return this->arguments[option].as<std::int64_t>();
--- a/test/wasabiroad/integration/path.cpp
+++ b/test/wasabiroad/integration/path.cpp
@@ -1,9 +1,9 @@
 #include "wasabiroad/launch/site.hpp"
 
+#include "wasabiroad/example.hpp"
+
 #include <array>
-#include <fstream>
 #include <ostream>
-#include <sstream>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -26,12 +26,7 @@
     Row { "accord-labs.json", "nw-1", "/services/slot-finder/find" },
 };
 
-std::string example(const std::string& name)
-{
-    std::ostringstream text;
-    text << std::ifstream { std::string { EXAMPLES_DIR } + "/" + name }.rdbuf();
-    return text.str();
-}
+using test::example;
 
 /** Guards against a path from manifest to answer that breaks anywhere, and against a stop that hangs. */
 BOOST_DATA_TEST_CASE(serves_a_request_from_end_to_end, boost::unit_test::data::make(rows), row)
--- a/test/wasabiroad/manifest/read.cpp
+++ b/test/wasabiroad/manifest/read.cpp
@@ -1,9 +1,9 @@
 #include "wasabiroad/manifest/read.hpp"
 
+#include "wasabiroad/example.hpp"
+
 #include <array>
-#include <fstream>
 #include <ostream>
-#include <sstream>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -14,12 +14,7 @@
 using namespace wasabiroad;
 using kernel::ResultCode;
 
-std::string example(const std::string& name)
-{
-    std::ostringstream text;
-    text << std::ifstream { std::string { EXAMPLES_DIR } + "/" + name }.rdbuf();
-    return text.str();
-}
+using test::example;
 
 struct Broken {
     const std::string label;
@@ -55,10 +50,8 @@
 /** Guards against a manifest that is accepted with a fault, and against errors without their place. */
 BOOST_DATA_TEST_CASE(rejects_broken_manifests, boost::unit_test::data::make(broken), row)
 {
-    auto text = example("hallbach.json");
-    const auto position = text.find(row.found);
-    BOOST_REQUIRE(position != std::string::npos);
-    text.replace(position, row.found.size(), row.replacement);
+    const auto text = test::replaced(example("hallbach.json"), row.found, row.replacement);
+    BOOST_REQUIRE(!text.empty());
     const auto manifest = manifest::read(text);
     BOOST_REQUIRE(!manifest);
     bool listed = false;
