--- a/src/wasabiroad/tool/invocation.cpp
+++ b/src/wasabiroad/tool/invocation.cpp
@@ -16,11 +16,12 @@
     return options;
 }
 
-Invocation::Invocation(cxxopts::Options options, int argc, const char* const* argv)
-    : arguments(options.parse(argc, argv))
+Invocation::Invocation(cxxopts::Options commandOptions, int argc, const char* const* argv)
+    : options(std::move(commandOptions))
+    , arguments(this->options.parse(argc, argv))
 {
     if (helped()) {
-        std::cout << options.help();
+        std::cout << this->options.help();
     }
     if (text("output") != "text" && text("output") != "json") {
         throw cxxopts::exceptions::incorrect_argument_type { "output" };
--- a/src/wasabiroad/tool/invocation.hpp
+++ b/src/wasabiroad/tool/invocation.hpp
@@ -21,6 +21,7 @@
 
     OutputFormat format() const;
     bool has(const std::string& option) const { return this->arguments.count(option) != 0; }
+    /** @return Value of an option; throws a cxxopts exception when a required one is absent. */
     std::string text(const std::string& option) const { return this->arguments[option].as<std::string>(); }
     std::vector<std::string> texts(const std::string& option) const
     {
@@ -38,6 +39,8 @@
     kernel::Expected<std::string> file(const std::string& option) const;
 
 private:
+    /** @brief Kept because the parse result points to the names of its options. */
+    cxxopts::Options options;
     cxxopts::ParseResult arguments;
 };
 
--- a/src/wasabiroad/tool/plan_command.cpp
+++ b/src/wasabiroad/tool/plan_command.cpp
@@ -1,46 +1,13 @@
 #include "wasabiroad/kernel/command.hpp"
 #include "wasabiroad/manifest/read.hpp"
-#include "wasabiroad/tool/difference.hpp"
+#include "wasabiroad/tool/changes.hpp"
 #include "wasabiroad/tool/invocation.hpp"
-#include "wasabiroad/tool/stored_manifest.hpp"
 #include "wasabiroad/tool/wait.hpp"
 
-#include <iostream>
-
-#include <boost/json/serialize.hpp>
-
 namespace wasabiroad::tool {
 
 namespace {
 
-kernel::Checked<model::Manifest> parseStored(const StoredManifest& stored)
-{
-    if (stored.text.empty()) {
-        return model::Manifest {};
-    }
-    return manifest::read(stored.text);
-}
-
-void print(OutputFormat format, model::Generation generation, const std::vector<Change>& changes)
-{
-    boost::json::array list;
-    for (const auto& change : changes) {
-        list.push_back({ { "kind", name(change.kind) }, { "subject", change.subject }, { "id", change.id },
-            { "effect", change.effect } });
-        if (format == OutputFormat::Text) {
-            std::cout << name(change.kind) << " " << change.subject << " " << change.id
-                      << (change.effect.empty() ? "" : ": ") << change.effect << "\n";
-        }
-    }
-    if (format == OutputFormat::Json) {
-        std::cout << boost::json::serialize(
-            boost::json::value { { "planned-against", generation.value }, { "changes", std::move(list) } })
-                  << "\n";
-        return;
-    }
-    std::cout << "changes=" << changes.size() << "\nplanned-against=" << generation.value << "\n";
-}
-
 kernel::ResultCode run(int argc, const char* const* argv)
 {
     auto options = makeOptions("plan", "Shows what a manifest would change.");
@@ -68,11 +35,11 @@
     if (!stored) {
         return printErrors(format, { stored.error() });
     }
-    const auto current = parseStored(*stored);
-    if (!current) {
-        return printErrors(format, current.error());
+    const auto changes = changesTo(*stored, *next);
+    if (!changes) {
+        return printErrors(format, changes.error());
     }
-    print(format, stored->head.generation, difference(*current, *next));
+    printChanges(format, stored->head.generation, *changes);
     return kernel::ResultCode::Ok;
 }
 
--- a/src/wasabiroad/tool/status_command.cpp
+++ b/src/wasabiroad/tool/status_command.cpp
@@ -1,40 +1,15 @@
-#include "wasabiroad/http/client.hpp"
-#include "wasabiroad/http/endpoint.hpp"
 #include "wasabiroad/kernel/command.hpp"
+#include "wasabiroad/tool/daemon_status.hpp"
 #include "wasabiroad/tool/invocation.hpp"
-#include "wasabiroad/tool/wait.hpp"
 
 #include <iostream>
 
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace wasabiroad::tool {
 
 namespace {
 
-constexpr kernel::Duration callTimeout { 3000 };
-
-kernel::Expected<boost::json::value> readStatus(const std::string& address)
-{
-    const auto endpoint = http::parseEndpoint(address);
-    if (!endpoint) {
-        return tl::unexpected(endpoint.error());
-    }
-    auto request = http::makeRequest(boost::beast::http::verb::get, "/status");
-    const auto response = wait(http::exchange(*endpoint, std::move(request), callTimeout));
-    if (!response) {
-        return kernel::fail(kernel::ResultCode::PeerUnreachable, address, response.error().found);
-    }
-    boost::system::error_code failed;
-    auto document = boost::json::parse(response->body(), failed);
-    if (failed || !document.is_object()) {
-        return kernel::fail(
-            kernel::ResultCode::PeerMessageInvalid, address, failed.message(), "a JSON object");
-    }
-    return document;
-}
-
 void print(OutputFormat format, const boost::json::array& daemons)
 {
     if (format == OutputFormat::Json) {
