Share an upstream's slots among the entries of its zone by rendezvous ranking

cause: each entry divided slots by the entries of its own zone but used the upstreams of all zones, so 7 entries in 3 zones could claim 28 of 8 slots; with a hundred entries every one talked to every upstream and 64 connections were not enough. change: routing::slotShare gives the slots to the entries of the upstream's zone (at most slots/2 of them, by rank), and one overflow slot to a bounded number of entries of other zones.

--- a/src/wasabiroad/control/assemble.cpp
+++ b/src/wasabiroad/control/assemble.cpp
@@ -1,6 +1,6 @@
 #include "wasabiroad/control/assemble.hpp"
 
-#include "wasabiroad/kernel/overloaded.hpp"
+#include "wasabiroad/routing/slot_share.hpp"
 
 #include <algorithm>
 
@@ -8,19 +8,17 @@
 
 namespace {
 
-/** A share of at least one keeps every upstream usable when there are more entries than slots. */
-std::uint32_t divide(std::uint32_t total, std::uint32_t entries)
+routing::SharingEntries sharingEntries(const ControlState& state, const Place& place)
 {
-    return std::max(1U, total / std::max(1U, entries));
-}
-
-std::uint32_t slotsFor(const model::Vm& vm, const model::SlotPolicy& policy, std::uint32_t entries)
-{
-    return std::visit(kernel::Overloaded {
-                          [&](const model::IndependentSlots&) { return vm.slots; },
-                          [&](const model::DividedSlots&) { return divide(vm.slots, entries); },
-                      },
-        policy);
+    std::vector<std::string> entries;
+    for (const auto& entry : state.membership.zoneEntries) {
+        entries.push_back(entry.text());
+    }
+    if (std::ranges::find(entries, place.entry.text()) == entries.end()) {
+        entries.push_back(place.entry.text());
+    }
+    const auto zones = static_cast<std::uint32_t>(state.configuration->manifest.zones.size());
+    return { place.entry.text(), std::move(entries), zones };
 }
 
 Assignment assignmentOf(const ControlState& state, const model::Vm& vm)
@@ -29,18 +27,24 @@
     return found == state.assignments.end() ? Assignment { vm.pool } : found->second;
 }
 
-model::UpstreamView viewOf(const ControlState& state, const model::Vm& vm, const model::ZoneId& zone)
+model::UpstreamView viewOf(const ControlState& state, const model::Vm& vm, const model::ZoneId& zone,
+    const routing::SharingEntries& entries)
 {
-    const auto& manifest = state.configuration->manifest;
     const auto assignment = assignmentOf(state, vm);
+    const bool sameZone = vm.zone == zone;
+    // Without peers this daemon is the only one, so no upstream has an entry VM of its own zone to share
+    // with.
+    const bool ownsShare = sameZone || state.membership.zoneEntries.empty();
+    const auto share = routing::slotShare(state.configuration->manifest.policies.slots,
+        { vm.id.text(), ownsShare, vm.slots, vm.connections }, entries);
     return {
         .vm = vm.id,
         .address = vm.address,
         .pool = assignment.pool,
         .accepting = model::acceptsWork(assignment.state) && !state.leaving.contains(vm.id),
-        .sameZone = vm.zone == zone,
-        .slots = slotsFor(vm, manifest.policies.slots, state.membership.entriesInZone),
-        .connections = divide(vm.connections, state.membership.entriesInSite),
+        .sameZone = sameZone,
+        .slots = share.slots,
+        .connections = share.connections,
         .memory = vm.memory,
         .accelerators = vm.accelerators,
     };
@@ -74,13 +78,14 @@
 
 } // namespace
 
-model::RoutingSnapshot assemble(const ControlState& state, const model::ZoneId& zone, std::uint64_t sequence)
+model::RoutingSnapshot assemble(const ControlState& state, const Place& place, std::uint64_t sequence)
 {
     const auto& manifest = state.configuration->manifest;
     std::vector<model::UpstreamView> upstreams;
     upstreams.reserve(manifest.vms.size());
+    const auto entries = sharingEntries(state, place);
     for (const auto& vm : manifest.vms) {
-        upstreams.emplace_back(viewOf(state, vm, zone));
+        upstreams.emplace_back(viewOf(state, vm, place.zone, entries));
     }
     const auto members = membersByPool(upstreams);
     std::map<model::ServiceId, model::ServiceView> services;
--- a/src/wasabiroad/control/events.hpp
+++ b/src/wasabiroad/control/events.hpp
@@ -51,9 +51,11 @@
     friend auto operator<=>(const LeavingVmsChanged&, const LeavingVmsChanged&) = default;
 };
 
-/** @brief Number of live entry VMs, this one included. */
+/** @brief Live entry VMs, this one included. */
 struct MembershipChanged {
-    const std::uint32_t entriesInZone { 1 };
+    /** @brief Live entry VMs of this daemon's availability zone, itself included; empty when it has no peers.
+     */
+    const std::vector<model::EntryId> zoneEntries {};
     const std::uint32_t entriesInSite { 1 };
 
     friend auto operator<=>(const MembershipChanged&, const MembershipChanged&) = default;
--- a/src/wasabiroad/control/snapshots.cpp
+++ b/src/wasabiroad/control/snapshots.cpp
@@ -4,8 +4,8 @@
 
 namespace wasabiroad::control {
 
-Snapshots::Snapshots(kernel::EventBus& bus, model::ZoneId daemonZone)
-    : zone(std::move(daemonZone))
+Snapshots::Snapshots(kernel::EventBus& bus, Place daemonPlace)
+    : place(std::move(daemonPlace))
 {
     bus.subscribe<ConfigurationAdopted>([this](const ConfigurationAdopted& event) {
         const auto& old = *this->current;
@@ -35,7 +35,7 @@
         return;
     }
     const auto snapshot = std::make_shared<const model::RoutingSnapshot>(
-        assemble(*this->current, this->zone, ++this->sequence));
+        assemble(*this->current, this->place, ++this->sequence));
     kernel::logEvent("snapshot-published",
         { { "snapshot", snapshot->sequence }, { "generation", snapshot->generation.value },
             { "upstreams", snapshot->upstreams.size() }, { "services", snapshot->services.size() } });
--- a/src/wasabiroad/control/snapshots.hpp
+++ b/src/wasabiroad/control/snapshots.hpp
@@ -11,9 +11,9 @@
 public:
     /**
      * @param bus Source of the events that change the control state.
-     * @param zone Availability zone of the daemon.
+     * @param place Name and availability zone of the daemon.
      */
-    Snapshots(kernel::EventBus& bus, model::ZoneId zone);
+    Snapshots(kernel::EventBus& bus, Place place);
 
     /** @return Publisher of routing snapshots. */
     kernel::Publisher<model::RoutingSnapshot>& publisher() { return this->routing; }
@@ -24,7 +24,7 @@
 private:
     void replace(ControlState state);
 
-    const model::ZoneId zone;
+    const Place place;
     std::shared_ptr<const ControlState> current { std::make_shared<const ControlState>() };
     kernel::Publisher<model::RoutingSnapshot> routing {};
     std::uint64_t sequence { 0 };
--- /dev/null
+++ b/src/wasabiroad/routing/slot_share.cpp
@@ -0,0 +1,69 @@
+#include "wasabiroad/routing/slot_share.hpp"
+
+#include "wasabiroad/kernel/overloaded.hpp"
+#include "wasabiroad/routing/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace wasabiroad::routing {
+
+namespace {
+
+/** A share of one slot would leave a long request no company; two keep short work moving. */
+constexpr std::uint32_t smallestShare = 2;
+/** Part of the connections, 1 in this number, that entries of other zones may use. */
+constexpr std::uint32_t overflowPart = 4;
+
+std::uint32_t rankOf(const SharingEntries& entries, const std::string& vm)
+{
+    const auto ranked = rendezvousRank(vm, entries.zoneEntries);
+    return static_cast<std::uint32_t>(std::ranges::find(ranked, entries.self) - ranked.begin());
+}
+
+std::uint32_t partOf(std::uint32_t total, std::uint32_t holders, std::uint32_t rank)
+{
+    return total / holders + (rank < total % holders ? 1 : 0);
+}
+
+SlotShare localShare(const SlotCapacity& upstream, const SharingEntries& entries)
+{
+    const auto count = static_cast<std::uint32_t>(entries.zoneEntries.size());
+    const auto holders = std::min(std::max(1U, count), std::max(1U, upstream.slots / smallestShare));
+    const auto rank = rankOf(entries, upstream.vm);
+    if (rank >= holders) {
+        return {};
+    }
+    const auto overflow = entries.zones > 1 ? upstream.connections / overflowPart : 0;
+    return { partOf(upstream.slots, holders, rank),
+        std::max(1U, (upstream.connections - overflow) / holders) };
+}
+
+SlotShare overflowShare(const SlotCapacity& upstream, const SharingEntries& entries)
+{
+    const auto otherZones = std::max(1U, entries.zones - 1);
+    const auto holders = upstream.connections / overflowPart / otherZones;
+    return rankOf(entries, upstream.vm) < holders ? SlotShare { 1, 1 } : SlotShare {};
+}
+
+SlotShare independentShare(const SlotCapacity& upstream, const SharingEntries& entries)
+{
+    const auto count = static_cast<std::uint32_t>(entries.zoneEntries.size()) * entries.zones;
+    return { upstream.slots, std::max(1U, upstream.connections / std::max(1U, count)) };
+}
+
+} // namespace
+
+SlotShare slotShare(
+    const model::SlotPolicy& policy, const SlotCapacity& upstream, const SharingEntries& entries)
+{
+    return std::visit(kernel::Overloaded {
+                          [&](const model::IndependentSlots&) { return independentShare(upstream, entries); },
+                          [&](const model::DividedSlots&) {
+                              return upstream.sameZone ? localShare(upstream, entries)
+                                                       : overflowShare(upstream, entries);
+                          },
+                      },
+        policy);
+}
+
+} // namespace wasabiroad::routing
