--- a/src/wasabiroad/standin/fwd.hpp
+++ b/src/wasabiroad/standin/fwd.hpp
@@ -3,6 +3,8 @@
 namespace wasabiroad::standin {
 
 class Platform;
+class Proxy;
+class RunLog;
 class Upstream;
 
 } // namespace wasabiroad::standin
--- a/src/wasabiroad/standin/upstream.hpp
+++ b/src/wasabiroad/standin/upstream.hpp
@@ -1,33 +1,25 @@
 #pragma once
 
-#include "wasabiroad/http/server.hpp"
+#include "wasabiroad/http/message.hpp"
+#include "wasabiroad/standin/behaviour.hpp"
+#include "wasabiroad/standin/run_log.hpp"
+
+#include <memory>
 
 #include <boost/asio/io_context.hpp>
 
 namespace wasabiroad::standin {
 
-/** @brief One request that an upstream ran. */
-struct Run {
-    const std::string request;
-    const std::string attempt;
-    const std::string vm;
-
-    friend auto operator<=>(const Run&, const Run&) = default;
-};
-
-/** @brief Record of all runs, from which lost, doubled and mixed-up requests are counted. */
-using RunLog = std::vector<Run>;
-
-/** @brief How an upstream of the stand-in behaves. */
-struct UpstreamBehaviour {
+/** @brief One upstream of the stand-in. */
+struct UpstreamOptions {
     const std::string vm;
     const std::uint32_t slots { 8 };
-    /** @brief Whether every request fails at once with status 500. */
-    const bool failing { false };
-    /** @brief Whether answers carry the leaving sign. */
-    const bool leaving { false };
+    /** @brief Connections over this number are closed when they are accepted. */
+    const std::uint32_t connections { 64 };
+    /** @brief Seed of the random choices of behaviours. */
+    const std::uint64_t seed { 1 };
 
-    friend auto operator<=>(const UpstreamBehaviour&, const UpstreamBehaviour&) = default;
+    friend auto operator<=>(const UpstreamOptions&, const UpstreamOptions&) = default;
 };
 
 /**
@@ -38,29 +30,22 @@
  */
 class Upstream {
 public:
-    Upstream(boost::asio::io_context& context, UpstreamBehaviour behaviour, RunLog& log);
+    Upstream(boost::asio::io_context& context, const UpstreamOptions& options, RunLog& log);
+    ~Upstream();
+    Upstream(const Upstream&) = delete;
+    Upstream& operator=(const Upstream&) = delete;
 
     /** @brief Binds the upstream. Errors: ValueOutOfRange, ListenFailed. */
-    kernel::Expected<std::string> listen(const std::string& address) { return this->server.listen(address); }
+    kernel::Expected<std::string> listen(const std::string& address);
 
-    /** @brief Replaces the behaviour. */
-    void behave(const UpstreamBehaviour& next)
-    {
-        this->behaviour = std::make_shared<const UpstreamBehaviour>(next);
-    }
+    /** @brief Replaces the behaviour for the requests that arrive from now on. */
+    void behave(const Behaviour& next);
 
-    /** @return The current behaviour. */
-    const UpstreamBehaviour& current() const { return *this->behaviour; }
+    const std::string& vm() const;
 
 private:
-    boost::asio::awaitable<http::Response> handle(http::Request request);
-    http::Response answer(const http::Request& request, unsigned status, std::string body) const;
-
-    boost::asio::io_context& context;
-    std::shared_ptr<const UpstreamBehaviour> behaviour;
-    RunLog& log;
-    std::uint32_t running { 0 };
-    http::Server server;
+    struct State;
+    std::shared_ptr<State> state;
 };
 
 } // namespace wasabiroad::standin
