--- /dev/null
+++ b/src/wasabiroad/bench/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace wasabiroad::bench {
+
+class ArrivalSequence;
+class Quantiles;
+
+} // namespace wasabiroad::bench
