--- a/src/wasabiroad/bench/quantiles.cpp
+++ b/src/wasabiroad/bench/quantiles.cpp
@@ -33,8 +33,9 @@
 
 double Quantiles::at(double probability) const
 {
-    if (accumulators::count(this->state->values) == 0) {
-        return 0;
+    // The library returns no quantile of fewer than two values.
+    if (accumulators::count(this->state->values) < 2) {
+        return mean();
     }
     return accumulators::quantile(this->state->values, accumulators::quantile_probability = probability);
 }
--- a/src/wasabiroad/bench/quantiles.hpp
+++ b/src/wasabiroad/bench/quantiles.hpp
@@ -13,7 +13,7 @@
     Quantiles(Quantiles&&) noexcept;
     Quantiles& operator=(Quantiles&&) = delete;
 
-    /** @param probability From 0 to 1. @return The quantile; 0 when there are no values. */
+    /** @param probability Over 0 and at most 1. @return The quantile; 0 when there are no values. */
     double at(double probability) const;
 
     double mean() const;
