--- a/test/wasabiroad/bench/arrivals.cpp
+++ b/test/wasabiroad/bench/arrivals.cpp
@@ -2,11 +2,12 @@
 
 #include "wasabiroad/manifest/read.hpp"
 
+#include "wasabiroad/example.hpp"
+
+#include <algorithm>
 #include <array>
-#include <fstream>
 #include <map>
 #include <ostream>
-#include <sstream>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -34,9 +35,7 @@
 
 std::vector<bench::Arrival> draw(const Row& row)
 {
-    std::ostringstream text;
-    text << std::ifstream { std::string { EXAMPLES_DIR } + "/" + row.example }.rdbuf();
-    bench::ArrivalSequence sequence { *manifest::read(text.str()), row.profile };
+    bench::ArrivalSequence sequence { *manifest::read(test::example(row.example)), row.profile };
     std::vector<bench::Arrival> arrivals;
     while (auto arrival = sequence.next()) {
         arrivals.emplace_back(*arrival);
