--- a/src/wasabiroad/standin/upstream.cpp
+++ b/src/wasabiroad/standin/upstream.cpp
@@ -28,6 +28,41 @@
     return std::string { request[view(name)] };
 }
 
+std::string faultOf(const std::string& body)
+{
+    constexpr std::string_view key { "fault=" };
+    const auto found = body.find(key);
+    if (found == std::string::npos) {
+        return {};
+    }
+    const auto begin = found + key.size();
+    return body.substr(begin, body.find(' ', begin) - begin);
+}
+
+/** Changes a whole answer into the faulty one that the request asks for. */
+http::Response spoil(http::Response response, const std::string& fault)
+{
+    if (fault == "truncate") {
+        response.content_length(response.body().size() + 1000);
+        response.keep_alive(false);
+    } else if (fault == "no-length") {
+        response.content_length(boost::none);
+        response.keep_alive(false);
+    } else if (fault == "foreign") {
+        response.set(view(headers::attempt), "another-attempt");
+    } else if (fault == "no-attempt") {
+        response.erase(view(headers::attempt));
+    } else if (fault == "leaving") {
+        response.set(view(headers::leaving), "yes");
+    } else if (fault == "contradict") {
+        response.set(view(headers::outcome), "not-run");
+        response.set(view(headers::code), "306");
+    } else if (fault == "fail" || fault == "refuse-unproven") {
+        response.result(fault == "fail" ? 500U : 503U);
+    }
+    return response;
+}
+
 } // namespace
 
 Upstream::Upstream(asio::io_context& ioContext, UpstreamBehaviour initial, RunLog& runLog)
@@ -50,7 +85,8 @@
 
 asio::awaitable<http::Response> Upstream::handle(http::Request request)
 {
-    if (this->running >= this->behaviour->slots) {
+    const auto fault = faultOf(request.body());
+    if (this->running >= this->behaviour->slots || fault == "refuse") {
         auto response = answer(request, 503, "no free slot\n");
         response.set(view(headers::started), "no");
         co_return response;
@@ -65,7 +101,8 @@
     timer.expires_after(runTime(request.body()).chrono());
     co_await timer.async_wait(asio::use_awaitable);
     --this->running;
-    co_return answer(request, 200, valueOf(request, headers::requestId) + "\n" + request.body());
+    auto response = answer(request, 200, valueOf(request, headers::requestId) + "\n" + request.body());
+    co_return spoil(std::move(response), fault);
 }
 
 } // namespace wasabiroad::standin
