--- a/src/wasabiroad/admission/dispatcher.cpp
+++ b/src/wasabiroad/admission/dispatcher.cpp
@@ -25,6 +25,10 @@
 Dispatcher::Decisions Dispatcher::update(model::RoutingSnapshotPointer newSnapshot, kernel::Instant now)
 {
     this->snapshot = std::move(newSnapshot);
+    std::erase_if(this->leavingVms, [this](const model::VmId& vm) {
+        const auto found = std::ranges::find(this->snapshot->upstreams, vm, &model::UpstreamView::vm);
+        return found == this->snapshot->upstreams.end() || !found->accepting;
+    });
     auto decisions = expire(now);
     fillAll(decisions);
     return decisions;
@@ -194,7 +198,8 @@
         const auto& upstream = this->snapshot->upstreams[index];
         const auto held = this->outstanding.find(upstream.vm);
         const auto count = held == this->outstanding.end() ? 0 : held->second;
-        if (upstream.accepting && count < upstream.slots) {
+        const auto usable = std::min(upstream.slots, upstream.connections);
+        if (upstream.accepting && count < usable && !this->leavingVms.contains(upstream.vm)) {
             eligible.emplace_back(routing::Candidate { index, count });
         }
     }
--- a/src/wasabiroad/admission/dispatcher.hpp
+++ b/src/wasabiroad/admission/dispatcher.hpp
@@ -8,6 +8,7 @@
 
 #include <list>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace wasabiroad::admission {
@@ -50,6 +51,12 @@
     /** @brief Removes a request that is still queued; a granted one keeps its slot until `finish`. */
     void cancel(Handle handle);
 
+    /**
+     * @brief Places nothing on an upstream until a snapshot shows it as not accepting or no longer lists it.
+     * @return Whether this was not known before.
+     */
+    bool leaving(const model::VmId& vm) { return this->leavingVms.insert(vm).second; }
+
     /** @brief Refuses queued requests whose deadline has passed. */
     Decisions expire(kernel::Instant now);
 
@@ -91,6 +98,8 @@
 
     model::RoutingSnapshotPointer snapshot {};
     std::unordered_map<model::VmId, std::uint32_t> outstanding {};
+    /** @brief Upstreams that said that they leave, until the snapshot shows it. */
+    std::unordered_set<model::VmId> leavingVms {};
     std::unordered_map<model::ServiceId, Queue> queues {};
     std::unordered_map<std::uint64_t, Position> positions {};
     std::unordered_map<std::uint64_t, Running> grants {};
--- a/src/wasabiroad/control/events.hpp
+++ b/src/wasabiroad/control/events.hpp
@@ -59,4 +59,11 @@
     friend auto operator<=>(const MembershipChanged&, const MembershipChanged&) = default;
 };
 
+/** @brief An upstream said in an answer that it leaves; published once until the snapshot shows it. */
+struct UpstreamLeaving {
+    const model::VmId vm;
+
+    friend auto operator<=>(const UpstreamLeaving&, const UpstreamLeaving&) = default;
+};
+
 } // namespace wasabiroad::control
--- a/src/wasabiroad/traffic/attempt.cpp
+++ b/src/wasabiroad/traffic/attempt.cpp
@@ -6,7 +6,8 @@
 #include "wasabiroad/traffic/decode.hpp"
 #include "wasabiroad/traffic/headers.hpp"
 
-#include <array>
+#include <algorithm>
+#include <memory>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -29,7 +30,9 @@
 /** A caller that takes no part of its answer for this time is disconnected. */
 constexpr kernel::Duration callerWriteTimeout { 30000 };
 
-using Parser = beast::http::response_parser<beast::http::buffer_body>;
+/** Interim answers (1xx) that are skipped before the final one. */
+constexpr int maxInterimAnswers = 8;
+
 using ForwardedResponse = beast::http::response<beast::http::buffer_body>;
 
 beast::string_view view(std::string_view text) { return { text.data(), text.size() }; }
@@ -45,28 +48,36 @@
     return message;
 }
 
-bool saysNotStarted(const Parser& parser)
+using AnswerHeader = beast::http::response_header<beast::http::fields>;
+
+bool saysNotStarted(const AnswerHeader& header)
 {
-    return parser.get().result() == beast::http::status::service_unavailable
-        && valueOf(parser.get(), headers::started) == "no";
+    return header.result() == beast::http::status::service_unavailable
+        && valueOf(header, headers::started) == "no";
 }
 
-/** Copies the header of an upstream's answer without the fields that belong to one connection. */
-ForwardedResponse makeAnswer(const Parser& parser, const Attempt& attempt)
+/**
+ * Copies the header of an upstream's answer without the fields that belong to one connection and
+ * those by which the system itself speaks to callers.
+ */
+ForwardedResponse makeAnswer(const AnswerHeader& header, bool chunked, const Attempt& attempt)
 {
     constexpr unsigned version = 11;
-    ForwardedResponse answer { parser.get().result(), version };
-    for (const auto& field : parser.get()) {
+    ForwardedResponse answer { header.result(), version };
+    for (const auto& field : header) {
         answer.insert(field.name_string(), field.value());
     }
-    answer.erase(beast::http::field::connection);
-    answer.erase(beast::http::field::keep_alive);
-    answer.erase(beast::http::field::transfer_encoding);
-    answer.erase(view(headers::attempt));
-    answer.set(view(headers::requestId), attempt.request.id.text());
-    if (!parser.content_length()) {
-        answer.chunked(true);
+    for (const auto field : { beast::http::field::connection, beast::http::field::keep_alive,
+             beast::http::field::transfer_encoding, beast::http::field::trailer, beast::http::field::upgrade,
+             beast::http::field::proxy_connection }) {
+        answer.erase(field);
     }
+    for (const auto name :
+        { headers::attempt, headers::started, headers::leaving, headers::code, headers::outcome }) {
+        answer.erase(view(name));
+    }
+    answer.set(view(headers::requestId), attempt.request.id.text());
+    answer.chunked(chunked);
     answer.keep_alive(attempt.keepAlive);
     return answer;
 }
@@ -97,6 +108,7 @@
                           [](const NotStarted&) { return admission::Outcome::NotStarted; },
                           [](const Lost&) { return admission::Outcome::Lost; },
                           [](const Truncated&) { return admission::Outcome::Failed; },
+                          [](const CallerLost&) { return admission::Outcome::Abandoned; },
                       },
         result);
 }
@@ -115,9 +127,12 @@
         co_return ended<NotStarted>("invalid address");
     }
     auto connection = this->pool.create();
+    this->active = connection.get();
     boost::system::error_code failed;
-    connection->stream.expires_after(connectTimeout.chrono());
+    const auto remaining = attempt.request.deadline - kernel::now(this->clock);
+    connection->stream.expires_after(std::min(connectTimeout, remaining).chrono());
     co_await connection->stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, failed));
+    this->active = nullptr;
     if (failed) {
         co_return ended<NotStarted>("connect", failed);
     }
@@ -125,63 +140,105 @@
     co_return connection;
 }
 
-asio::awaitable<AttemptResult> Exchange::run(
-    const Attempt& attempt, beast::tcp_stream& caller, kernel::Instant now)
+asio::awaitable<AttemptResult> Exchange::run(const Attempt& attempt, beast::tcp_stream& caller)
 {
+    this->aborted = false;
     auto connected = co_await connect(attempt);
     if (const auto* const result = std::get_if<AttemptResult>(&connected)) {
         co_return *result;
     }
     auto connection = std::get<UpstreamConnectionPointer>(std::move(connected));
-    this->active = connection.get();
-    connection->stream.expires_after((attempt.request.deadline - now).chrono());
-    const auto request = makeRequest(attempt, attempt.request.deadline - now);
-    boost::system::error_code failed;
-    const auto sent = co_await beast::http::async_write(
-        connection->stream, request, asio::redirect_error(asio::use_awaitable, failed));
-    if (failed) {
-        this->active = nullptr;
-        if (sent == 0) {
-            co_return ended<NotStarted>("write", failed);
-        }
-        co_return ended<Lost>("write", failed);
-    }
     bool reusable = false;
-    auto result = co_await forward(attempt, *connection, caller, reusable);
+    this->active = connection.get();
+    auto result = co_await send(attempt, *connection, caller, reusable);
     this->active = nullptr;
     if (reusable) {
         connection->stream.expires_never();
-        this->pool.keep(attempt.grant.address, std::move(connection), attempt.grant.connections);
+        this->pool.keep(attempt.grant.address, std::move(connection));
     }
     co_return result;
 }
 
-asio::awaitable<AttemptResult> Exchange::forward(
+asio::awaitable<AttemptResult> Exchange::send(
     const Attempt& attempt, UpstreamConnection& connection, beast::tcp_stream& caller, bool& reusable)
 {
+    const auto remaining = attempt.request.deadline - kernel::now(this->clock);
+    if (this->aborted || remaining <= kernel::Duration {}) {
+        co_return ended<NotStarted>("deadline passed or caller gone before the request was sent");
+    }
+    connection.stream.expires_after(remaining.chrono());
+    const auto request = makeRequest(attempt, remaining);
     boost::system::error_code failed;
-    Parser parser;
-    parser.body_limit(boost::none);
-    co_await beast::http::async_read_header(
-        connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+    const auto sent = co_await beast::http::async_write(
+        connection.stream, request, asio::redirect_error(asio::use_awaitable, failed));
+    if (failed && sent == 0) {
+        co_return ended<NotStarted>("write", failed);
+    }
     if (failed) {
+        co_return ended<Lost>("write", failed);
+    }
+    co_return co_await receive(attempt, connection, caller, reusable);
+}
+
+asio::awaitable<boost::system::error_code> Exchange::readHeader(
+    UpstreamConnection& connection, std::optional<Parser>& parser) const
+{
+    boost::system::error_code failed;
+    for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
+        parser.emplace();
+        parser->body_limit(boost::none);
+        co_await beast::http::async_read_header(
+            connection.stream, connection.buffer, *parser, asio::redirect_error(asio::use_awaitable, failed));
+        const bool isInterim
+            = beast::http::to_status_class(parser->get().result()) == beast::http::status_class::informational
+            && parser->get().result() != beast::http::status::switching_protocols;
+        if (failed || !isInterim) {
+            co_return failed;
+        }
+    }
+    co_return beast::http::make_error_code(beast::http::error::bad_status);
+}
+
+asio::awaitable<AttemptResult> Exchange::receive(
+    const Attempt& attempt, UpstreamConnection& connection, beast::tcp_stream& caller, bool& reusable)
+{
+    std::optional<Parser> parser;
+    if (const auto failed = co_await readHeader(connection, parser)) {
         co_return ended<Lost>("read", failed);
     }
-    if (valueOf(parser.get(), headers::attempt) != attempt.id) {
+    const AnswerHeader& header = parser->get();
+    if (valueOf(header, headers::attempt) != attempt.id) {
         co_return ended<Lost>("answer of another attempt");
     }
-    if (saysNotStarted(parser)) {
+    if (valueOf(header, headers::leaving) == "yes") {
+        this->leaving(attempt.grant.vm);
+    }
+    if (saysNotStarted(header)) {
         co_return ended<NotStarted>("refused by upstream");
     }
+    if (header.result() == beast::http::status::switching_protocols || parser->need_eof()) {
+        // Without a length, the end of a broken connection looks like the end of the answer.
+        co_return ended<Lost>("answer without a length");
+    }
+    auto result = co_await stream(attempt, connection, *parser, caller);
+    reusable = parser->is_done() && parser->keep_alive() && connection.buffer.size() == 0;
+    co_return result;
+}
+
+asio::awaitable<AttemptResult> Exchange::stream(
+    const Attempt& attempt, UpstreamConnection& connection, Parser& parser, beast::tcp_stream& caller)
+{
     const auto status = parser.get().result_int();
-    auto answer = makeAnswer(parser, attempt);
+    auto answer = makeAnswer(parser.get(), parser.chunked(), attempt);
     beast::http::response_serializer<beast::http::buffer_body> serializer { answer };
-    std::array<char, streamBufferBytes> buffer {};
+    const auto buffer = std::make_unique_for_overwrite<char[]>(streamBufferBytes);
+    boost::system::error_code failed;
+    boost::system::error_code callerFailed;
     bool begun = false;
-    while (!serializer.is_done()) {
+    while (!(callerFailed ? parser.is_done() : serializer.is_done())) {
         auto& target = parser.get().body();
-        target.data = buffer.data();
-        target.size = buffer.size();
+        target.data = buffer.get();
+        target.size = streamBufferBytes;
         if (!parser.is_done()) {
             co_await beast::http::async_read(connection.stream, connection.buffer, parser,
                 asio::redirect_error(asio::use_awaitable, failed));
@@ -192,23 +249,32 @@
                 co_return ended<Lost>("read", failed);
             }
         }
-        answer.body().data = buffer.data();
-        answer.body().size = buffer.size() - target.size;
+        if (callerFailed) {
+            continue;
+        }
+        answer.body().data = buffer.get();
+        answer.body().size = streamBufferBytes - target.size;
         answer.body().more = !parser.is_done();
+        begun = true;
         caller.expires_after(callerWriteTimeout.chrono());
         co_await beast::http::async_write(
-            caller, serializer, asio::redirect_error(asio::use_awaitable, failed));
-        begun = true;
-        if (failed && failed != beast::http::error::need_buffer) {
-            co_return ended<Truncated>("caller", failed);
+            caller, serializer, asio::redirect_error(asio::use_awaitable, callerFailed));
+        if (callerFailed == beast::http::error::need_buffer) {
+            callerFailed = {};
         }
+        if (callerFailed && attempt.stoppable) {
+            break;
+        }
+    }
+    if (callerFailed) {
+        co_return ended<CallerLost>("caller", callerFailed);
     }
-    reusable = parser.keep_alive();
     co_return answered(status);
 }
 
 void Exchange::abort()
 {
+    this->aborted = true;
     if (this->active != nullptr) {
         this->active->stream.cancel();
     }
--- a/src/wasabiroad/traffic/attempt.hpp
+++ b/src/wasabiroad/traffic/attempt.hpp
@@ -5,9 +5,13 @@
 #include "wasabiroad/model/request.hpp"
 #include "wasabiroad/traffic/upstream_pool.hpp"
 
+#include <functional>
+#include <optional>
 #include <variant>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
 
 namespace wasabiroad::traffic {
 
@@ -39,8 +43,15 @@
     friend auto operator<=>(const Truncated&, const Truncated&) = default;
 };
 
+/** @brief The upstream answered, but the caller's connection broke before it had the whole answer. */
+struct CallerLost {
+    const std::string reason {};
+
+    friend auto operator<=>(const CallerLost&, const CallerLost&) = default;
+};
+
 /** @brief How one attempt on an upstream ended. */
-using AttemptResult = std::variant<Answered, NotStarted, Lost, Truncated>;
+using AttemptResult = std::variant<Answered, NotStarted, Lost, Truncated, CallerLost>;
 
 /** @return What the dispatcher is told about an attempt. */
 admission::Outcome outcomeOf(const AttemptResult& result);
@@ -54,36 +65,55 @@
     const std::string& body;
     /** @brief Whether the caller's connection stays open after the answer. */
     const bool keepAlive;
+    /** @brief Whether the upstream may be stopped by closing its connection when the caller has gone. */
+    const bool stoppable { false };
 };
 
 /** @brief Sends requests to upstreams and streams their answers to callers. */
 class Exchange {
 public:
-    /** @param pool Idle connections of the thread. */
-    explicit Exchange(UpstreamPool& pool)
+    using Leaving = std::function<void(const model::VmId&)>;
+
+    /**
+     * @param pool Connections of the thread.
+     * @param clock Steady clock, for deadlines.
+     * @param leaving Called as soon as an upstream's answer says that it leaves.
+     */
+    Exchange(UpstreamPool& pool, kernel::Clock clock, Leaving leaving)
         : pool(pool)
+        , clock(clock)
+        , leaving(std::move(leaving))
     {
     }
 
     /**
-     * @brief Runs one attempt.
+     * @brief Runs one attempt; it ends at the deadline of the request at the latest.
      * @param caller Connection of the caller; the answer is streamed to it with bounded memory.
-     * @param now Current instant of the steady clock.
      */
-    boost::asio::awaitable<AttemptResult> run(
-        const Attempt& attempt, boost::beast::tcp_stream& caller, kernel::Instant now);
+    boost::asio::awaitable<AttemptResult> run(const Attempt& attempt, boost::beast::tcp_stream& caller);
 
     /** @brief Closes the connection to the upstream, so that `run` ends soon. */
     void abort();
 
 private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
     boost::asio::awaitable<std::variant<UpstreamConnectionPointer, AttemptResult>> connect(
         const Attempt& attempt);
-    boost::asio::awaitable<AttemptResult> forward(const Attempt& attempt, UpstreamConnection& connection,
+    boost::asio::awaitable<AttemptResult> send(const Attempt& attempt, UpstreamConnection& connection,
+        boost::beast::tcp_stream& caller, bool& reusable);
+    boost::asio::awaitable<boost::system::error_code> readHeader(
+        UpstreamConnection& connection, std::optional<Parser>& parser) const;
+    boost::asio::awaitable<AttemptResult> receive(const Attempt& attempt, UpstreamConnection& connection,
         boost::beast::tcp_stream& caller, bool& reusable);
+    boost::asio::awaitable<AttemptResult> stream(const Attempt& attempt, UpstreamConnection& connection,
+        Parser& parser, boost::beast::tcp_stream& caller);
 
     UpstreamPool& pool;
+    const kernel::Clock clock;
+    const Leaving leaving;
     UpstreamConnection* active { nullptr };
+    bool aborted { false };
 };
 
 } // namespace wasabiroad::traffic
--- a/src/wasabiroad/traffic/decode.cpp
+++ b/src/wasabiroad/traffic/decode.cpp
@@ -1,6 +1,7 @@
 #include "wasabiroad/traffic/decode.hpp"
 
 #include "wasabiroad/http/target.hpp"
+#include "wasabiroad/traffic/claim.hpp"
 #include "wasabiroad/traffic/headers.hpp"
 
 #include <algorithm>
@@ -101,8 +102,45 @@
         std::string { text }, "true or false");
 }
 
+/** Two values of one header could be read differently by the next party, so they are refused. */
+kernel::Expected<void> checkUnique(const http::fields& fields)
+{
+    for (const auto name : { headers::requestId, headers::deadline, headers::team, headers::declared,
+             headers::ticket, headers::idempotent }) {
+        if (fields.count({ name.data(), name.size() }) > 1) {
+            return kernel::fail(ResultCode::MalformedRequest, std::string { name }, "repeated", "one value");
+        }
+    }
+    return {};
+}
+
+kernel::Expected<Safeguard> readSafeguard(
+    const http::fields& fields, const model::Service& service, bool idempotent)
+{
+    if (idempotent) {
+        return Repeatable {};
+    }
+    if (service.atMostOnce == model::AtMostOnce::Ticket) {
+        const auto ticket = valueOf(fields, headers::ticket);
+        if (ticket.empty()) {
+            return kernel::fail(
+                ResultCode::TicketRequired, std::string { headers::ticket }, {}, "a ticket of POST /tickets");
+        }
+        return NeedsTicket { std::string { ticket } };
+    }
+    const auto id = valueOf(fields, headers::requestId);
+    if (id.empty()) {
+        // A generated id would differ for each repeat, so that the claim would not protect.
+        return kernel::fail(ResultCode::MalformedRequest, std::string { headers::requestId }, {},
+            "a request id, which the claim needs");
+    }
+    return NeedsClaim { claimKey(service.id.text(), std::string { id }) };
+}
+
 } // namespace
 
+bool asksForTicket(const RequestHeader& header) { return header.target() == "/tickets"; }
+
 std::string_view valueOf(const http::fields& fields, std::string_view name)
 {
     const auto found = fields.find({ name.data(), name.size() });
@@ -112,7 +150,7 @@
     return { found->value().data(), found->value().size() };
 }
 
-kernel::Expected<model::Request> decode(const RequestHeader& header,
+kernel::Expected<DecodedRequest> decode(const RequestHeader& header,
     const model::RoutingSnapshotPointer& snapshot, const model::RequestId& fallbackId, kernel::Instant now)
 {
     if (!snapshot) {
@@ -126,6 +164,9 @@
         return kernel::fail(
             ResultCode::MethodNotAllowed, "method", std::string { header.method_string() }, "POST");
     }
+    if (const auto unique = checkUnique(header); !unique) {
+        return tl::unexpected(unique.error());
+    }
     const auto id = readId(header, fallbackId);
     const auto deadline = readDuration(header, headers::deadline);
     const auto declared = readDuration(header, headers::declared);
@@ -146,7 +187,11 @@
     if (!idempotent) {
         return tl::unexpected(idempotent.error());
     }
-    return model::Request {
+    auto safeguard = readSafeguard(header, route->view.service, *idempotent);
+    if (!safeguard) {
+        return tl::unexpected(safeguard.error());
+    }
+    model::Request request {
         .id = *id,
         .service = route->view.service.id,
         .operation = route->operation.id,
@@ -156,6 +201,7 @@
         .declared = declared->value_or(route->operation.declared),
         .idempotent = *idempotent,
     };
+    return DecodedRequest { std::move(request), std::move(*safeguard), route->operation.stoppable };
 }
 
 } // namespace wasabiroad::traffic
--- a/src/wasabiroad/traffic/dispatch_port.cpp
+++ b/src/wasabiroad/traffic/dispatch_port.cpp
@@ -4,6 +4,8 @@
 
 namespace wasabiroad::traffic {
 
+using kernel::ResultCode;
+
 namespace {
 
 /** A queued request is refused at most this long after its deadline. */
@@ -11,10 +13,12 @@
 
 } // namespace
 
-DispatchPort::DispatchPort(boost::asio::io_context& ioContext, kernel::Clock portClock, std::uint64_t seed)
+DispatchPort::DispatchPort(
+    boost::asio::io_context& ioContext, kernel::Clock portClock, std::uint64_t seed, TicketBook ticketBook)
     : context(ioContext)
     , clock(portClock)
     , dispatcher(seed)
+    , tickets(std::move(ticketBook))
     , expiryTimer(ioContext)
 {
 }
@@ -24,27 +28,50 @@
     deliver(this->dispatcher.update(snapshot, kernel::now(this->clock)));
 }
 
-DispatchPort::SubmissionPointer DispatchPort::submit(model::Request request, Reply reply)
+void DispatchPort::issueTicket(TicketReply reply)
+{
+    boost::asio::dispatch(this->context, [this, reply = std::move(reply)] {
+        const auto ticket = this->tickets.issue();
+        reply(ticket, this->tickets.text(ticket));
+    });
+}
+
+DispatchPort::SubmissionPointer DispatchPort::submit(
+    model::Request request, const Safeguard& safeguard, Reply reply)
 {
     auto submission = std::make_shared<Submission>();
-    boost::asio::dispatch(
-        this->context, [this, submission, request = std::move(request), reply = std::move(reply)]() mutable {
+    const auto* const needed = std::get_if<NeedsTicket>(&safeguard);
+    boost::asio::dispatch(this->context,
+        [this, submission, request = std::move(request), ticket = needed == nullptr ? "" : needed->ticket,
+            needsTicket = needed != nullptr, reply = std::move(reply)]() mutable {
             if (submission->cancelled) {
                 return;
             }
-            if (this->refusing != kernel::ResultCode::Ok) {
+            if (this->refusing != ResultCode::Ok) {
                 reply(admission::Refusal { {}, this->refusing });
                 return;
             }
-            const auto submitted = this->dispatcher.submit(request, kernel::now(this->clock));
-            submission->handle = submitted.handle;
-            this->replies.emplace(submitted.handle.value, std::move(reply));
-            deliver(submitted.decisions);
-            armExpiry();
+            const auto redeemed = needsTicket ? this->tickets.redeem(ticket) : ResultCode::Ok;
+            if (redeemed == ResultCode::AlreadyRun) {
+                reply(admission::Unresolved { {}, redeemed });
+            } else if (redeemed != ResultCode::Ok) {
+                reply(admission::Refusal { {}, redeemed });
+            } else {
+                accept(submission, request, std::move(reply));
+            }
         });
     return submission;
 }
 
+void DispatchPort::accept(const SubmissionPointer& submission, const model::Request& request, Reply reply)
+{
+    const auto submitted = this->dispatcher.submit(request, kernel::now(this->clock));
+    submission->handle = submitted.handle;
+    this->replies.emplace(submitted.handle.value, std::move(reply));
+    deliver(submitted.decisions);
+    armExpiry();
+}
+
 void DispatchPort::finish(const SubmissionPointer& submission, admission::Outcome outcome)
 {
     boost::asio::dispatch(this->context, [this, submission, outcome] {
@@ -54,6 +81,10 @@
             this->replies.erase(submission->handle.value);
         }
         deliver(this->dispatcher.finish(submission->handle, outcome, kernel::now(this->clock)));
+        if (this->refusing != ResultCode::Ok) {
+            // A request that returned to its queue during a shutdown is refused like the others.
+            deliver(this->dispatcher.refuseAll(this->refusing));
+        }
         armExpiry();
     });
 }
@@ -67,6 +98,15 @@
     });
 }
 
+void DispatchPort::leaving(const model::VmId& vm)
+{
+    boost::asio::dispatch(this->context, [this, vm] {
+        if (this->dispatcher.leaving(vm) && this->leavingObserver) {
+            this->leavingObserver(vm);
+        }
+    });
+}
+
 void DispatchPort::refuseAll(kernel::ResultCode code)
 {
     boost::asio::dispatch(this->context, [this, code] {
@@ -82,12 +122,11 @@
         if (found == this->replies.end()) {
             continue;
         }
-        if (std::holds_alternative<admission::Grant>(decision)) {
-            found->second(decision);
-            continue;
+        // A reply can finish its request at once, which removes it from the map.
+        const auto reply = found->second;
+        if (!std::holds_alternative<admission::Grant>(decision)) {
+            this->replies.erase(found);
         }
-        const auto reply = std::move(found->second);
-        this->replies.erase(found);
         reply(decision);
     }
 }
--- a/src/wasabiroad/traffic/encode.cpp
+++ b/src/wasabiroad/traffic/encode.cpp
@@ -62,6 +62,20 @@
     }
 }
 
+http::Response encode(const Ticket& ticket, const std::string& text, bool keepAlive)
+{
+    constexpr unsigned version = 11;
+    http::Response response { boost::beast::http::status::ok, version };
+    response.set(boost::beast::http::field::content_type, "application/json");
+    response.set(view(headers::ticket), text);
+    response.keep_alive(keepAlive);
+    const boost::json::object document { { "ticket", text }, { "entry", ticket.entry.text() },
+        { "incarnation", hexadecimal(ticket.incarnation) }, { "serial", ticket.serial } };
+    response.body() = boost::json::serialize(document) + "\n";
+    response.prepare_payload();
+    return response;
+}
+
 http::Response encode(const SystemAnswer& answer, bool keepAlive)
 {
     constexpr unsigned version = 11;
--- a/src/wasabiroad/traffic/encode.hpp
+++ b/src/wasabiroad/traffic/encode.hpp
@@ -4,6 +4,7 @@
 #include "wasabiroad/kernel/clock.hpp"
 #include "wasabiroad/kernel/error.hpp"
 #include "wasabiroad/model/identifier.hpp"
+#include "wasabiroad/traffic/ticket.hpp"
 
 namespace wasabiroad::traffic {
 
@@ -30,6 +31,9 @@
 /** @return The HTTP status of a result code. */
 unsigned statusOf(kernel::ResultCode code);
 
+/** @return A ticket as an HTTP response with the ticket as a header and as JSON. */
+http::Response encode(const Ticket& ticket, const std::string& text, bool keepAlive);
+
 /** @return The answer as an HTTP response with a JSON body. */
 http::Response encode(const SystemAnswer& answer, bool keepAlive);
 
--- a/src/wasabiroad/traffic/front_end.cpp
+++ b/src/wasabiroad/traffic/front_end.cpp
@@ -3,6 +3,7 @@
 #include "wasabiroad/http/endpoint.hpp"
 #include "wasabiroad/kernel/log.hpp"
 
+#include <array>
 #include <random>
 
 #include <boost/asio/co_spawn.hpp>
@@ -32,30 +33,31 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-std::string hexadecimal(std::uint64_t value)
+TicketSecret randomSecret()
 {
-    constexpr std::string_view digits { "0123456789abcdef" };
-    std::string text;
-    for (unsigned shift = 64; shift > 0; shift -= 4) {
-        text += digits[(value >> (shift - 4)) & 0xfU];
+    std::random_device device;
+    std::array<unsigned char, TicketSecret::length> bytes {};
+    for (auto& byte : bytes) {
+        byte = static_cast<unsigned char>(device());
     }
-    return text;
+    return { bytes };
 }
 
 } // namespace
 
-FrontEnd::FrontEnd(
-    kernel::Threads& daemonThreads, const settings::Settings& daemonSettings, metrics::Metrics& daemonMetrics)
+FrontEnd::FrontEnd(kernel::Threads& daemonThreads, const settings::Settings& daemonSettings,
+    metrics::Metrics& daemonMetrics, const platform::Store& store)
     : threads(daemonThreads)
     , settings(daemonSettings)
-    , metrics(daemonMetrics)
-    , port(daemonThreads.traffic(0), this->clock, randomSeed())
+    , incarnation(randomSeed())
+    , port(daemonThreads.traffic(0), this->clock, randomSeed(),
+          TicketBook { daemonSettings.entry, this->incarnation, randomSecret() })
+    , environment { this->port, daemonSettings.limits, this->clock, daemonMetrics, store }
 {
-    const auto incarnation = hexadecimal(randomSeed());
     for (std::size_t index = 0; index < this->threads.trafficCount(); ++index) {
         auto& context = this->threads.traffic(index);
-        const auto prefix
-            = this->settings.entry.text() + "-" + incarnation + "-" + std::to_string(index) + "-";
+        const auto prefix = this->settings.entry.text() + "-" + hexadecimal(this->incarnation) + "-"
+            + std::to_string(index) + "-";
         this->lanes.push_back(std::unique_ptr<Lane>(
             new Lane { { .context = context, .pool = UpstreamPool { context }, .idPrefix = prefix },
                 tcp::acceptor { context }, asio::steady_timer { context } }));
@@ -97,6 +99,13 @@
     return http::toText(bound);
 }
 
+void FrontEnd::observeLeaving(DispatchPort::LeavingObserver observer)
+{
+    this->port.observeLeaving([this, observer = std::move(observer)](const model::VmId& vm) {
+        asio::post(this->threads.control(), [observer, vm] { observer(vm); });
+    });
+}
+
 void FrontEnd::subscribe(kernel::Publisher<model::RoutingSnapshot>& publisher)
 {
     for (auto& lane : this->lanes) {
@@ -104,6 +113,7 @@
         publisher.subscribe(kernel::postTo(lane->thread.context),
             [this, &lane = *lane, runsDispatcher](const model::RoutingSnapshotPointer& snapshot) {
                 lane.thread.snapshot = snapshot;
+                lane.thread.pool.limit(idleLimits(*snapshot, this->lanes.size()));
                 if (runsDispatcher) {
                     this->port.update(snapshot);
                 }
@@ -131,8 +141,7 @@
     }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    auto session = Session::create(
-        std::move(socket), lane.thread, this->port, this->settings.limits, this->clock, this->metrics);
+    auto session = Session::create(std::move(socket), lane.thread, this->environment);
     auto* const key = session.get();
     lane.sessions.emplace(key, session);
     asio::co_spawn(lane.thread.context, session->run(),
--- a/src/wasabiroad/traffic/front_end.hpp
+++ b/src/wasabiroad/traffic/front_end.hpp
@@ -10,11 +10,16 @@
 /** @brief Accepts callers' connections on every traffic thread. */
 class FrontEnd {
 public:
-    FrontEnd(kernel::Threads& threads, const settings::Settings& settings, metrics::Metrics& metrics);
+    /** @param store Platform, for claims. */
+    FrontEnd(kernel::Threads& threads, const settings::Settings& settings, metrics::Metrics& metrics,
+        const platform::Store& store);
 
     /** @brief Binds the callers' address on all threads. Errors: ValueOutOfRange, ListenFailed. */
     kernel::Expected<std::string> listen(const std::string& address);
 
+    /** @brief Sets who is told on the control thread when an upstream first says that it leaves. */
+    void observeLeaving(DispatchPort::LeavingObserver observer);
+
     /** @brief Hands routing snapshots to all threads. */
     void subscribe(kernel::Publisher<model::RoutingSnapshot>& publisher);
 
@@ -44,10 +49,11 @@
 
     kernel::Threads& threads;
     const settings::Settings settings;
-    metrics::Metrics& metrics;
     const kernel::Clock clock { kernel::SteadyClock {} };
+    const std::uint64_t incarnation;
     std::vector<std::unique_ptr<Lane>> lanes {};
     DispatchPort port;
+    const Environment environment;
     std::size_t lanesToDrain { 0 };
 };
 
--- a/src/wasabiroad/traffic/plugin.cpp
+++ b/src/wasabiroad/traffic/plugin.cpp
@@ -11,7 +11,12 @@
 {
     const auto settings = kernel.find<const settings::Settings>();
     const auto metrics = kernel.find<metrics::Metrics>();
-    auto frontEnd = std::make_shared<FrontEnd>(kernel.threads(), *settings, *metrics);
+    auto frontEnd = std::make_shared<FrontEnd>(
+        kernel.threads(), *settings, *metrics, *kernel.find<const platform::Store>());
+    frontEnd->observeLeaving([&bus = kernel.bus()](const model::VmId& vm) {
+        kernel::logEvent("upstream-leaving", { { "vm", vm.text() } });
+        bus.publish(control::UpstreamLeaving { vm });
+    });
     frontEnd->subscribe(kernel.find<control::Snapshots>()->publisher());
     const auto address = frontEnd->listen(settings->callers);
     if (!address) {
--- a/src/wasabiroad/traffic/session.cpp
+++ b/src/wasabiroad/traffic/session.cpp
@@ -3,9 +3,9 @@
 #include "wasabiroad/kernel/log.hpp"
 #include "wasabiroad/kernel/overloaded.hpp"
 #include "wasabiroad/traffic/caller_watch.hpp"
-#include "wasabiroad/traffic/decode.hpp"
+#include "wasabiroad/traffic/headers.hpp"
 
-#include <algorithm>
+#include <array>
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -23,21 +23,13 @@
 
 namespace {
 
-const model::Operation* findOperation(
-    const model::RoutingSnapshotPointer& snapshot, const model::Request& request)
-{
-    const auto service = snapshot->services.find(request.service);
-    if (service == snapshot->services.end()) {
-        return nullptr;
-    }
-    const auto& operations = service->second.service.operations;
-    const auto found = std::ranges::find(operations, request.operation, &model::Operation::id);
-    return found == operations.end() ? nullptr : &*found;
-}
-
 /** Space for the first read of a request; most requests fit and need no second read. */
 constexpr std::size_t firstReadBytes = 4096;
 
+/** Time and bytes for which unread input of a refused request is discarded before the connection closes. */
+constexpr kernel::Duration lingerTimeout { 1000 };
+constexpr std::size_t lingerBytes = 16777216;
+
 /** A connection that ends or times out gets no answer; a malformed request does. */
 bool isMalformed(boost::system::error_code failed)
 {
@@ -65,15 +57,13 @@
 
 } // namespace
 
-Session::Session(asio::ip::tcp::socket socket, ThreadState& threadState, DispatchPort& dispatchPort,
-    const settings::Limits& sessionLimits, kernel::Clock sessionClock, metrics::Metrics& daemonMetrics)
+Session::Session(
+    asio::ip::tcp::socket socket, ThreadState& threadState, const Environment& sessionEnvironment)
     : stream(std::move(socket))
     , thread(threadState)
-    , port(dispatchPort)
-    , limits(sessionLimits)
-    , clock(sessionClock)
-    , metrics(daemonMetrics)
-    , exchange(threadState.pool)
+    , environment(sessionEnvironment)
+    , exchange(threadState.pool, sessionEnvironment.clock,
+          [&port = sessionEnvironment.port](const model::VmId& vm) { port.leaving(vm); })
     , decisionTimer(threadState.context)
 {
     ++this->thread.sessions;
@@ -81,10 +71,10 @@
 
 Session::~Session() { --this->thread.sessions; }
 
-std::shared_ptr<Session> Session::create(asio::ip::tcp::socket socket, ThreadState& thread,
-    DispatchPort& port, const settings::Limits& limits, kernel::Clock clock, metrics::Metrics& metrics)
+std::shared_ptr<Session> Session::create(
+    asio::ip::tcp::socket socket, ThreadState& thread, const Environment& environment)
 {
-    auto* const session = new Session { std::move(socket), thread, port, limits, clock, metrics };
+    auto* const session = new Session { std::move(socket), thread, environment };
     return { session, [&context = thread.context](Session* ended) {
                 asio::dispatch(context, [owned = std::unique_ptr<Session> { ended }] {});
             } };
@@ -105,92 +95,163 @@
     bool open = true;
     while (open) {
         Parser parser;
-        parser.header_limit(this->limits.headerBytes);
-        parser.body_limit(this->limits.bodyBytes);
+        parser.header_limit(this->environment.limits.headerBytes);
+        parser.body_limit(this->environment.limits.bodyBytes);
         open = co_await readRequest(parser) && co_await serve(parser);
     }
     boost::system::error_code ignored;
     this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
-asio::awaitable<bool> Session::readRequest(Parser& parser)
+asio::awaitable<bool> Session::waitForRequest()
 {
     boost::system::error_code failed;
-    if (this->buffer.size() == 0) {
-        this->idle = true;
-        this->stream.expires_after(this->limits.idleTimeout.chrono());
-        const auto received = co_await this->stream.async_read_some(
-            this->buffer.prepare(firstReadBytes), asio::redirect_error(asio::use_awaitable, failed));
-        this->idle = false;
+    this->idle = true;
+    this->stream.expires_after(this->environment.limits.idleTimeout.chrono());
+    auto received = co_await this->stream.async_read_some(
+        this->buffer.prepare(firstReadBytes), asio::redirect_error(asio::use_awaitable, failed));
+    this->idle = false;
+    if (failed == asio::error::operation_aborted) {
+        // A request that arrived just before the shutdown cancelled the read is still served.
+        this->stream.socket().non_blocking(true, failed);
+        received = this->stream.socket().read_some(this->buffer.prepare(firstReadBytes), failed);
+    }
+    this->buffer.commit(received);
+    co_return !failed;
+}
+
+asio::awaitable<boost::system::error_code> Session::readMessage(Parser& parser)
+{
+    boost::system::error_code failed;
+    co_await beast::http::async_read_header(
+        this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+    if (failed || parser.is_done()) {
+        co_return failed;
+    }
+    if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
+        constexpr std::string_view proceed { "HTTP/1.1 100 Continue\r\n\r\n" };
+        co_await asio::async_write(
+            this->stream, asio::buffer(proceed), asio::redirect_error(asio::use_awaitable, failed));
         if (failed) {
-            co_return false;
+            co_return failed;
         }
-        this->buffer.commit(received);
     }
-    this->stream.expires_after(this->limits.headerTimeout.chrono());
     co_await beast::http::async_read(
         this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+    co_return failed;
+}
+
+asio::awaitable<bool> Session::readRequest(Parser& parser)
+{
+    if (this->buffer.size() == 0 && !co_await waitForRequest()) {
+        co_return false;
+    }
+    this->stream.expires_after(this->environment.limits.headerTimeout.chrono());
+    const auto failed = co_await readMessage(parser);
     if (!failed) {
         co_return true;
     }
     if (failed == beast::http::error::body_limit) {
         const SystemAnswer refused { .code = ResultCode::BodyTooLarge,
-            .detail = "at most " + std::to_string(this->limits.bodyBytes) + " bytes" };
+            .detail = "at most " + std::to_string(this->environment.limits.bodyBytes) + " bytes" };
         co_await answer(refused, false);
+        co_await closeGently();
     } else if (isMalformed(failed)) {
         const SystemAnswer refused { .code = ResultCode::MalformedRequest, .detail = failed.message() };
         co_await answer(refused, false);
+        co_await closeGently();
     }
     co_return false;
 }
 
+asio::awaitable<void> Session::closeGently()
+{
+    // Closing a socket with unread input resets the connection, and the caller would lose the answer.
+    boost::system::error_code failed;
+    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failed);
+    this->stream.expires_after(lingerTimeout.chrono());
+    std::size_t discarded = 0;
+    while (!failed && discarded < lingerBytes) {
+        this->buffer.clear();
+        discarded += co_await this->stream.async_read_some(
+            this->buffer.prepare(firstReadBytes), asio::redirect_error(asio::use_awaitable, failed));
+    }
+}
+
 asio::awaitable<bool> Session::serve(Parser& parser)
 {
     this->stream.expires_never();
     this->state = RequestState::Received;
     const bool keepAlive = parser.get().keep_alive() && !this->thread.closing;
-    const auto request = decode(
-        parser.get(), this->thread.snapshot, model::RequestId { makeId() }, kernel::now(this->clock));
-    if (!request) {
+    if (asksForTicket(parser.get())) {
+        co_return co_await serveTicket(parser.get(), keepAlive);
+    }
+    const auto decoded = decode(parser.get(), this->thread.snapshot, model::RequestId { makeId() },
+        kernel::now(this->environment.clock));
+    if (!decoded) {
         advance(RequestEvent::Rejected);
-        const auto& error = request.error();
+        const auto& error = decoded.error();
         const SystemAnswer refused { .code = error.code,
             .detail = error.where + (error.found.empty() ? "" : ": " + error.found) };
         co_return co_await answer(refused, keepAlive);
     }
-    co_return co_await dispatch(*request, parser.get().body(), keepAlive);
+    co_return co_await dispatch(*decoded, parser.get().body(), keepAlive);
+}
+
+asio::awaitable<bool> Session::serveTicket(const RequestHeader& header, bool keepAlive)
+{
+    if (header.method() != beast::http::verb::post) {
+        const SystemAnswer refused { .code = ResultCode::MethodNotAllowed, .detail = "/tickets allows POST" };
+        co_return co_await answer(refused, keepAlive);
+    }
+    if (this->thread.closing) {
+        const SystemAnswer refused { .code = ResultCode::Stopping };
+        co_return co_await answer(refused, keepAlive);
+    }
+    std::optional<http::Response> response;
+    this->environment.port.issueTicket(
+        [self = shared_from_this(), &response, keepAlive](const Ticket& ticket, const std::string& text) {
+            asio::dispatch(self->thread.context, [self, &response, ticket, text, keepAlive] {
+                response.emplace(encode(ticket, text, keepAlive));
+                self->decisionTimer.cancel();
+            });
+        });
+    while (!response) {
+        this->decisionTimer.expires_at(asio::steady_timer::time_point::max());
+        boost::system::error_code ignored;
+        co_await this->decisionTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return co_await send(*response, keepAlive);
 }
 
 asio::awaitable<bool> Session::dispatch(
-    const model::Request& request, const std::string& body, bool keepAlive)
+    const DecodedRequest& decoded, const std::string& body, bool keepAlive)
 {
+    const auto& request = decoded.request;
     this->gone = false;
+    this->claimHeld = false;
     this->decision.reset();
-    this->submission
-        = this->port.submit(request, [self = shared_from_this()](const admission::Decision& made) {
-              asio::dispatch(self->thread.context, [self, made] { self->receive(made); });
-          });
-    const CallerWatch watch { this->stream.socket(), [this, &request] { callerGone(request); } };
+    this->submission = this->environment.port.submit(
+        request, decoded.safeguard, [self = shared_from_this()](const admission::Decision& made) {
+            asio::dispatch(self->thread.context, [self, made] { self->receive(made); });
+        });
+    const CallerWatch watch { this->stream.socket(), [this, &decoded] { callerGone(decoded.stoppable); } };
     advance(RequestEvent::Enqueued);
-    while (!this->gone) {
-        const auto made = co_await nextDecision();
-        if (this->gone) {
-            break;
-        }
-        if (const auto* const grant = std::get_if<admission::Grant>(&made)) {
-            const bool ended = co_await execute(request, body, *grant, keepAlive);
-            if (ended) {
-                co_return keepAlive&& this->state == RequestState::Answered;
+    while (const auto made = co_await nextDecision()) {
+        if (const auto* const grant = std::get_if<admission::Grant>(&*made)) {
+            const auto after = co_await attemptGranted(decoded, body, *grant, keepAlive);
+            if (after == Next::WaitForDecision) {
+                continue;
             }
-            continue;
+            co_return keepAlive&& after == Next::Answered;
         }
-        if (const auto* const refusal = std::get_if<admission::Refusal>(&made)) {
+        if (const auto* const refusal = std::get_if<admission::Refusal>(&*made)) {
             advance(RequestEvent::Rejected);
             const SystemAnswer refused { request.id, refusal->code, Certainty::NotRun, refusal->retryAfter,
                 refusal->reason };
             co_return co_await answer(refused, keepAlive);
         }
-        const auto& unresolved = std::get<admission::Unresolved>(made);
+        const auto& unresolved = std::get<admission::Unresolved>(*made);
         const SystemAnswer unknown { request.id, unresolved.code, Certainty::Unknown, {}, unresolved.reason };
         co_return co_await answer(unknown, keepAlive);
     }
@@ -199,40 +260,103 @@
     co_return false;
 }
 
-asio::awaitable<bool> Session::execute(
-    const model::Request& request, const std::string& body, const admission::Grant& grant, bool keepAlive)
+asio::awaitable<Session::Next> Session::attemptGranted(
+    const DecodedRequest& decoded, const std::string& body, const admission::Grant& grant, bool keepAlive)
 {
     advance(RequestEvent::SlotGranted);
-    logPlacement(request, grant);
-    const auto started = kernel::now(this->clock);
-    this->metrics.observe("wasabiroad_wait_milliseconds", { { "service", request.service.text() } },
+    logPlacement(decoded.request, grant);
+    const auto* const needed = std::get_if<NeedsClaim>(&decoded.safeguard);
+    if (needed != nullptr && !this->claimHeld) {
+        const auto refused = co_await claimRequest(decoded.request, *needed);
+        if (refused) {
+            this->environment.port.finish(this->submission, admission::Outcome::Abandoned);
+            advance(RequestEvent::Rejected);
+            co_return co_await answer(*refused, keepAlive) ? Next::Answered : Next::Close;
+        }
+        this->claimHeld = true;
+    }
+    if (this->gone) {
+        this->environment.port.finish(this->submission, admission::Outcome::Abandoned);
+        advance(RequestEvent::CallerGone);
+        co_return Next::Close;
+    }
+    co_return co_await execute(decoded, body, grant, keepAlive);
+}
+
+asio::awaitable<std::optional<SystemAnswer>> Session::claimRequest(
+    const model::Request& request, const NeedsClaim& needed)
+{
+    const auto remaining = request.deadline - kernel::now(this->environment.clock);
+    if (remaining <= kernel::Duration {}) {
+        const SystemAnswer late { .request = request.id, .code = ResultCode::DeadlineExceeded };
+        co_return late;
+    }
+    const auto result = co_await claim(this->environment.store, needed.key, makeId(), remaining);
+    const auto refused
+        = std::visit(kernel::Overloaded {
+                         [](const Claimed&) -> std::optional<SystemAnswer> { return std::nullopt; },
+                         [&](const ClaimedByOther&) -> std::optional<SystemAnswer> {
+                             return SystemAnswer { request.id, ResultCode::AlreadyRun, Certainty::Unknown, {},
+                                 "another attempt holds the claim" };
+                         },
+                         [&](const ClaimUnavailable& failed) -> std::optional<SystemAnswer> {
+                             return SystemAnswer { request.id, failed.code, Certainty::NotRun, {},
+                                 "the claim could not be made" };
+                         },
+                     },
+            result);
+    co_return refused;
+}
+
+asio::awaitable<Session::Next> Session::execute(
+    const DecodedRequest& decoded, const std::string& body, const admission::Grant& grant, bool keepAlive)
+{
+    const auto& request = decoded.request;
+    const auto started = kernel::now(this->environment.clock);
+    this->environment.metrics.observe("wasabiroad_wait_milliseconds",
+        { { "service", request.service.text() } },
         static_cast<double>((started - request.arrival).milliseconds));
     advance(RequestEvent::SendStarted);
-    const Attempt attempt { request, grant, makeId(), body, keepAlive };
-    const auto result = co_await this->exchange.run(attempt, this->stream, started);
+    const Attempt attempt { request, grant, makeId(), body, keepAlive, decoded.stoppable };
+    const auto result = co_await this->exchange.run(attempt, this->stream);
     this->stream.expires_never();
-    const auto ended = std::visit(
+    const auto after = std::visit(
         kernel::Overloaded {
             [&](const Answered&) {
                 advance(RequestEvent::AnswerStarted);
                 advance(RequestEvent::AnswerFinished);
-                return true;
+                return Next::Answered;
             },
             [&](const NotStarted&) {
                 advance(RequestEvent::NotStarted);
-                return false;
+                return Next::WaitForDecision;
             },
             [&](const Lost&) {
                 advance(request.idempotent ? RequestEvent::RetryAllowed : RequestEvent::OutcomeLost);
-                return false;
+                return Next::WaitForDecision;
             },
             [&](const Truncated&) {
                 advance(RequestEvent::AnswerStarted);
                 advance(RequestEvent::AnswerCutOff);
-                return true;
+                return Next::Close;
+            },
+            [&](const CallerLost&) {
+                advance(RequestEvent::AnswerStarted);
+                advance(RequestEvent::CallerGone);
+                return Next::Close;
             },
         },
         result);
+    record(attempt, result, started);
+    const bool abandoned = this->gone;
+    this->environment.port.finish(
+        this->submission, abandoned ? admission::Outcome::Abandoned : outcomeOf(result));
+    co_return abandoned ? Next::Close : after;
+}
+
+void Session::record(const Attempt& attempt, const AttemptResult& result, kernel::Instant started)
+{
+    const auto& request = attempt.request;
     const auto reason
         = std::visit(kernel::Overloaded {
                          [](const Answered& answered) { return std::to_string(answered.status); },
@@ -240,28 +364,25 @@
                      },
             result);
     kernel::logEvent("attempt-finished",
-        { { "request", request.id.text() }, { "attempt", attempt.id }, { "vm", grant.vm.text() },
+        { { "request", request.id.text() }, { "attempt", attempt.id }, { "vm", attempt.grant.vm.text() },
             { "state", name(this->state) }, { "result", reason },
-            { "milliseconds", (kernel::now(this->clock) - started).milliseconds } });
-    this->metrics.count("wasabiroad_attempts_total",
+            { "milliseconds", (kernel::now(this->environment.clock) - started).milliseconds } });
+    this->environment.metrics.count("wasabiroad_attempts_total",
         { { "service", request.service.text() }, { "state", std::string { name(this->state) } } });
-    this->port.finish(this->submission, this->gone ? admission::Outcome::Abandoned : outcomeOf(result));
-    co_return ended || this->gone;
 }
 
-asio::awaitable<admission::Decision> Session::nextDecision()
+asio::awaitable<std::optional<admission::Decision>> Session::nextDecision()
 {
-    if (!this->decision && !this->gone) {
+    while (!this->decision && !this->gone) {
         this->decisionTimer.expires_at(asio::steady_timer::time_point::max());
         boost::system::error_code ignored;
         co_await this->decisionTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    if (!this->decision) {
-        const admission::Refusal cancelled { {}, ResultCode::Cancelled };
-        co_return cancelled;
+    std::optional<admission::Decision> made;
+    if (this->decision) {
+        made.emplace(*this->decision);
+        this->decision.reset();
     }
-    const admission::Decision made = *this->decision;
-    this->decision.reset();
     co_return made;
 }
 
@@ -269,7 +390,7 @@
 {
     if (this->gone) {
         if (std::holds_alternative<admission::Grant>(made)) {
-            this->port.finish(this->submission, admission::Outcome::Abandoned);
+            this->environment.port.finish(this->submission, admission::Outcome::Abandoned);
         }
         return;
     }
@@ -277,16 +398,17 @@
     this->decisionTimer.cancel();
 }
 
-void Session::callerGone(const model::Request& request)
+void Session::callerGone(bool stoppable)
 {
-    const bool waiting = this->state == RequestState::Queued && !this->decision;
-    const auto* const operation = findOperation(this->thread.snapshot, request);
-    if (waiting) {
+    if (this->state == RequestState::Queued && !this->decision) {
         this->gone = true;
         advance(RequestEvent::CallerGone);
-        this->port.cancel(this->submission);
+        this->environment.port.cancel(this->submission);
         this->decisionTimer.cancel();
-    } else if (operation != nullptr && operation->stoppable && this->state == RequestState::Sent) {
+    } else if (this->state == RequestState::Queued || this->state == RequestState::Granted) {
+        // A slot is held; the session gives it back before it sends the request.
+        this->gone = true;
+    } else if (stoppable && this->state == RequestState::Sent) {
         this->gone = true;
         this->exchange.abort();
     }
@@ -302,11 +424,16 @@
 asio::awaitable<bool> Session::answer(const SystemAnswer& systemAnswer, bool keepAlive)
 {
     logRefusal(systemAnswer);
-    this->metrics.count(
+    this->environment.metrics.count(
         "wasabiroad_refusals_total", { { "code", std::string { kernel::name(systemAnswer.code) } } });
-    auto response = encode(systemAnswer, keepAlive);
+    const auto response = encode(systemAnswer, keepAlive);
+    co_return co_await send(response, keepAlive);
+}
+
+asio::awaitable<bool> Session::send(const http::Response& response, bool keepAlive)
+{
     boost::system::error_code failed;
-    this->stream.expires_after(this->limits.headerTimeout.chrono());
+    this->stream.expires_after(this->environment.limits.headerTimeout.chrono());
     co_await beast::http::async_write(
         this->stream, response, asio::redirect_error(asio::use_awaitable, failed));
     co_return !failed && keepAlive;
--- a/src/wasabiroad/traffic/upstream_pool.cpp
+++ b/src/wasabiroad/traffic/upstream_pool.cpp
@@ -1,5 +1,6 @@
 #include "wasabiroad/traffic/upstream_pool.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace wasabiroad::traffic {
@@ -19,6 +20,16 @@
 
 } // namespace
 
+IdleLimits idleLimits(const model::RoutingSnapshot& snapshot, std::size_t threads)
+{
+    IdleLimits limits;
+    for (const auto& upstream : snapshot.upstreams) {
+        const auto used = std::min(upstream.slots, upstream.connections);
+        limits.emplace(upstream.address, (upstream.connections - used) / threads);
+    }
+    return limits;
+}
+
 UpstreamConnectionPointer UpstreamPool::take(const std::string& address)
 {
     const auto found = this->idle.find(address);
@@ -42,12 +53,25 @@
         UpstreamConnection { boost::beast::tcp_stream { this->context } });
 }
 
-void UpstreamPool::keep(const std::string& address, UpstreamConnectionPointer connection, std::size_t limit)
+void UpstreamPool::keep(const std::string& address, UpstreamConnectionPointer connection)
 {
+    const auto allowed = this->limits.find(address);
+    if (allowed == this->limits.end()) {
+        return;
+    }
     auto& connections = this->idle[address];
-    if (connections.size() < limit) {
+    if (connections.size() < allowed->second) {
         connections.push_back(std::move(connection));
     }
 }
 
+void UpstreamPool::limit(IdleLimits newLimits)
+{
+    this->limits = std::move(newLimits);
+    std::erase_if(this->idle, [this](const auto& entry) { return !this->limits.contains(entry.first); });
+    for (auto& [address, connections] : this->idle) {
+        connections.resize(std::min(connections.size(), this->limits.at(address)));
+    }
+}
+
 } // namespace wasabiroad::traffic
--- a/src/wasabiroad/traffic/upstream_pool.hpp
+++ b/src/wasabiroad/traffic/upstream_pool.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wasabiroad/kernel/clock.hpp"
+#include "wasabiroad/model/routing_snapshot.hpp"
 
 #include <deque>
 #include <memory>
@@ -21,6 +21,17 @@
 
 using UpstreamConnectionPointer = std::unique_ptr<UpstreamConnection>;
 
+/** @brief Connections to each address that may stay idle on one traffic thread; 0 for other addresses. */
+using IdleLimits = std::unordered_map<std::string, std::size_t>;
+
+/**
+ * @brief Idle connections that one traffic thread may keep.
+ *
+ * Requests in progress use at most one connection for each slot. The connections beyond the slots
+ * are divided among the threads, so that used and idle ones together stay within the daemon's share.
+ */
+IdleLimits idleLimits(const model::RoutingSnapshot& snapshot, std::size_t threads);
+
 /** @brief Idle connections of one traffic thread to upstreams, for reuse by idempotent requests. */
 class UpstreamPool {
 public:
@@ -35,17 +46,18 @@
     /** @return A new connection that is not connected yet. */
     UpstreamConnectionPointer create() const;
 
-    /**
-     * @brief Keeps a connection after a whole answer.
-     * @param limit Connections to this upstream that may stay idle; the others are closed.
-     */
-    void keep(const std::string& address, UpstreamConnectionPointer connection, std::size_t limit);
+    /** @brief Keeps a connection after a whole answer, up to the limit of its upstream. */
+    void keep(const std::string& address, UpstreamConnectionPointer connection);
+
+    /** @brief Replaces the limits of idle connections by address, and closes those over their limit. */
+    void limit(IdleLimits limits);
 
     /** @brief Closes all idle connections. */
     void clear() { this->idle.clear(); }
 
 private:
     boost::asio::io_context& context;
+    IdleLimits limits {};
     std::unordered_map<std::string, std::deque<UpstreamConnectionPointer>> idle {};
 };
 
