--- a/src/wasabiroad/traffic/attempt.cpp
+++ b/src/wasabiroad/traffic/attempt.cpp
@@ -77,7 +77,10 @@
         answer.erase(view(name));
     }
     answer.set(view(headers::requestId), attempt.request.id.text());
-    answer.chunked(chunked);
+    if (chunked) {
+        // Called with false, it would remove the length, by which the caller sees a cut-off answer.
+        answer.chunked(true);
+    }
     answer.keep_alive(attempt.keepAlive);
     return answer;
 }
--- a/src/wasabiroad/traffic/front_end.cpp
+++ b/src/wasabiroad/traffic/front_end.cpp
@@ -108,15 +108,17 @@
 
 void FrontEnd::subscribe(kernel::Publisher<model::RoutingSnapshot>& publisher)
 {
-    for (auto& lane : this->lanes) {
-        const bool runsDispatcher = lane == this->lanes.front();
-        publisher.subscribe(kernel::postTo(lane->thread.context),
-            [this, &lane = *lane, runsDispatcher](const model::RoutingSnapshotPointer& snapshot) {
+    for (std::size_t index = 0; index < this->lanes.size(); ++index) {
+        auto& lane = *this->lanes[index];
+        publisher.subscribe(kernel::postTo(lane.thread.context),
+            [this, &lane, index](const model::RoutingSnapshotPointer& snapshot) {
                 lane.thread.snapshot = snapshot;
                 lane.thread.pool.limit(idleLimits(*snapshot, this->lanes.size()));
-                if (runsDispatcher) {
+                if (index == 0) {
                     this->port.update(snapshot);
                 }
+                kernel::logEvent(
+                    "snapshot-in-use", { { "thread", index }, { "snapshot", snapshot->sequence } });
             });
     }
 }
