--- a/src/wasabiroad/standin/upstream.cpp
+++ b/src/wasabiroad/standin/upstream.cpp
@@ -82,6 +82,41 @@
     return std::string { request[view(name)] };
 }
 
+std::string faultOf(const std::string& body)
+{
+    constexpr std::string_view key { "fault=" };
+    const auto found = body.find(key);
+    if (found == std::string::npos) {
+        return {};
+    }
+    const auto begin = found + key.size();
+    return body.substr(begin, body.find(' ', begin) - begin);
+}
+
+/** Changes a whole answer into the faulty one that the request asks for. */
+http::Response spoil(http::Response response, const std::string& fault)
+{
+    if (fault == "truncate") {
+        response.content_length(response.body().size() + 1000);
+        response.keep_alive(false);
+    } else if (fault == "no-length") {
+        response.content_length(boost::none);
+        response.keep_alive(false);
+    } else if (fault == "foreign") {
+        response.set(view(headers::attempt), "another-attempt");
+    } else if (fault == "no-attempt") {
+        response.erase(view(headers::attempt));
+    } else if (fault == "leaving") {
+        response.set(view(headers::leaving), "yes");
+    } else if (fault == "contradict") {
+        response.set(view(headers::outcome), "not-run");
+        response.set(view(headers::code), "306");
+    } else if (fault == "fail" || fault == "refuse-unproven") {
+        response.result(fault == "fail" ? 500U : 503U);
+    }
+    return response;
+}
+
 http::Response answer(const http::Request& request, unsigned status, std::string body, bool leaving)
 {
     auto response = http::respond(request, status, "text/plain", std::move(body));
@@ -129,7 +164,8 @@
     if (!course.runs) {
         co_return response;
     }
-    if (state->running >= state->options.slots) {
+    const auto fault = faultOf(request.body());
+    if (state->running >= state->options.slots || fault == "refuse") {
         response = refusal(request, leaving);
         co_return response;
     }
@@ -143,7 +179,7 @@
     state->log.end(number, monotonicMicroseconds());
     if (course.end == Course::End::Answer) {
         auto body = course.fails ? "failing\n" : valueOf(request, headers::requestId) + "\n" + request.body();
-        response = answer(request, course.fails ? 500 : 200, std::move(body), leaving);
+        response = spoil(answer(request, course.fails ? 500 : 200, std::move(body), leaving), fault);
     }
     co_return response;
 }
