--- a/src/wasabiroad/admission/dispatcher.cpp
+++ b/src/wasabiroad/admission/dispatcher.cpp
@@ -1,11 +1,9 @@
 #include "wasabiroad/admission/dispatcher.hpp"
 
-#include "wasabiroad/routing/placement.hpp"
+#include "wasabiroad/admission/backoff.hpp"
 
 #include <algorithm>
 
-#include <pcg_random.hpp>
-
 namespace wasabiroad::admission {
 
 using kernel::ResultCode;
@@ -15,6 +13,14 @@
 /** Attempts of one request, proofs that it did not start included. */
 constexpr std::uint32_t maxAttempts = 8;
 
+/** Part of a queue's bound that long work may fill, so that it cannot keep short work out. */
+constexpr std::size_t longPartOfBound(std::size_t bound) { return std::max<std::size_t>(1, bound * 3 / 4); }
+
+double millisecondsUntil(kernel::Instant later, kernel::Instant now)
+{
+    return static_cast<double>((later - now).milliseconds);
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(std::uint64_t seed)
@@ -25,192 +31,488 @@
 Dispatcher::Decisions Dispatcher::update(model::RoutingSnapshotPointer newSnapshot, kernel::Instant now)
 {
     this->snapshot = std::move(newSnapshot);
-    auto decisions = expire(now);
-    fillAll(decisions);
+    this->slots.update(*this->snapshot);
+    this->teams.update(*this->snapshot);
+    for (auto& service : this->services) {
+        service.declared = false;
+    }
+    for (const auto& [id, view] : this->snapshot->services) {
+        updateService(view);
+    }
+    this->users.assign(this->slots.pools(), {});
+    for (const auto& [id, view] : this->snapshot->services) {
+        updateUsers(view, this->serviceIndices.at(id));
+    }
+    Decisions decisions;
+    advance(now, decisions);
+    serveAll(now, decisions);
     return decisions;
 }
 
+void Dispatcher::updateService(const model::ServiceView& view)
+{
+    const auto [found, added] = this->serviceIndices.try_emplace(
+        view.service.id, static_cast<std::uint32_t>(this->services.size()));
+    if (added) {
+        this->services.emplace_back();
+    }
+    auto& service = this->services[found->second];
+    service.declared = true;
+    service.pool = this->slots.poolIndex(view.service.pool);
+    service.queueBound = view.service.queueBound;
+    service.retryPercent = view.service.retryPercent;
+    for (const auto& operation : view.service.operations) {
+        const auto [place, isNew] = service.operationIndices.try_emplace(
+            operation.id, static_cast<std::uint32_t>(service.operations.size()));
+        if (isNew) {
+            service.operations.emplace_back();
+            service.baseline.declare(operation.declared);
+        }
+        auto& state = service.operations[place->second];
+        state.declared = operation.declared;
+        state.lane = service.queue.laneOf({ operation.accelerators, operation.memory });
+    }
+    service.queue.updateRoutes([&](const Requirement& needs) { return this->slots.route(view, needs); });
+    // A pool that has no VM at the moment may get one by a move, so its requests wait.
+    const bool hasVms = !view.own.empty() || !view.borrowed.empty();
+    for (auto& operation : service.operations) {
+        operation.neverRunnable = hasVms && service.queue.route(operation.lane).empty();
+    }
+    service.queue.refresh(this->teams);
+}
+
+void Dispatcher::updateUsers(const model::ServiceView& view, std::uint32_t index)
+{
+    this->users[this->services[index].pool].owners.push_back(index);
+    for (const auto& lender : view.service.borrowFrom) {
+        const auto pool = this->slots.poolIndex(lender);
+        if (pool < this->users.size() && pool != this->services[index].pool) {
+            this->users[pool].borrowers.push_back(index);
+        }
+    }
+}
+
 Dispatcher::Submission Dispatcher::submit(const model::Request& request, kernel::Instant now)
 {
-    Pending pending { Handle { this->nextHandle++ }, request };
-    const auto handle = pending.handle;
     if (!this->snapshot) {
-        return { handle, { refuse(pending, ResultCode::NotConfigured) } };
+        return refuseAtOnce(ResultCode::NotConfigured, 0);
     }
-    const auto service = this->snapshot->services.find(request.service);
-    if (service == this->snapshot->services.end()) {
-        return { handle, { refuse(pending, ResultCode::UnknownService) } };
+    const auto found = this->serviceIndices.find(request.service);
+    if (found == this->serviceIndices.end() || !this->services[found->second].declared) {
+        return refuseAtOnce(ResultCode::UnknownService, 0);
+    }
+    auto& service = this->services[found->second];
+    const auto operation = service.operationIndices.find(request.operation);
+    if (operation == service.operationIndices.end()) {
+        return refuseAtOnce(ResultCode::UnknownOperation, 0);
     }
     if (request.deadline <= now) {
-        return { handle, { refuse(pending, ResultCode::DeadlineExceeded) } };
+        return refuseAtOnce(ResultCode::DeadlineExceeded, 0);
+    }
+    auto& state = service.operations[operation->second];
+    if (state.neverRunnable) {
+        return refuseAtOnce(ResultCode::NeverRunnable, 0, "no VM of the pools meets the requirement");
     }
-    if (this->queues[request.service].size() >= service->second.service.queueBound) {
-        return { handle, { refuse(pending, ResultCode::QueueFull) } };
+    if (state.health.refuses(now, state.running)) {
+        return refuseAtOnce(ResultCode::OperationSuspended,
+            static_cast<double>(state.health.remaining(now).milliseconds),
+            "operation fails on several upstreams");
     }
-    enqueue(std::move(pending), false);
+    service.retries.request(now);
     Decisions decisions;
-    fill(request.service, decisions);
+    advance(now, decisions);
+    const auto index = admit(request, found->second, operation->second);
+    const auto workClass = this->table[index].workClass;
+    if (workClass == WorkClass::Short) {
+        this->slots.shortArrived(service.pool, now);
+    }
+    const auto handle = this->table[index].handle;
+    const auto wait = service.queue.expectedWait(workClass);
+    enqueue(index, Lane::End::Tail);
+    serve(found->second, now, decisions);
+    if (this->table.find(handle) && this->table[index].phase == Phase::Queued) {
+        shed(index, wait, now, decisions);
+    }
     return { handle, std::move(decisions) };
 }
 
+RecordIndex Dispatcher::admit(const model::Request& request, std::uint32_t service, std::uint32_t operation)
+{
+    const auto& state = this->services[service].operations[operation];
+    const RequestFacts facts { service, operation, this->teams.indexOf(request.team), request.idempotent,
+        request.deadline, request.declared.milliseconds > 0 ? request.declared : state.declared };
+    const auto index = this->table.create(facts);
+    auto& record = this->table[index];
+    record.lane = state.lane;
+    record.estimate = state.runTime.estimate(facts.declared);
+    record.workClass = classify(queuePolicy(), record.estimate, this->services[service].baseline.longFrom());
+    return index;
+}
+
+void Dispatcher::shed(RecordIndex index, double expectedWait, kernel::Instant now, Decisions& decisions)
+{
+    const auto& record = this->table[index];
+    const auto& service = this->services[record.facts->service];
+    const bool full = service.queue.size() > service.queueBound
+        || (record.workClass == WorkClass::Long
+            && service.queue.size(WorkClass::Long) > longPartOfBound(service.queueBound));
+    if (full) {
+        refuseAndRelease(index, ResultCode::QueueFull, decisions, retryAfter(expectedWait, this->random()));
+        return;
+    }
+    if (expectedWait + record.estimate > millisecondsUntil(record.facts->deadline, now)) {
+        refuseAndRelease(index, ResultCode::DeadlineUnreachable, decisions,
+            retryAfter(expectedWait, this->random()), "expected wait exceeds the deadline");
+    }
+}
+
 Dispatcher::Decisions Dispatcher::finish(Handle handle, Outcome outcome, kernel::Instant now)
 {
-    const auto found = this->grants.find(handle.value);
-    if (found == this->grants.end()) {
+    const auto found = this->table.find(handle);
+    if (!found || this->table[*found].phase != Phase::Running) {
         return {};
     }
-    const Running running = found->second;
-    this->grants.erase(found);
-    --this->outstanding[running.vm];
+    const auto index = *found;
     Decisions decisions;
-    settle(running.pending, outcome, decisions);
-    for (auto& expired : expire(now)) {
-        decisions.emplace_back(std::move(expired));
-    }
-    fillAll(decisions);
+    const auto pool = this->slots.poolOf(this->table[index].upstream);
+    releaseSlot(index);
+    learn(this->table[index], outcome, now);
+    settle(index, outcome, now, decisions);
+    advance(now, decisions);
+    servePool(pool, now, decisions);
     return decisions;
 }
 
-void Dispatcher::settle(const Pending& pending, Outcome outcome, Decisions& decisions)
+void Dispatcher::releaseSlot(RecordIndex index)
+{
+    auto& record = this->table[index];
+    auto& service = this->services[record.facts->service];
+    if (record.watched) {
+        service.watched.erase(this->table, index);
+        record.watched = false;
+    }
+    --operationOf(record).running;
+    service.queue.countRunning(record.workClass, -1);
+    this->slots.release(record.upstream, record.workClass);
+    const auto team = record.facts->team;
+    if (this->teams.release(team)) {
+        for (auto& each : this->services) {
+            each.queue.setOverShare(team, false);
+        }
+    }
+}
+
+void Dispatcher::learn(const Record& record, Outcome outcome, kernel::Instant now)
+{
+    switch (outcome) {
+    case Outcome::Succeeded:
+        learnSuccess(record, now);
+        return;
+    case Outcome::Failed:
+    case Outcome::Lost:
+        learnFailure(record, now);
+        return;
+    case Outcome::NotStarted:
+        // Says nothing about the operation: the upstream was full, leaving or not reached.
+        this->slots.failed(record.upstream, now);
+        return;
+    case Outcome::Abandoned:
+        return;
+    }
+}
+
+void Dispatcher::learnSuccess(const Record& record, kernel::Instant now)
+{
+    auto& operation = operationOf(record);
+    const auto ran = now - record.grantedAt;
+    operation.runTime.observe(ran);
+    operation.health.succeeded();
+    this->services[record.facts->service].baseline.observe(ran);
+    this->slots.succeeded(record.upstream, now);
+}
+
+void Dispatcher::learnFailure(const Record& record, kernel::Instant now)
+{
+    auto& health = operationOf(record).health;
+    if (!health.failed(record.upstream, now)) {
+        this->slots.failed(record.upstream, now);
+        return;
+    }
+    // The operation has had no success since, so a success on one of these upstreams is of another one.
+    const auto succeedsForOthers = std::ranges::count_if(health.failedOn(), [&](auto upstream) {
+        const auto last = this->slots.lastSuccess(upstream);
+        return last && *last >= *health.failingSince();
+    });
+    if (static_cast<std::size_t>(succeedsForOthers) >= routing::upstreamsToBlame) {
+        health.suspend(now);
+    }
+}
+
+void Dispatcher::settle(RecordIndex index, Outcome outcome, kernel::Instant now, Decisions& decisions)
 {
-    const bool mayHaveRun = pending.mayHaveRun || outcome == Outcome::Lost;
-    Pending again { pending.handle, pending.request, pending.attempts + 1, mayHaveRun };
-    const bool mayTryAgain = again.attempts < maxAttempts;
+    auto& record = this->table[index];
+    ++record.attempts;
     switch (outcome) {
     case Outcome::Succeeded:
     case Outcome::Failed:
     case Outcome::Abandoned:
+        this->table.release(index);
         return;
     case Outcome::NotStarted:
-        if (mayTryAgain) {
-            enqueue(std::move(again), true);
-        } else {
-            decisions.emplace_back(refuse(again, ResultCode::NoUpstream));
-        }
+        retry(index, ResultCode::NoUpstream, now, decisions);
         return;
     case Outcome::Lost:
-        if (mayTryAgain && pending.request.idempotent) {
-            enqueue(std::move(again), true);
+        record.mayHaveRun = true;
+        if (record.facts->idempotent) {
+            retry(index, ResultCode::OutcomeUnknown, now, decisions);
         } else {
-            decisions.emplace_back(refuse(again, ResultCode::OutcomeUnknown));
+            refuseAndRelease(index, ResultCode::OutcomeUnknown, decisions);
         }
         return;
     }
 }
 
-void Dispatcher::cancel(Handle handle)
+void Dispatcher::retry(RecordIndex index, ResultCode exhausted, kernel::Instant now, Decisions& decisions)
 {
-    const auto found = this->positions.find(handle.value);
-    if (found == this->positions.end()) {
+    auto& record = this->table[index];
+    auto& service = this->services[record.facts->service];
+    const auto release = now + retryDelay(record.attempts, this->random());
+    if (record.attempts >= maxAttempts || release >= record.facts->deadline) {
+        refuseAndRelease(index, exhausted, decisions, {}, "attempts or deadline used up");
         return;
     }
-    this->queues[found->second.service].erase(found->second.place);
-    this->positions.erase(found);
+    if (!service.retries.take(now, service.retryPercent)) {
+        refuseAndRelease(index, ResultCode::RetryBudgetExhausted, decisions,
+            retryAfter(service.queue.expectedWait(record.workClass), this->random()));
+        return;
+    }
+    this->table.setPhase(index, Phase::Delayed);
+    this->wheel.add(index, release);
+}
+
+void Dispatcher::cancel(Handle handle)
+{
+    const auto found = this->table.find(handle);
+    if (found && this->table[*found].phase != Phase::Running) {
+        remove(*found);
+    }
+}
+
+void Dispatcher::remove(RecordIndex index)
+{
+    const auto& record = this->table[index];
+    this->wheel.remove(index);
+    if (record.phase == Phase::Queued) {
+        this->services[record.facts->service].queue.erase(this->table, index);
+    }
+    this->table.release(index);
 }
 
 Dispatcher::Decisions Dispatcher::expire(kernel::Instant now)
 {
     Decisions decisions;
-    for (auto& [service, queue] : this->queues) {
-        for (auto pending = queue.begin(); pending != queue.end();) {
-            if (pending->request.deadline > now) {
-                ++pending;
-                continue;
+    advance(now, decisions);
+    if (this->snapshot && queued() > 0) {
+        // Slots that are kept for short work become free for long work as time passes.
+        serveAll(now, decisions);
+    }
+    return decisions;
+}
+
+void Dispatcher::advance(kernel::Instant now, Decisions& decisions)
+{
+    markOverruns(now);
+    if (this->slots.readmit(now)) {
+        serveAll(now, decisions);
+    }
+    this->due.clear();
+    this->wheel.advance(now, this->due);
+    for (const auto index : this->due) {
+        if (this->table[index].phase == Phase::Queued) {
+            refuseAndRelease(index, ResultCode::DeadlineExceeded, decisions);
+        } else {
+            enqueue(index, Lane::End::Head);
+        }
+    }
+    // Served after the loop, because a grant removes entries from the wheel.
+    for (const auto index : this->due) {
+        if (this->table[index].phase == Phase::Queued) {
+            serve(this->table[index].facts->service, now, decisions);
+        }
+    }
+}
+
+void Dispatcher::markOverruns(kernel::Instant now)
+{
+    for (auto& service : this->services) {
+        const auto longFrom = service.baseline.longFrom();
+        while (!service.watched.empty()) {
+            const auto index = service.watched.front();
+            auto& record = this->table[index];
+            if (millisecondsUntil(now, record.grantedAt) <= longFrom) {
+                break;
             }
-            decisions.emplace_back(refuse(*pending, ResultCode::DeadlineExceeded));
-            this->positions.erase(pending->handle.value);
-            pending = queue.erase(pending);
+            service.watched.erase(this->table, index);
+            record.watched = false;
+            service.queue.countRunning(record.workClass, -1);
+            record.workClass = WorkClass::Long;
+            service.queue.countRunning(record.workClass, 1);
+            this->slots.reclassify(record.upstream);
         }
     }
-    return decisions;
 }
 
 Dispatcher::Decisions Dispatcher::refuseAll(ResultCode code)
 {
     Decisions decisions;
-    for (auto& [service, queue] : this->queues) {
-        for (const auto& pending : queue) {
-            decisions.emplace_back(refuse(pending, code));
+    for (RecordIndex index = 0; index < this->table.size(); ++index) {
+        const auto phase = this->table[index].phase;
+        if (phase == Phase::Queued || phase == Phase::Delayed) {
+            refuseAndRelease(index, code, decisions);
         }
-        queue.clear();
     }
-    this->positions.clear();
     return decisions;
 }
 
-std::size_t Dispatcher::queued() const { return this->positions.size(); }
+std::size_t Dispatcher::queued() const
+{
+    return this->table.count(Phase::Queued) + this->table.count(Phase::Delayed);
+}
 
-Decision Dispatcher::refuse(const Pending& pending, ResultCode code) const
+Dispatcher::Submission Dispatcher::refuseAtOnce(ResultCode code, double wait, std::string reason)
 {
-    const auto sequence = this->snapshot ? this->snapshot->sequence : 0;
-    if (pending.mayHaveRun) {
-        return Unresolved { pending.handle, code, sequence };
+    const auto handle = this->table.handleWithoutRecord();
+    const auto after = wait > 0 ? retryAfter(wait, this->random()) : kernel::Duration {};
+    Decisions decisions;
+    decisions.emplace_back(Refusal { handle, code, after, sequence(), std::move(reason) });
+    return { handle, std::move(decisions) };
+}
+
+Decision Dispatcher::refuse(
+    RecordIndex index, ResultCode code, kernel::Duration retryAfter, std::string reason)
+{
+    const auto& record = this->table[index];
+    if (record.mayHaveRun) {
+        return Unresolved { record.handle, code, sequence(), std::move(reason) };
     }
-    return Refusal { pending.handle, code, {}, sequence };
+    return Refusal { record.handle, code, retryAfter, sequence(), std::move(reason) };
 }
 
-void Dispatcher::enqueue(Pending pending, bool atHead)
+void Dispatcher::refuseAndRelease(
+    RecordIndex index, ResultCode code, Decisions& decisions, kernel::Duration retryAfter, std::string reason)
 {
-    auto& queue = this->queues[pending.request.service];
-    const auto handle = pending.handle;
-    const auto service = pending.request.service;
-    const auto place = queue.insert(atHead ? queue.begin() : queue.end(), std::move(pending));
-    this->positions.emplace(handle.value, Position { service, place });
+    decisions.emplace_back(refuse(index, code, retryAfter, std::move(reason)));
+    remove(index);
 }
 
-void Dispatcher::fillAll(Decisions& decisions)
+void Dispatcher::enqueue(RecordIndex index, Lane::End end)
 {
-    if (!this->snapshot) {
+    const auto& facts = *this->table[index].facts;
+    this->table.setPhase(index, Phase::Queued);
+    this->services[facts.service].queue.push(this->table, index, end, this->teams);
+    this->wheel.add(index, facts.deadline);
+}
+
+void Dispatcher::serveAll(kernel::Instant now, Decisions& decisions)
+{
+    for (std::uint32_t pool = 0; pool < this->users.size(); ++pool) {
+        servePool(pool, now, decisions);
+    }
+}
+
+void Dispatcher::servePool(std::uint32_t pool, kernel::Instant now, Decisions& decisions)
+{
+    if (queued() == 0 || pool >= this->users.size()) {
         return;
     }
-    for (const auto& [service, view] : this->snapshot->services) {
-        fill(service, decisions);
+    auto& poolUsers = this->users[pool];
+    for (const auto owner : poolUsers.owners) {
+        serve(owner, now, decisions);
     }
+    const auto count = poolUsers.borrowers.size();
+    for (std::size_t step = 0; step < count; ++step) {
+        serve(poolUsers.borrowers[(poolUsers.turn + step) % count], now, decisions);
+    }
+    poolUsers.turn = count == 0 ? 0 : (poolUsers.turn + 1) % count;
 }
 
-void Dispatcher::fill(const model::ServiceId& service, Decisions& decisions)
+void Dispatcher::serve(std::uint32_t index, kernel::Instant now, Decisions& decisions)
 {
-    const auto queue = this->queues.find(service);
-    const auto view = this->snapshot->services.find(service);
-    if (queue == this->queues.end() || view == this->snapshot->services.end()) {
+    auto& service = this->services[index];
+    if (!service.declared) {
         return;
     }
-    while (!queue->second.empty()) {
-        const auto eligible = candidates(view->second);
-        pcg64 generator { this->random };
-        this->random = generator();
-        const auto chosen = routing::place(this->snapshot->policies.placement, eligible, this->random);
-        if (!chosen) {
+    while (service.queue.size() > 0) {
+        const auto choice = service.queue.choose(queuePolicy(), this->slots, now);
+        if (!choice) {
+            return;
+        }
+        if (refuseBeforeStart(choice->record, now, decisions)) {
+            continue;
+        }
+        const auto& record = this->table[choice->record];
+        const auto& tier = service.queue.route(record.lane)[choice->tier];
+        const auto upstream
+            = this->slots.choose(tier, this->snapshot->policies.placement, this->random(), record.upstream);
+        if (!upstream) {
             return;
         }
-        decisions.emplace_back(grant(queue->second, eligible[*chosen], eligible.size()));
+        decisions.emplace_back(grant(choice->record, tier, *upstream, now));
     }
 }
 
-std::vector<routing::Candidate> Dispatcher::candidates(const model::ServiceView& view) const
+bool Dispatcher::refuseBeforeStart(RecordIndex index, kernel::Instant now, Decisions& decisions)
 {
-    std::vector<routing::Candidate> eligible;
-    for (const auto index : view.own) {
-        const auto& upstream = this->snapshot->upstreams[index];
-        const auto held = this->outstanding.find(upstream.vm);
-        const auto count = held == this->outstanding.end() ? 0 : held->second;
-        if (upstream.accepting && count < upstream.slots) {
-            eligible.emplace_back(routing::Candidate { index, count });
+    const auto& record = this->table[index];
+    const auto& operation = operationOf(record);
+    if (operation.health.refuses(now, operation.running)) {
+        refuseAndRelease(index, ResultCode::OperationSuspended, decisions,
+            retryAfter(static_cast<double>(operation.health.remaining(now).milliseconds), this->random()),
+            "operation fails on several upstreams");
+        return true;
+    }
+    // One request of an operation is let through in any case, so that a wrong estimate is corrected.
+    const auto estimate = operation.runTime.estimate(record.facts->declared);
+    if (operation.running > 0 && estimate > millisecondsUntil(record.facts->deadline, now)) {
+        refuseAndRelease(index, ResultCode::DeadlineUnreachable, decisions,
+            retryAfter(estimate, this->random()), "expected run time exceeds the deadline");
+        return true;
+    }
+    return false;
+}
+
+Grant Dispatcher::grant(RecordIndex index, const Tier& tier, std::uint32_t upstream, kernel::Instant now)
+{
+    auto& record = this->table[index];
+    auto& service = this->services[record.facts->service];
+    const auto candidates = this->slots.freeUpstreams(tier);
+    service.queue.grant(this->table, index, upstream, this->slots);
+    this->wheel.remove(index);
+    this->table.setPhase(index, Phase::Running);
+    record.upstream = upstream;
+    record.grantedAt = now;
+    ++operationOf(record).running;
+    service.queue.countRunning(record.workClass, 1);
+    this->slots.take(upstream, record.workClass);
+    // Only a policy that distinguishes long work needs to see overruns.
+    if (record.workClass == WorkClass::Short && std::holds_alternative<model::ShortFirst>(queuePolicy())) {
+        service.watched.pushBack(this->table, index);
+        record.watched = true;
+    }
+    const auto team = record.facts->team;
+    if (this->teams.take(team)) {
+        for (auto& each : this->services) {
+            each.queue.setOverShare(team, true);
         }
     }
-    return eligible;
+    const auto& view = this->snapshot->upstreams[this->slots.position(upstream)];
+    return Grant { record.handle, view.vm, view.address, view.connections, sequence(), candidates,
+        tier.reason };
 }
 
-Grant Dispatcher::grant(Queue& queue, const routing::Candidate& chosen, std::size_t candidateCount)
+OperationState& Dispatcher::operationOf(const Record& record)
 {
-    const auto& upstream = this->snapshot->upstreams[chosen.upstream];
-    const Pending pending = queue.front();
-    queue.pop_front();
-    this->positions.erase(pending.handle.value);
-    ++this->outstanding[upstream.vm];
-    this->grants.emplace(pending.handle.value, Running { pending, upstream.vm });
-    return Grant { pending.handle, upstream.vm, upstream.address, upstream.connections,
-        this->snapshot->sequence, static_cast<std::uint32_t>(candidateCount), "own-pool" };
+    return this->services[record.facts->service].operations[record.facts->operation];
 }
 
 } // namespace wasabiroad::admission
--- a/src/wasabiroad/admission/dispatcher.hpp
+++ b/src/wasabiroad/admission/dispatcher.hpp
@@ -1,22 +1,28 @@
 #pragma once
 
+#include "wasabiroad/admission/deadline_wheel.hpp"
 #include "wasabiroad/admission/decision.hpp"
 #include "wasabiroad/admission/outcome.hpp"
+#include "wasabiroad/admission/request_table.hpp"
+#include "wasabiroad/admission/service_state.hpp"
+#include "wasabiroad/admission/slot_table.hpp"
+#include "wasabiroad/admission/team_shares.hpp"
 #include "wasabiroad/model/request.hpp"
 #include "wasabiroad/model/routing_snapshot.hpp"
-#include "wasabiroad/routing/candidate.hpp"
 
-#include <list>
 #include <unordered_map>
 #include <vector>
 
+#include <pcg_random.hpp>
+
 namespace wasabiroad::admission {
 
 /**
  * @brief Owns the queues and slots of one daemon and decides which request runs where.
  *
  * It reads no clock and performs no I/O. One thread calls it; every call returns the decisions
- * that it made, also for requests that were submitted earlier.
+ * that it made, also for requests that were submitted earlier. While requests are queued, `expire`
+ * must be called every few milliseconds: it also starts delayed retries and probes.
  */
 class Dispatcher {
 public:
@@ -28,7 +34,7 @@
         const Decisions decisions;
     };
 
-    /** @param seed Seed of the random source for placement. */
+    /** @param seed Seed of the random source for placement and jitter. */
     explicit Dispatcher(std::uint64_t seed);
 
     /** @brief Replaces the snapshot; slots held on upstreams are kept. */
@@ -40,8 +46,9 @@
     /**
      * @brief Gives back the slot of a granted request.
      *
-     * A request that did not start returns to the head of its queue. One that was lost is tried
-     * again when it is idempotent, and is otherwise `Unresolved`. Other outcomes end the request.
+     * A request that did not start returns to the head of its queue after a delay. One that was lost is
+     * tried again when it is idempotent, and is otherwise `Unresolved`. Both need the retry budget of
+     * the service. Other outcomes end the request.
      * @param handle Handle of the granted request.
      * @param outcome How the attempt ended.
      */
@@ -50,52 +57,70 @@
     /** @brief Removes a request that is still queued; a granted one keeps its slot until `finish`. */
     void cancel(Handle handle);
 
-    /** @brief Refuses queued requests whose deadline has passed. */
+    /** @brief Refuses queued requests whose deadline has passed and starts retries that are due. */
     Decisions expire(kernel::Instant now);
 
     /** @brief Refuses all queued requests, for a shutdown. */
     Decisions refuseAll(kernel::ResultCode code);
 
-    /** @return Number of queued requests. */
+    /** @return Number of queued requests, those that wait for a retry included. */
     std::size_t queued() const;
 
     /** @return Number of requests that hold a slot. */
-    std::size_t running() const { return this->grants.size(); }
+    std::size_t running() const { return this->table.count(Phase::Running); }
 
 private:
-    struct Pending {
-        const Handle handle;
-        const model::Request request;
-        /** @brief Attempts that have ended. */
-        const std::uint32_t attempts { 0 };
-        /** @brief Whether an attempt was lost after it was sent; `not-run` is then ruled out. */
-        const bool mayHaveRun { false };
-    };
-    using Queue = std::list<Pending>;
-    struct Running {
-        const Pending pending;
-        const model::VmId vm;
-    };
-    struct Position {
-        model::ServiceId service;
-        Queue::iterator place;
+    /** @brief Services that use a pool. */
+    struct PoolUsers {
+        std::vector<std::uint32_t> owners {};
+        std::vector<std::uint32_t> borrowers {};
+        /** @brief Borrower that is served first next time. */
+        std::size_t turn { 0 };
     };
 
-    Decision refuse(const Pending& pending, kernel::ResultCode code) const;
-    void settle(const Pending& pending, Outcome outcome, Decisions& decisions);
-    void enqueue(Pending pending, bool atHead);
-    void fill(const model::ServiceId& service, Decisions& decisions);
-    void fillAll(Decisions& decisions);
-    std::vector<routing::Candidate> candidates(const model::ServiceView& view) const;
-    Grant grant(Queue& queue, const routing::Candidate& chosen, std::size_t candidateCount);
+    void updateService(const model::ServiceView& view);
+    void updateUsers(const model::ServiceView& view, std::uint32_t index);
+
+    Submission refuseAtOnce(kernel::ResultCode code, double wait, std::string reason = {});
+    Decision refuse(RecordIndex index, kernel::ResultCode code, kernel::Duration retryAfter = {},
+        std::string reason = {});
+    void refuseAndRelease(RecordIndex index, kernel::ResultCode code, Decisions& decisions,
+        kernel::Duration retryAfter = {}, std::string reason = {});
+    void remove(RecordIndex index);
+
+    RecordIndex admit(const model::Request& request, std::uint32_t service, std::uint32_t operation);
+    void enqueue(RecordIndex index, Lane::End end);
+    void shed(RecordIndex index, double expectedWait, kernel::Instant now, Decisions& decisions);
+
+    void advance(kernel::Instant now, Decisions& decisions);
+    void markOverruns(kernel::Instant now);
+    void serveAll(kernel::Instant now, Decisions& decisions);
+    void servePool(std::uint32_t pool, kernel::Instant now, Decisions& decisions);
+    void serve(std::uint32_t service, kernel::Instant now, Decisions& decisions);
+    bool refuseBeforeStart(RecordIndex index, kernel::Instant now, Decisions& decisions);
+    Grant grant(RecordIndex index, const Tier& tier, std::uint32_t upstream, kernel::Instant now);
+
+    void releaseSlot(RecordIndex index);
+    void learn(const Record& record, Outcome outcome, kernel::Instant now);
+    void learnSuccess(const Record& record, kernel::Instant now);
+    void learnFailure(const Record& record, kernel::Instant now);
+    void settle(RecordIndex index, Outcome outcome, kernel::Instant now, Decisions& decisions);
+    void retry(RecordIndex index, kernel::ResultCode exhausted, kernel::Instant now, Decisions& decisions);
+
+    std::uint64_t sequence() const { return this->snapshot ? this->snapshot->sequence : 0; }
+    OperationState& operationOf(const Record& record);
+    const model::QueuePolicy& queuePolicy() const { return this->snapshot->policies.queue; }
 
     model::RoutingSnapshotPointer snapshot {};
-    std::unordered_map<model::VmId, std::uint32_t> outstanding {};
-    std::unordered_map<model::ServiceId, Queue> queues {};
-    std::unordered_map<std::uint64_t, Position> positions {};
-    std::unordered_map<std::uint64_t, Running> grants {};
-    std::uint64_t nextHandle { 1 };
-    std::uint64_t random;
+    RequestTable table {};
+    SlotTable slots {};
+    TeamShares teams {};
+    DeadlineWheel wheel {};
+    std::unordered_map<model::ServiceId, std::uint32_t> serviceIndices {};
+    std::vector<ServiceState> services {};
+    std::vector<PoolUsers> users {};
+    std::vector<std::uint32_t> due {};
+    pcg64 random;
 };
 
 } // namespace wasabiroad::admission
--- /dev/null
+++ b/src/wasabiroad/admission/request_facts.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "wasabiroad/kernel/clock.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace wasabiroad::admission {
+
+/** @brief What the dispatcher keeps of a request; names are replaced by its own indices. */
+struct RequestFacts {
+    const std::uint32_t service { 0 };
+    const std::uint32_t operation { 0 };
+    const std::uint32_t team { 0 };
+    const bool idempotent { false };
+    const kernel::Instant deadline {};
+    const kernel::Duration declared {};
+
+    friend auto operator<=>(const RequestFacts&, const RequestFacts&) = default;
+};
+
+} // namespace wasabiroad::admission
--- /dev/null
+++ b/src/wasabiroad/admission/retry_budget.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "wasabiroad/kernel/clock.hpp"
+
+#include <array>
+#include <cstdint>
+
+namespace wasabiroad::admission {
+
+/** @brief Retries of one service, bounded by a percentage of its requests of the last ten seconds. */
+class RetryBudget {
+public:
+    /** @brief Counts a new request. */
+    void request(kernel::Instant now);
+
+    /** @brief Takes one retry. @return False when the budget is used up. */
+    bool take(kernel::Instant now, std::uint32_t percent);
+
+private:
+    struct Second {
+        std::int64_t number { -1 };
+        std::uint32_t requests { 0 };
+        std::uint32_t retries { 0 };
+    };
+
+    Second& current(kernel::Instant now);
+
+    std::array<Second, 10> seconds {};
+};
+
+} // namespace wasabiroad::admission
--- /dev/null
+++ b/src/wasabiroad/admission/service_state.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "wasabiroad/admission/request_list.hpp"
+#include "wasabiroad/admission/retry_budget.hpp"
+#include "wasabiroad/admission/service_queue.hpp"
+#include "wasabiroad/model/service.hpp"
+#include "wasabiroad/routing/operation_health.hpp"
+#include "wasabiroad/routing/run_time.hpp"
+
+#include <unordered_map>
+#include <vector>
+
+namespace wasabiroad::admission {
+
+/** @brief What the dispatcher knows of one operation; owned and changed by it only. */
+struct OperationState {
+    kernel::Duration declared {};
+    /** @brief Lanes of the service's queue for the operation's requirement. */
+    std::uint32_t lane { 0 };
+    /** @brief Whether no VM of the service's pools has the operation's memory and accelerators. */
+    bool neverRunnable { false };
+    std::uint32_t running { 0 };
+    routing::RunTime runTime {};
+    routing::OperationHealth health {};
+};
+
+/** @brief What the dispatcher knows of one service; owned and changed by it only. */
+struct ServiceState {
+    /** @brief Whether the current snapshot declares the service. */
+    bool declared { false };
+    std::uint32_t pool { 0 };
+    std::uint32_t queueBound { 0 };
+    std::uint32_t retryPercent { 0 };
+    std::unordered_map<model::OperationId, std::uint32_t> operationIndices {};
+    std::vector<OperationState> operations {};
+    ServiceQueue queue {};
+    routing::RunTimeBaseline baseline {};
+    RetryBudget retries {};
+    /** @brief Running requests of the short class in order of their grants, to find overruns. */
+    RequestList watched {};
+};
+
+} // namespace wasabiroad::admission
--- /dev/null
+++ b/src/wasabiroad/admission/slot_table.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "wasabiroad/admission/route.hpp"
+#include "wasabiroad/admission/work_class.hpp"
+#include "wasabiroad/kernel/clock.hpp"
+#include "wasabiroad/model/routing_snapshot.hpp"
+#include "wasabiroad/routing/placement.hpp"
+#include "wasabiroad/routing/upstream_health.hpp"
+
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace wasabiroad::admission {
+
+/**
+ * @brief Owns the slots of all upstreams in one daemon: who holds how many, and which are free.
+ *
+ * Upstreams and pools have indices that stay valid while requests run there; groups are formed anew
+ * with each snapshot.
+ */
+class SlotTable {
+public:
+    /** @brief Takes over a snapshot; slots that are held are kept. */
+    void update(const model::RoutingSnapshot& snapshot);
+
+    /** @return Tiers of a service for a requirement; empty when no VM of its pools meets it. */
+    Route route(const model::ServiceView& view, const Requirement& requirement) const;
+
+    /** @return Index of a pool; pools are numbered when a snapshot names them. */
+    std::uint32_t poolIndex(const model::PoolId& pool);
+
+    /** @return Number of pools. */
+    std::size_t pools() const { return this->poolStates.size(); }
+
+    /** @brief Records that short work arrived for a service of the pool. */
+    void shortArrived(std::uint32_t pool, kernel::Instant now) { this->poolStates[pool].lastShort = now; }
+
+    /**
+     * @return Position of the first tier with a free slot.
+     * @param limited Whether the request must leave the slots free that are kept for short work.
+     */
+    std::optional<std::uint32_t> findTier(
+        const Route& route, const model::QueuePolicy& policy, bool limited, kernel::Instant now) const;
+
+    /** @return The upstream that the policy chooses among the free ones of a tier. */
+    std::optional<std::uint32_t> choose(
+        const Tier& tier, const model::PlacementPolicy& policy, std::uint64_t draw, std::uint32_t avoid);
+
+    /** @return Number of upstreams of a tier with a free slot. */
+    std::uint32_t freeUpstreams(const Tier& tier) const;
+
+    void take(std::uint32_t upstream, WorkClass workClass);
+    void release(std::uint32_t upstream, WorkClass workClass);
+
+    /** @brief Counts a short request that runs for longer than its class allows as long. */
+    void reclassify(std::uint32_t upstream);
+
+    /** @return Whether the VM meets a requirement. */
+    bool meets(std::uint32_t upstream, const Requirement& requirement) const;
+
+    /** @return Index into the upstreams of the snapshot. Valid for upstreams of the current snapshot. */
+    std::uint32_t position(std::uint32_t upstream) const { return *this->upstreams[upstream].position; }
+
+    std::uint32_t poolOf(std::uint32_t upstream) const { return this->upstreams[upstream].pool; }
+
+    /** @brief Records a success; ends an ejection. */
+    void succeeded(std::uint32_t upstream, kernel::Instant now);
+
+    /** @brief Records a failure that the upstream is blamed for; ejects it when the pool allows. */
+    void failed(std::uint32_t upstream, kernel::Instant now);
+
+    /** @return The last success on an upstream, of any operation. */
+    std::optional<kernel::Instant> lastSuccess(std::uint32_t upstream) const
+    {
+        return this->upstreams[upstream].health.lastSuccess();
+    }
+
+    /** @brief Lets probes through to upstreams whose ejection has ended. @return Whether there are any. */
+    bool readmit(kernel::Instant now);
+
+    /** @return Number of upstreams that are ejected or on probation in a pool. */
+    std::uint32_t ejected(std::uint32_t pool) const { return this->poolStates[pool].ejected; }
+
+private:
+    struct Upstream {
+        model::VmId vm {};
+        /** @brief Index into the upstreams of the snapshot; absent when the snapshot lacks the VM. */
+        std::optional<std::uint32_t> position {};
+        std::uint32_t pool { 0 };
+        std::uint32_t group { 0 };
+        std::uint32_t member { 0 };
+        std::uint32_t slots { 0 };
+        std::uint32_t memory { 0 };
+        std::uint32_t accelerators { 0 };
+        bool accepting { false };
+        std::uint32_t outstanding { 0 };
+        std::uint32_t longRunning { 0 };
+        routing::UpstreamHealth health {};
+        kernel::Instant ejectedUntil {};
+    };
+    struct Pool {
+        std::uint32_t upstreams { 0 };
+        std::uint32_t ejected { 0 };
+        /** @brief Slots of upstreams that accept work and are not ejected. */
+        std::uint32_t usable { 0 };
+        std::uint32_t longRunning { 0 };
+        std::optional<kernel::Instant> lastShort {};
+    };
+    struct Group {
+        std::uint32_t pool { 0 };
+        bool sameZone { true };
+        std::uint32_t accelerators { 0 };
+        std::uint32_t memory { 0 };
+
+        friend auto operator<=>(const Group&, const Group&) = default;
+    };
+
+    std::uint32_t indexOf(const model::VmId& vm);
+    void join(std::uint32_t upstream, const model::UpstreamView& view, std::uint32_t position);
+    void removeIdle();
+    bool usable(const Upstream& upstream) const;
+    void setHealth(Upstream& upstream, const routing::UpstreamHealth& health);
+    void refresh(const Upstream& upstream);
+    void addTier(Route& tiers, std::uint32_t pool, bool sameZone, const Requirement& requirement,
+        const std::string& reason) const;
+
+    std::unordered_map<model::VmId, std::uint32_t> upstreamIndices {};
+    std::vector<Upstream> upstreams {};
+    std::vector<std::uint32_t> freeIndices {};
+    std::unordered_map<model::PoolId, std::uint32_t> poolIndices {};
+    std::vector<Pool> poolStates {};
+    std::vector<Group> groups {};
+    std::vector<routing::FreeUpstreams> free {};
+    std::vector<std::vector<std::uint32_t>> members {};
+    std::set<std::pair<kernel::Instant, std::uint32_t>> readmissions {};
+};
+
+} // namespace wasabiroad::admission
--- /dev/null
+++ b/src/wasabiroad/admission/work_class.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+
+namespace wasabiroad::admission {
+
+/** @brief Class of a request by its expected run time. */
+enum class WorkClass : std::uint8_t {
+    Short,
+    Long,
+};
+
+} // namespace wasabiroad::admission
--- a/src/wasabiroad/routing/fwd.hpp
+++ b/src/wasabiroad/routing/fwd.hpp
@@ -2,6 +2,10 @@
 
 namespace wasabiroad::routing {
 
-struct Candidate;
+class FreeUpstreams;
+class OperationHealth;
+class RunTime;
+class RunTimeBaseline;
+class UpstreamHealth;
 
 } // namespace wasabiroad::routing
--- a/src/wasabiroad/routing/placement.cpp
+++ b/src/wasabiroad/routing/placement.cpp
@@ -2,46 +2,85 @@
 
 #include "wasabiroad/kernel/overloaded.hpp"
 
-#include <algorithm>
-
 namespace wasabiroad::routing {
 
 namespace {
 
-std::size_t leastOutstanding(std::span<const Candidate> candidates, std::uint64_t draw)
+using Groups = std::span<FreeUpstreams>;
+using Eligible = std::span<const std::uint32_t>;
+
+std::optional<std::uint32_t> leastLoadedGroup(Groups groups, Eligible eligible)
 {
-    // Starting at a random position spreads ties over all idle upstreams.
-    const std::size_t start = draw % candidates.size();
-    std::size_t best = start;
-    for (std::size_t step = 1; step < candidates.size(); ++step) {
-        const std::size_t position = (start + step) % candidates.size();
-        if (candidates[position].outstanding < candidates[best].outstanding) {
-            best = position;
+    std::optional<std::uint32_t> best;
+    for (const auto index : eligible) {
+        const auto& group = groups[index];
+        if (group.count() > 0 && (!best || group.leastLoad() < groups[*best].leastLoad())) {
+            best = index;
         }
     }
     return best;
 }
 
-std::size_t betterOfTwo(std::span<const Candidate> candidates, std::uint64_t draw)
+/** Each group is drawn in proportion to its free upstreams. */
+std::optional<std::uint32_t> drawnGroup(Groups groups, Eligible eligible, std::uint64_t draw)
 {
-    const std::size_t first = (draw & 0xffffffffU) % candidates.size();
-    const std::size_t second = (draw >> 32U) % candidates.size();
-    return candidates[second].outstanding < candidates[first].outstanding ? second : first;
+    std::uint64_t total = 0;
+    for (const auto index : eligible) {
+        total += groups[index].count();
+    }
+    if (total == 0) {
+        return std::nullopt;
+    }
+    auto remaining = draw % total;
+    for (const auto index : eligible) {
+        if (remaining < groups[index].count()) {
+            return index;
+        }
+        remaining -= groups[index].count();
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint32_t> betterOfTwo(
+    const FreeUpstreams& group, std::uint64_t draw, std::optional<std::uint32_t> avoid)
+{
+    const auto first = group.next(static_cast<std::uint32_t>(draw), avoid);
+    const auto second = group.next(static_cast<std::uint32_t>(draw >> 32U), avoid);
+    return second && first && group.load(*second) < group.load(*first) ? second : first;
 }
 
 } // namespace
 
-std::optional<std::size_t> place(
-    const model::PlacementPolicy& policy, std::span<const Candidate> candidates, std::uint64_t draw)
+std::optional<Place> place(const model::PlacementPolicy& policy, Groups groups, Eligible eligible,
+    std::uint64_t draw, std::optional<Place> avoid)
 {
-    if (candidates.empty()) {
-        return std::nullopt;
-    }
-    return std::visit(kernel::Overloaded {
-                          [&](const model::RoundRobin&) -> std::size_t { return draw % candidates.size(); },
-                          [&](const model::LeastOutstanding&) { return leastOutstanding(candidates, draw); },
-                          [&](const model::TwoChoices&) { return betterOfTwo(candidates, draw); },
-                      },
+    const auto inGroup = [&](std::optional<std::uint32_t> chosen, auto choose) -> std::optional<Place> {
+        if (!chosen) {
+            return std::nullopt;
+        }
+        const auto avoided
+            = avoid && avoid->group == *chosen ? std::optional { avoid->member } : std::nullopt;
+        const std::optional<std::uint32_t> member = choose(groups[*chosen], avoided);
+        return member ? std::optional<Place>(Place { *chosen, *member }) : std::nullopt;
+    };
+    return std::visit(
+        kernel::Overloaded {
+            [&](const model::RoundRobin&) {
+                return inGroup(drawnGroup(groups, eligible, draw), [](auto& group, auto avoided) {
+                    const auto member = group.next(group.turn, avoided);
+                    group.turn = member.value_or(0) + 1;
+                    return member;
+                });
+            },
+            [&](const model::LeastOutstanding&) {
+                return inGroup(leastLoadedGroup(groups, eligible),
+                    [&](auto& group, auto avoided) { return group.least(draw, avoided); });
+            },
+            [&](const model::TwoChoices&) {
+                return inGroup(drawnGroup(groups, eligible, draw),
+                    [&](auto& group, auto avoided) { return betterOfTwo(group, draw, avoided); });
+            },
+        },
         policy);
 }
 
