--- a/src/wasabiroad/admission/dispatcher.cpp
+++ b/src/wasabiroad/admission/dispatcher.cpp
@@ -129,7 +129,7 @@
     const auto handle = this->table[index].handle;
     const auto wait = service.queue.expectedWait(workClass);
     enqueue(index, Lane::End::Tail);
-    serve(found->second, now, decisions);
+    serve(found->second, Part::All, now, decisions);
     if (this->table.find(handle) && this->table[index].phase == Phase::Queued) {
         shed(index, wait, now, decisions);
     }
@@ -337,7 +337,7 @@
     // Served after the loop, because a grant removes entries from the wheel.
     for (const auto index : this->due) {
         if (this->table[index].phase == Phase::Queued) {
-            serve(this->table[index].facts->service, now, decisions);
+            serve(this->table[index].facts->service, Part::All, now, decisions);
         }
     }
 }
@@ -426,24 +426,28 @@
         return;
     }
     auto& poolUsers = this->users[pool];
-    for (const auto owner : poolUsers.owners) {
-        serve(owner, now, decisions);
-    }
     const auto count = poolUsers.borrowers.size();
-    for (std::size_t step = 0; step < count; ++step) {
-        serve(poolUsers.borrowers[(poolUsers.turn + step) % count], now, decisions);
+    // Borrowed slots of short work come back soon, so short work of all users goes before long work of
+    // the owner; it counts against the bound of the owner's long work.
+    for (const auto part : { Part::Urgent, Part::All }) {
+        for (const auto owner : poolUsers.owners) {
+            serve(owner, part, now, decisions);
+        }
+        for (std::size_t step = 0; step < count; ++step) {
+            serve(poolUsers.borrowers[(poolUsers.turn + step) % count], part, now, decisions);
+        }
     }
     poolUsers.turn = count == 0 ? 0 : (poolUsers.turn + 1) % count;
 }
 
-void Dispatcher::serve(std::uint32_t index, kernel::Instant now, Decisions& decisions)
+void Dispatcher::serve(std::uint32_t index, Part part, kernel::Instant now, Decisions& decisions)
 {
     auto& service = this->services[index];
     if (!service.declared) {
         return;
     }
     while (service.queue.size() > 0) {
-        const auto choice = service.queue.choose(queuePolicy(), this->slots, now);
+        const auto choice = service.queue.choose(queuePolicy(), this->slots, part, now);
         if (!choice) {
             return;
         }
@@ -486,10 +490,13 @@
     auto& record = this->table[index];
     auto& service = this->services[record.facts->service];
     const auto candidates = this->slots.freeUpstreams(tier);
-    service.queue.grant(this->table, index, upstream, this->slots);
+    service.queue.grant(this->table, index);
     this->wheel.remove(index);
     this->table.setPhase(index, Phase::Running);
     record.upstream = upstream;
+    if (record.workClass == WorkClass::Short) {
+        countOvertakes(record);
+    }
     record.grantedAt = now;
     ++operationOf(record).running;
     service.queue.countRunning(record.workClass, 1);
@@ -510,6 +517,17 @@
         tier.reason };
 }
 
+void Dispatcher::countOvertakes(const Record& record)
+{
+    const auto service = record.facts->service;
+    this->services[service].queue.overtake(record.handle.value, record.upstream, this->slots);
+    for (const auto owner : this->users[this->slots.poolOf(record.upstream)].owners) {
+        if (owner != service) {
+            this->services[owner].queue.overtake(record.handle.value, record.upstream, this->slots);
+        }
+    }
+}
+
 OperationState& Dispatcher::operationOf(const Record& record)
 {
     return this->services[record.facts->service].operations[record.facts->operation];
--- a/src/wasabiroad/admission/dispatcher.hpp
+++ b/src/wasabiroad/admission/dispatcher.hpp
@@ -96,7 +96,8 @@
     void markOverruns(kernel::Instant now);
     void serveAll(kernel::Instant now, Decisions& decisions);
     void servePool(std::uint32_t pool, kernel::Instant now, Decisions& decisions);
-    void serve(std::uint32_t service, kernel::Instant now, Decisions& decisions);
+    void serve(std::uint32_t service, Part part, kernel::Instant now, Decisions& decisions);
+    void countOvertakes(const Record& record);
     bool refuseBeforeStart(RecordIndex index, kernel::Instant now, Decisions& decisions);
     Grant grant(RecordIndex index, const Tier& tier, std::uint32_t upstream, kernel::Instant now);
 
--- a/src/wasabiroad/admission/service_queue.cpp
+++ b/src/wasabiroad/admission/service_queue.cpp
@@ -36,7 +36,7 @@
 }
 
 std::optional<Choice> ServiceQueue::choose(
-    const model::QueuePolicy& policy, const SlotTable& slots, kernel::Instant now) const
+    const model::QueuePolicy& policy, const SlotTable& slots, Part part, kernel::Instant now) const
 {
     std::optional<Choice> best;
     for (const auto& pair : this->pairs) {
@@ -51,6 +51,9 @@
                 continue;
             }
             const bool limited = workClass == WorkClass::Long && !atBound(policy, waiting);
+            if (limited && part == Part::Urgent) {
+                continue;
+            }
             if (const auto tier = slots.findTier(pair.route, policy, limited, now)) {
                 best.emplace(Choice { head->record, itsRank, *tier });
             }
@@ -59,20 +62,21 @@
     return best;
 }
 
-void ServiceQueue::grant(
-    RequestTable& table, RecordIndex index, std::uint32_t upstream, const SlotTable& slots)
+void ServiceQueue::grant(RequestTable& table, RecordIndex index)
 {
     const auto& record = table[index];
     erase(table, index);
     if (record.workClass == WorkClass::Long) {
         this->pairs[record.lane].overtaken = 0;
-        return;
     }
+}
+
+void ServiceQueue::overtake(std::uint64_t order, std::uint32_t upstream, const SlotTable& slots)
+{
     for (auto& pair : this->pairs) {
         const auto head = pair.lanes[static_cast<std::size_t>(WorkClass::Long)].head();
         // A slot that the long request could not have used does not count against its bound.
-        if (head && !head->overShare && head->order < record.handle.value
-            && slots.meets(upstream, pair.requirement)) {
+        if (head && !head->overShare && head->order < order && slots.meets(upstream, pair.requirement)) {
             ++pair.overtaken;
         }
     }
--- a/src/wasabiroad/admission/service_queue.hpp
+++ b/src/wasabiroad/admission/service_queue.hpp
@@ -20,6 +20,13 @@
     friend auto operator<=>(const Choice&, const Choice&) = default;
 };
 
+/** @brief Part of a queue that takes part in a choice. */
+enum class Part : std::uint8_t {
+    /** @brief Short requests, and long ones that have been overtaken as often as allowed. */
+    Urgent,
+    All,
+};
+
 /**
  * @brief Queue of one service: a short and a long lane for each requirement of its operations.
  *
@@ -44,12 +51,18 @@
     void push(RequestTable& table, RecordIndex index, Lane::End end, const TeamShares& shares);
     void erase(RequestTable& table, RecordIndex index);
 
-    /** @return The request that the policy serves next, among those that a free slot exists for. */
+    /**
+     * @return The request that the policy serves next, among those that a free slot exists for.
+     * @param part Whether long requests below their bound take part.
+     */
     std::optional<Choice> choose(
-        const model::QueuePolicy& policy, const SlotTable& slots, kernel::Instant now) const;
+        const model::QueuePolicy& policy, const SlotTable& slots, Part part, kernel::Instant now) const;
+
+    /** @brief Removes a request that gets a slot. */
+    void grant(RequestTable& table, RecordIndex index);
 
-    /** @brief Removes a request that gets a slot and counts whom it overtakes. */
-    void grant(RequestTable& table, RecordIndex index, std::uint32_t upstream, const SlotTable& slots);
+    /** @brief Counts a short request that gets a slot which waiting long requests could have used. */
+    void overtake(std::uint64_t order, std::uint32_t upstream, const SlotTable& slots);
 
     void setOverShare(std::uint32_t team, bool overShare);
     void refresh(const TeamShares& shares);
