--- /dev/null
+++ b/test/wasabiroad/admission/dispatcher.cpp
@@ -0,0 +1,259 @@
+#include "wasabiroad/admission/dispatcher.hpp"
+#include "wasabiroad/admission/site.hpp"
+#include "wasabiroad/kernel/overloaded.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <ostream>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace wasabiroad;
+using admission::Outcome;
+using test::Site;
+
+/** @brief Submits requests; they are numbered from 1 in order of submission. */
+struct Submit {
+    const char* const service { "one" };
+    const char* const operation { "check" };
+    const std::int64_t deadlineAfter { 100'000 };
+    const char* const team { "" };
+    const bool idempotent { true };
+    const int times { 1 };
+};
+
+struct Finish {
+    const int request;
+    const Outcome outcome { Outcome::Succeeded };
+};
+
+/** @brief Lets time pass, with an expiry each 10 ms and an outcome for each attempt that is granted. */
+struct Pass {
+    const std::int64_t milliseconds;
+    const std::optional<Outcome> outcome {};
+};
+
+/** @brief Runs requests one after the other; each attempt ends at once. */
+struct Run {
+    const int times;
+    const char* const operation;
+    const Outcome outcome;
+};
+
+struct CancelQueued { };
+struct RefuseAll { };
+
+using Step = std::variant<Submit, Finish, Pass, Run, CancelQueued, RefuseAll>;
+
+struct Row {
+    const char* const failure;
+    const Site site;
+    const std::vector<Step> steps;
+    /** @brief Decisions in order, as number and grant reason or code. Decisions of `Run` are left out. */
+    const std::string decisions;
+    const std::size_t queued { 0 };
+    const std::size_t running { 0 };
+};
+
+std::ostream& operator<<(std::ostream& stream, const Row& row) { return stream << row.failure; }
+
+class Play {
+public:
+    explicit Play(const Site& site) { note(this->dispatcher.update(test::snapshotOf(site), now())); }
+
+    void operator()(const Submit& step)
+    {
+        for (int time = 0; time < step.times; ++time) {
+            note(submit(step).decisions);
+        }
+    }
+    void operator()(const Finish& step)
+    {
+        const auto handle = this->handles.at(static_cast<std::size_t>(step.request) - 1);
+        note(this->dispatcher.finish(handle, step.outcome, now()));
+    }
+    void operator()(const Pass& step)
+    {
+        for (const auto end = this->time + step.milliseconds; this->time < end; this->time += 10) {
+            auto decisions = this->dispatcher.expire(now());
+            note(decisions);
+            while (step.outcome && !decisions.empty()) {
+                admission::Dispatcher::Decisions following;
+                for (const auto& decision : decisions) {
+                    auto more = this->dispatcher.finish(admission::handleOf(decision), *step.outcome, now());
+                    note(more);
+                    std::ranges::move(more, std::back_inserter(following));
+                }
+                decisions.swap(following);
+            }
+        }
+    }
+    void operator()(const Run& step)
+    {
+        for (int time = 0; time < step.times; ++time) {
+            const auto submission = submit({ .operation = step.operation });
+            this->handles.pop_back();
+            this->dispatcher.finish(submission.handle, step.outcome, now());
+        }
+    }
+    void operator()(const CancelQueued&)
+    {
+        for (const auto handle : this->handles) {
+            this->dispatcher.cancel(handle);
+        }
+    }
+    void operator()(const RefuseAll&) { note(this->dispatcher.refuseAll(kernel::ResultCode::Stopping)); }
+
+    std::string trace {};
+    admission::Dispatcher dispatcher { 1 };
+
+private:
+    kernel::Instant now() const { return { this->time }; }
+
+    admission::Dispatcher::Submission submit(const Submit& step)
+    {
+        auto submission = this->dispatcher.submit({ .id = {},
+                                                      .service = model::ServiceId { step.service },
+                                                      .operation = model::OperationId { step.operation },
+                                                      .team = model::TeamId { step.team },
+                                                      .deadline = { this->time + step.deadlineAfter },
+                                                      .idempotent = step.idempotent },
+            now());
+        this->handles.push_back(submission.handle);
+        return submission;
+    }
+
+    void note(const admission::Dispatcher::Decisions& decisions)
+    {
+        for (const auto& decision : decisions) {
+            const auto found = std::ranges::find(this->handles, admission::handleOf(decision));
+            if (found == this->handles.end()) {
+                continue;
+            }
+            const auto number = std::to_string(found - this->handles.begin() + 1);
+            const auto text = std::visit(
+                kernel::Overloaded {
+                    [](const admission::Grant& grant) { return grant.reason; },
+                    [](const admission::Refusal& refusal) { return std::string { name(refusal.code) }; },
+                    [](const admission::Unresolved& unresolved) {
+                        return "unresolved-" + std::string { name(unresolved.code) };
+                    },
+                },
+                decision);
+            this->trace += (this->trace.empty() ? "" : " ") + number + ":" + text;
+        }
+    }
+
+    std::int64_t time { 1'000'000 };
+    std::vector<admission::Handle> handles {};
+};
+
+constexpr Submit check {};
+constexpr Submit render { .operation = "render" };
+constexpr Submit owner { .service = "two" };
+constexpr Submit ownerRender { .service = "two", .operation = "render" };
+constexpr Submit limitedRequest { .team = "limited" };
+
+const std::vector<Row> rows {
+    { "a short request waits behind a long one that arrived before it", {},
+        { check, render, check, Finish { 1 } }, "1:own-pool 3:own-pool", 1, 1 },
+    { "first come, first served lets a request overtake", { .queue = model::FirstComeFirstServed {} },
+        { check, render, check, Finish { 1 } }, "1:own-pool 2:own-pool", 1, 1 },
+    { "a long request starves behind short ones", { .queue = model::ShortFirst { 12, 1 } },
+        { check, render, check, check, Finish { 1 }, Finish { 3 } }, "1:own-pool 3:own-pool 2:own-pool", 1,
+        1 },
+    { "long work takes the last slot although short work arrives", { .slots = 4 },
+        { check, Finish { 1 }, render, render, render, render, check },
+        "1:own-pool 2:own-pool 3:own-pool 4:own-pool 6:own-pool", 1, 4 },
+    { "a slot stays idle for short work that does not come", { .slots = 4 },
+        { check, Finish { 1 }, render, render, render, render, Pass { 1100 } },
+        "1:own-pool 2:own-pool 3:own-pool 4:own-pool 5:own-pool", 0, 4 },
+    { "a short request that overruns leaves the reserved slot to long work", { .slots = 3 },
+        { check, check, Pass { 1000 }, check, Finish { 3 }, render }, "1:own-pool 2:own-pool 3:own-pool", 1,
+        2 },
+    { "a request without a VM that can ever run it waits", {}, { Submit { .operation = "huge" } },
+        "1:never-runnable" },
+    { "a request that cannot start in time waits until its deadline", {},
+        { render, Submit { .operation = "render", .times = 2 },
+            Submit { .operation = "render", .deadlineAfter = 2500 } },
+        "1:own-pool 4:deadline-unreachable", 2, 1 },
+    { "the queue grows over its bound", { .queueBound = 2 }, { check, check, check, check },
+        "1:own-pool 4:queue-full", 2, 1 },
+    { "a queued request outlives its deadline", {}, { check, Submit { .deadlineAfter = 50 }, Pass { 100 } },
+        "1:own-pool 2:deadline-exceeded", 0, 1 },
+    { "idle slots of a lender are not used", { .upstreamsB = 1 }, { check, check, check },
+        "1:own-pool 2:borrowed", 1, 2 },
+    { "a borrower keeps a slot that the owner waits for", { .upstreamsB = 1 },
+        { check, check, check, owner, Finish { 2 } }, "1:own-pool 2:borrowed 4:own-pool", 1, 2 },
+    { "long work of an owner keeps short work of a borrower waiting", { .upstreamsB = 1 },
+        { check, check, ownerRender, check, Finish { 2 } }, "1:own-pool 2:borrowed 4:borrowed", 1, 2 },
+    { "borrowed slots do not count against the bound of the owner's long work",
+        { .upstreamsB = 1, .queue = model::ShortFirst { 12, 1 } },
+        { check, check, ownerRender, check, check, Finish { 2 }, Finish { 4 } },
+        "1:own-pool 2:borrowed 4:borrowed 3:own-pool", 1, 2 },
+    { "a team over its share takes slots from others", {},
+        { limitedRequest, limitedRequest, check, Finish { 1, Outcome::Abandoned } }, "1:own-pool 2:own-pool",
+        1, 1 },
+    { "a team over its share is served before others", { .slots = 2 },
+        { limitedRequest, check, limitedRequest, check, Finish { 2 } }, "1:own-pool 2:own-pool 4:own-pool", 1,
+        2 },
+    { "idle slots are kept from a team over its share", { .slots = 2 }, { limitedRequest, limitedRequest },
+        "1:own-pool 2:own-pool", 0, 2 },
+    { "a share is rounded down to nothing", { .slots = 2, .entries = 8 },
+        { check, check, limitedRequest, check, Finish { 1 } }, "1:own-pool 2:own-pool 3:own-pool", 1, 2 },
+    { "a lost request that must not run twice is tried again", {},
+        { Submit { .idempotent = false }, Finish { 1, Outcome::Lost } },
+        "1:own-pool 1:unresolved-outcome-unknown" },
+    { "a lost idempotent request is not tried again", {},
+        { check, Finish { 1, Outcome::Lost }, Pass { 100 } }, "1:own-pool 1:own-pool", 0, 1 },
+    { "a retry starts without a delay", {}, { check, Finish { 1, Outcome::NotStarted } }, "1:own-pool", 1,
+        0 },
+    { "a request may have run and is refused as not run", { .retryPercent = 0 },
+        { Run { 5, "check", Outcome::Lost }, Pass { 1000, Outcome::Abandoned }, check,
+            Finish { 1, Outcome::Lost } },
+        "1:own-pool 1:unresolved-retry-budget-exhausted" },
+    { "retries exceed their budget", { .retryPercent = 0 },
+        { Run { 5, "check", Outcome::NotStarted }, Pass { 1000, Outcome::Abandoned }, check,
+            Finish { 1, Outcome::NotStarted } },
+        "1:own-pool 1:retry-budget-exhausted" },
+    { "an operation that fails everywhere takes the upstreams with it", { .upstreamsA = 9 },
+        { Run { 60, "check", Outcome::Succeeded }, Run { 9, "render", Outcome::Failed },
+            Run { 60, "check", Outcome::Succeeded }, Run { 30, "render", Outcome::Failed }, render,
+            Submit { .times = 9 } },
+        "1:operation-suspended 2:own-pool 3:own-pool 4:own-pool 5:own-pool 6:own-pool 7:own-pool 8:own-pool "
+        "9:own-pool 10:own-pool",
+        0, 9 },
+    { "a suspended operation never returns", { .upstreamsA = 9 },
+        { Run { 9, "render", Outcome::Failed }, Run { 60, "check", Outcome::Succeeded },
+            Run { 30, "render", Outcome::Failed }, Pass { 6000 }, render, render, Finish { 1 }, render },
+        "1:own-pool 2:operation-suspended 3:own-pool", 0, 1 },
+    { "more than a third of a pool is ejected", { .upstreamsA = 3 },
+        { Run { 60, "check", Outcome::NotStarted }, Pass { 100, Outcome::Abandoned }, Submit { .times = 3 } },
+        "1:own-pool 2:own-pool", 1, 2 },
+    { "an ejected upstream never returns, or with more than a single probe", { .upstreamsA = 3, .slots = 2 },
+        { Run { 60, "check", Outcome::NotStarted }, Pass { 5000, Outcome::Abandoned },
+            Submit { .times = 6 } },
+        "1:own-pool 2:own-pool 3:own-pool 4:own-pool 5:own-pool", 1, 5 },
+    { "cancelled requests stay in the queue", {},
+        { check, Submit { .times = 1000 }, CancelQueued {}, Finish { 1 } }, "1:own-pool" },
+    { "a shutdown leaves requests queued", {}, { check, check, render, RefuseAll {} },
+        "1:own-pool 2:stopping 3:stopping", 0, 1 },
+};
+
+BOOST_DATA_TEST_CASE(decisions, boost::unit_test::data::make(rows), row)
+{
+    Play play { row.site };
+    for (const auto& step : row.steps) {
+        std::visit(play, step);
+    }
+    BOOST_TEST(play.trace == row.decisions);
+    BOOST_TEST(play.dispatcher.queued() == row.queued);
+    BOOST_TEST(play.dispatcher.running() == row.running);
+}
+
+} // namespace
--- /dev/null
+++ b/test/wasabiroad/routing/run_time.cpp
@@ -0,0 +1,73 @@
+#include "wasabiroad/routing/run_time.hpp"
+
+#include <ostream>
+#include <vector>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace wasabiroad;
+
+struct EstimateRow {
+    const char* const failure;
+    const std::vector<std::int64_t> observed;
+    const std::int64_t declared;
+    const double estimate;
+};
+
+std::ostream& operator<<(std::ostream& stream, const EstimateRow& row) { return stream << row.failure; }
+
+const std::vector<EstimateRow> estimateRows {
+    { "the declared time is ignored without evidence", {}, 700, 700 },
+    { "the declared time counts in spite of evidence", { 20 }, 700, 20 },
+    { "the mean is not a mean", { 10, 20, 30 }, 700, 20 },
+    { "a run below the clock's resolution costs nothing", { 0 }, 700, 0.5 },
+};
+
+BOOST_DATA_TEST_CASE(estimates, boost::unit_test::data::make(estimateRows), row)
+{
+    routing::RunTime runTime;
+    for (const auto ran : row.observed) {
+        runTime.observe({ ran });
+    }
+    BOOST_TEST(runTime.estimate({ row.declared }) == row.estimate, boost::test_tools::tolerance(1e-9));
+}
+
+struct BaselineRow {
+    const char* const failure;
+    const std::int64_t declared;
+    const int shortRuns;
+    const int longRuns;
+    const bool shortIsLong;
+    const bool longIsLong;
+};
+
+std::ostream& operator<<(std::ostream& stream, const BaselineRow& row) { return stream << row.failure; }
+
+const std::vector<BaselineRow> baselineRows {
+    { "a twentieth of long work hides itself", 100, 190, 10, false, true },
+    { "half of long work hides itself", 100, 100, 100, false, true },
+    { "a wrong declared time outlives the evidence", 1'000'000, 20, 1, false, true },
+    { "a service of long work only has no short class", 20, 0, 200, false, false },
+};
+
+BOOST_DATA_TEST_CASE(baselines, boost::unit_test::data::make(baselineRows), row)
+{
+    routing::RunTimeBaseline baseline;
+    baseline.declare({ row.declared });
+    for (int run = 0; run < row.shortRuns || run < row.longRuns; ++run) {
+        if (run < row.shortRuns) {
+            baseline.observe({ 20 });
+        }
+        if (run < row.longRuns) {
+            baseline.observe({ 1000 });
+        }
+    }
+    BOOST_TEST((20 > baseline.longFrom()) == row.shortIsLong);
+    BOOST_TEST((1000 > baseline.longFrom()) == row.longIsLong);
+}
+
+} // namespace
