--- a/src/wasabiroad/admission/deadline_wheel.hpp
+++ b/src/wasabiroad/admission/deadline_wheel.hpp
@@ -3,6 +3,7 @@
 #include "wasabiroad/kernel/clock.hpp"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -45,7 +46,7 @@
 
     std::uint64_t current { 0 };
     std::vector<Node> nodes {};
-    std::array<std::uint32_t, levels * slotsPerLevel> heads {};
+    std::array<std::uint32_t, std::size_t { levels } * slotsPerLevel> heads {};
     std::array<std::uint64_t, levels> occupied {};
 };
 
--- a/test/wasabiroad/admission/dispatcher.cpp
+++ b/test/wasabiroad/admission/dispatcher.cpp
@@ -145,7 +145,7 @@
                     },
                 },
                 decision);
-            this->trace += (this->trace.empty() ? "" : " ") + number + ":" + text;
+            this->trace.append(this->trace.empty() ? "" : " ").append(number).append(":").append(text);
         }
     }
 
