--- a/src/wasabiroad/control/events.hpp
+++ b/src/wasabiroad/control/events.hpp
@@ -68,4 +68,11 @@
     friend auto operator<=>(const UpstreamLeaving&, const UpstreamLeaving&) = default;
 };
 
+/** @brief All traffic threads of this daemon use a snapshot. */
+struct SnapshotInUse {
+    const std::uint64_t sequence { 0 };
+
+    friend auto operator<=>(const SnapshotInUse&, const SnapshotInUse&) = default;
+};
+
 } // namespace wasabiroad::control
--- a/src/wasabiroad/control/snapshots.cpp
+++ b/src/wasabiroad/control/snapshots.cpp
@@ -23,6 +23,7 @@
         const auto& old = *this->current;
         replace({ old.configuration, old.assignments, old.leaving, event });
     });
+    bus.subscribe<SnapshotInUse>([this](const SnapshotInUse& event) { use(event.sequence); });
 }
 
 void Snapshots::replace(ControlState state)
@@ -39,7 +40,24 @@
     kernel::logEvent("snapshot-published",
         { { "snapshot", snapshot->sequence }, { "generation", snapshot->generation.value },
             { "upstreams", snapshot->upstreams.size() }, { "services", snapshot->services.size() } });
+    this->published.emplace(snapshot->sequence, this->current->configuration);
     this->routing.publish(snapshot);
 }
 
+void Snapshots::use(std::uint64_t usedSequence)
+{
+    const auto end = this->published.upper_bound(usedSequence);
+    if (end == this->published.begin()) {
+        return;
+    }
+    const auto configuration = std::prev(end)->second;
+    this->published.erase(this->published.begin(), end);
+    if (configuration == this->used) {
+        return;
+    }
+    this->used = configuration;
+    kernel::logEvent("configuration-in-force",
+        { { "generation", configuration->generation.value }, { "digest", configuration->digest } });
+}
+
 } // namespace wasabiroad::control
--- a/src/wasabiroad/traffic/front_end.cpp
+++ b/src/wasabiroad/traffic/front_end.cpp
@@ -53,6 +53,7 @@
     , port(daemonThreads.traffic(0), this->clock, randomSeed(),
           TicketBook { daemonSettings.entry, this->incarnation, randomSecret() })
     , environment { this->port, daemonSettings.limits, this->clock, daemonMetrics, store }
+    , progress(daemonThreads.trafficCount())
 {
     for (std::size_t index = 0; index < this->threads.trafficCount(); ++index) {
         auto& context = this->threads.traffic(index);
@@ -106,12 +107,12 @@
     });
 }
 
-void FrontEnd::subscribe(kernel::Publisher<model::RoutingSnapshot>& publisher)
+void FrontEnd::subscribe(kernel::Publisher<model::RoutingSnapshot>& publisher, InUseObserver observer)
 {
     for (std::size_t index = 0; index < this->lanes.size(); ++index) {
         auto& lane = *this->lanes[index];
         publisher.subscribe(kernel::postTo(lane.thread.context),
-            [this, &lane, index](const model::RoutingSnapshotPointer& snapshot) {
+            [this, &lane, index, observer](const model::RoutingSnapshotPointer& snapshot) {
                 lane.thread.snapshot = snapshot;
                 lane.thread.pool.limit(idleLimits(*snapshot, this->lanes.size()));
                 if (index == 0) {
@@ -119,6 +120,11 @@
                 }
                 kernel::logEvent(
                     "snapshot-in-use", { { "thread", index }, { "snapshot", snapshot->sequence } });
+                asio::post(this->threads.control(), [this, index, sequence = snapshot->sequence, observer] {
+                    if (const auto inUse = this->progress.report(index, sequence)) {
+                        observer(*inUse);
+                    }
+                });
             });
     }
 }
--- a/src/wasabiroad/traffic/plugin.cpp
+++ b/src/wasabiroad/traffic/plugin.cpp
@@ -17,7 +17,8 @@
         kernel::logEvent("upstream-leaving", { { "vm", vm.text() } });
         bus.publish(control::UpstreamLeaving { vm });
     });
-    frontEnd->subscribe(kernel.find<control::Snapshots>()->publisher());
+    frontEnd->subscribe(kernel.find<control::Snapshots>()->publisher(),
+        [&bus = kernel.bus()](std::uint64_t sequence) { bus.publish(control::SnapshotInUse { sequence }); });
     const auto address = frontEnd->listen(settings->callers);
     if (!address) {
         return tl::unexpected(address.error());
