--- a/src/wasabiroad/settings/settings.cpp
+++ b/src/wasabiroad/settings/settings.cpp
@@ -4,6 +4,10 @@
 #include "wasabiroad/json/reader.hpp"
 #include "wasabiroad/settings/schema_text.hpp"
 
+#include <charconv>
+#include <set>
+
+#include <boost/asio/ip/address.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -84,6 +88,79 @@
     };
 }
 
+PeerEntry readPeerEntry(const boost::json::value& value)
+{
+    const Reader reader { value };
+    return { reader.id<model::EntryId>("entry"), reader.id<model::ZoneId>("zone"), reader.text("address"),
+        reader.text("public-key") };
+}
+
+/** The schema limits the shape of an address; this check limits its numbers. */
+bool isAddress(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    const auto* const end = text.data() + text.size();
+    std::uint16_t port = 0;
+    boost::system::error_code failed;
+    boost::asio::ip::make_address_v4(text.substr(0, colon), failed);
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    return !failed && parsed.ec == std::errc {} && parsed.ptr == end;
+}
+
+Errors checkPeers(const Peers& peers, const model::EntryId& self, const model::ZoneId& zone)
+{
+    Errors errors;
+    std::set<std::string> seen;
+    const auto unique = [&](const std::string& where, const std::string& value) {
+        if (!seen.insert(value).second) {
+            errors.emplace_back(
+                Error { ResultCode::DuplicateIdentifier, where, value, "a value that no other entry has" });
+        }
+    };
+    const auto address = [&](const std::string& where, const std::string& value) {
+        if (!isAddress(value)) {
+            errors.emplace_back(
+                Error { ResultCode::ValueOutOfRange, where, value, "an IP address and a port" });
+        }
+    };
+    address("/peers/listen", peers.listen);
+    for (std::size_t index = 0; index < peers.entries.size(); ++index) {
+        const auto& peer = peers.entries[index];
+        const auto where = "/peers/entries/" + std::to_string(index);
+        unique(where + "/entry", peer.entry.text());
+        unique(where + "/address", peer.address);
+        unique(where + "/public-key", peer.publicKey);
+        address(where + "/address", peer.address);
+        if (peer.entry == self && peer.zone != zone) {
+            errors.emplace_back(
+                Error { ResultCode::ValueOutOfRange, where + "/zone", peer.zone.text(), zone.text() });
+        }
+    }
+    return errors;
+}
+
+std::optional<Peers> readPeers(const boost::json::value* value)
+{
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    const Reader reader { *value };
+    return Peers { reader.text("listen"), reader.text("secret-key"),
+        reader.list<PeerEntry>("entries", readPeerEntry) };
+}
+
+/** The list of entries may be the same for all daemons, so each skips its own. */
+Peers withoutSelf(const Peers& peers, const model::EntryId& self)
+{
+    std::vector<PeerEntry> others;
+    for (const auto& peer : peers.entries) {
+        if (peer.entry != self) {
+            others.push_back(peer);
+        }
+    }
+    return { peers.listen, peers.secretKey, std::move(others) };
+}
+
 } // namespace
 
 kernel::Checked<Settings> read(std::string_view text, const Overrides& overrides)
@@ -98,14 +175,23 @@
     }
     const Reader reader { *document };
     const Settings defaults {};
+    const auto entry = reader.id<model::EntryId>("entry");
+    const auto zone = reader.id<model::ZoneId>("zone");
+    const auto peers = readPeers(reader.find("peers"));
+    if (peers) {
+        if (auto errors = checkPeers(*peers, entry, zone); !errors.empty()) {
+            return tl::unexpected(std::move(errors));
+        }
+    }
     return Settings {
-        .entry = reader.id<model::EntryId>("entry"),
-        .zone = reader.id<model::ZoneId>("zone"),
+        .entry = entry,
+        .zone = zone,
         .callers = reader.text("callers"),
         .operators = reader.text("operators"),
         .platform = reader.text("platform"),
         .trafficThreads = reader.count("traffic-threads", defaults.trafficThreads),
         .limits = readLimits(reader.find("limits")),
+        .peers = peers ? std::optional { withoutSelf(*peers, entry) } : std::nullopt,
     };
 }
 
--- a/src/wasabiroad/settings/settings.hpp
+++ b/src/wasabiroad/settings/settings.hpp
@@ -5,8 +5,10 @@
 #include "wasabiroad/model/identifier.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace wasabiroad::settings {
 
@@ -26,6 +28,30 @@
     friend auto operator<=>(const Limits&, const Limits&) = default;
 };
 
+/** @brief Another entry of the site. */
+struct PeerEntry {
+    const model::EntryId entry;
+    const model::ZoneId zone;
+    /** @brief IP address and port of its listener for peers. */
+    const std::string address;
+    /** @brief CURVE public key, Z85. */
+    const std::string publicKey;
+
+    friend auto operator<=>(const PeerEntry&, const PeerEntry&) = default;
+};
+
+/** @brief Messages between daemons. */
+struct Peers {
+    /** @brief IP address and port for peers; port 0 lets the system choose. */
+    const std::string listen;
+    /** @brief CURVE secret key of this entry, Z85. */
+    const std::string secretKey;
+    /** @brief The other entries of the site. */
+    const std::vector<PeerEntry> entries {};
+
+    friend auto operator<=>(const Peers&, const Peers&) = default;
+};
+
 /** @brief Settings of one daemon. */
 struct Settings {
     const model::EntryId entry;
@@ -38,6 +64,8 @@
     const std::string platform;
     const std::uint32_t trafficThreads { 2 };
     const Limits limits {};
+    /** @brief Absent when the daemon runs alone. */
+    const std::optional<Peers> peers {};
 
     friend auto operator<=>(const Settings&, const Settings&) = default;
 };
