Count platform calls by cause and let the head be polled

cause: every daemon holds a watch, calls are not counted, and a body that could not be read after its head was lost until the next change, because the revision had moved on. change: HttpStore reports each call with a cause made from the first part of its key; control publishes it as platform::Called. ConfigurationFollower follows control::HeadPolicyChanged: hold the watch, or read the head once per interval.

--- a/src/wasabiroad/control/configuration_follower.cpp
+++ b/src/wasabiroad/control/configuration_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "wasabiroad/kernel/log.hpp"
 
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,6 +22,12 @@
     : bus(eventBus)
     , store(std::move(platformStore))
 {
+    this->bus.subscribe<HeadPolicyChanged>([this](const HeadPolicyChanged& event) {
+        this->policy = std::make_shared<const HeadPolicy>(event.policy);
+        if (this->wake) {
+            this->wake();
+        }
+    });
 }
 
 kernel::Expected<void> ConfigurationFollower::offer(const Head& head, const std::string& text)
@@ -40,37 +47,71 @@
     return {};
 }
 
-boost::asio::awaitable<void> ConfigurationFollower::fetch(Head head)
+boost::asio::awaitable<bool> ConfigurationFollower::fetch(Head head)
 {
     if (this->current && head.generation <= this->current->generation) {
-        co_return;
+        co_return true;
     }
     const auto body = co_await platform::get(this->store, bodyKey(head));
     if (body) {
         offer(head, body->value);
     }
+    co_return body.has_value();
 }
 
-boost::asio::awaitable<void> ConfigurationFollower::run()
+boost::asio::awaitable<void> ConfigurationFollower::pause(kernel::Duration duration)
 {
     boost::asio::steady_timer timer { co_await boost::asio::this_coro::executor };
-    std::uint64_t revision = 0;
-    while (true) {
-        const auto listing
-            = co_await platform::watch(this->store, std::string { headKey }, revision, watchWait);
-        if (!listing) {
-            kernel::logEvent("platform-call-failed",
-                { { "call", "watch" }, { "code", number(listing.error().code) },
-                    { "detail", listing.error().found } });
-            timer.expires_after(retryPause.chrono());
-            co_await timer.async_wait(boost::asio::use_awaitable);
-            continue;
+    timer.expires_after(duration.chrono());
+    this->wake = [&timer] { timer.cancel(); };
+    boost::system::error_code cancelled;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
+    this->wake = nullptr;
+}
+
+boost::asio::awaitable<void> ConfigurationFollower::watchOnce()
+{
+    const auto listing
+        = co_await platform::watch(this->store, std::string { headKey }, this->revision, watchWait);
+    if (!listing) {
+        kernel::logEvent("platform-call-failed",
+            { { "call", "watch" }, { "code", number(listing.error().code) },
+                { "detail", listing.error().found } });
+        co_await pause(retryPause);
+        co_return;
+    }
+    for (const auto& entry : listing->entries) {
+        const auto head = parseHead(entry.value);
+        if (head && !co_await fetch(*head)) {
+            co_await pause(retryPause);
+            co_return;
         }
-        revision = listing->revision;
-        for (const auto& entry : listing->entries) {
-            if (const auto head = parseHead(entry.value)) {
-                co_await fetch(*head);
-            }
+    }
+    this->revision = listing->revision;
+}
+
+boost::asio::awaitable<void> ConfigurationFollower::pollOnce(kernel::Duration interval)
+{
+    const auto before = this->policy;
+    co_await pause(interval);
+    if (this->policy != before) {
+        co_return;
+    }
+    const auto entry = co_await platform::get(this->store, std::string { headKey });
+    const auto head = entry ? parseHead(entry->value) : tl::unexpected(entry.error());
+    if (head) {
+        co_await fetch(*head);
+    }
+}
+
+boost::asio::awaitable<void> ConfigurationFollower::run()
+{
+    while (true) {
+        const auto following = this->policy;
+        if (const auto* const poll = std::get_if<PollHead>(following.get())) {
+            co_await pollOnce(poll->interval);
+        } else {
+            co_await watchOnce();
         }
     }
 }
--- a/src/wasabiroad/control/events.hpp
+++ b/src/wasabiroad/control/events.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "wasabiroad/kernel/clock.hpp"
 #include "wasabiroad/model/manifest.hpp"
 #include "wasabiroad/model/vm_state.hpp"
 
 #include <map>
 #include <memory>
 #include <set>
+#include <variant>
 
 namespace wasabiroad::control {
 
@@ -59,4 +61,26 @@
     friend auto operator<=>(const MembershipChanged&, const MembershipChanged&) = default;
 };
 
+/** @brief Keep a watch on the head of the configuration pending. */
+struct HoldWatch {
+    friend auto operator<=>(const HoldWatch&, const HoldWatch&) = default;
+};
+
+/** @brief Read the head once per interval. */
+struct PollHead {
+    const kernel::Duration interval { 60000 };
+
+    friend auto operator<=>(const PollHead&, const PollHead&) = default;
+};
+
+/** @brief How a daemon follows the head of the configuration in the platform. */
+using HeadPolicy = std::variant<HoldWatch, PollHead>;
+
+/** @brief The way of following the head changed; peers decide which daemons hold watches. */
+struct HeadPolicyChanged {
+    const HeadPolicy policy;
+
+    friend auto operator<=>(const HeadPolicyChanged&, const HeadPolicyChanged&) = default;
+};
+
 } // namespace wasabiroad::control
--- a/src/wasabiroad/control/plugin.cpp
+++ b/src/wasabiroad/control/plugin.cpp
@@ -18,7 +18,9 @@
     if (!endpoint) {
         return tl::unexpected(endpoint.error());
     }
-    const platform::Store store { platform::HttpStore { *endpoint, settings->limits.platformTimeout } };
+    auto& bus = kernel.bus();
+    const platform::Store store { platform::HttpStore { *endpoint, settings->limits.platformTimeout,
+        [&bus](const platform::Called& called) { bus.publish(called); } } };
     kernel.provide(std::make_shared<const platform::Store>(store));
     kernel.provide(std::make_shared<Snapshots>(kernel.bus(), settings->zone));
     auto follower = std::make_shared<ConfigurationFollower>(kernel.bus(), store);
--- a/src/wasabiroad/platform/store.cpp
+++ b/src/wasabiroad/platform/store.cpp
@@ -37,8 +37,14 @@
     }
 }
 
+/** The first part of a key and a verb name the cause of a call; keys in full would be too many labels. */
+std::string causeOf(std::string_view key, std::string_view verb)
+{
+    return std::string { key.substr(0, key.find('/')) } + "-" + std::string { verb };
+}
+
 /** Sends a call and parses the JSON of a response with status 200. */
-Result<boost::json::value> call(
+Result<boost::json::value> exchangeJson(
     HttpStore store, http::Request request, std::string key, kernel::Duration timeout)
 {
     const auto response = co_await http::exchange(store.endpoint, std::move(request), timeout);
@@ -57,6 +63,18 @@
     co_return document;
 }
 
+/** Makes a call and reports its end to the observer. */
+Result<boost::json::value> call(
+    HttpStore store, std::string cause, http::Request request, std::string key, kernel::Duration timeout)
+{
+    auto document = co_await exchangeJson(store, std::move(request), std::move(key), timeout);
+    if (store.observe) {
+        const Called called { std::move(cause), document ? ResultCode::Ok : document.error().code };
+        store.observe(called);
+    }
+    co_return document;
+}
+
 Entry readEntry(const boost::json::value& value)
 {
     const json::Reader reader { value };
@@ -80,7 +98,7 @@
 Result<Entry> getOver(HttpStore store, std::string key)
 {
     auto request = http::makeRequest(verb::get, "/kv/" + encode(key));
-    const auto document = co_await call(store, std::move(request), key, store.timeout);
+    const auto document = co_await call(store, causeOf(key, "read"), std::move(request), key, store.timeout);
     if (!document) {
         co_return tl::unexpected(document.error());
     }
@@ -89,10 +107,10 @@
 
 Result<Entry> getOver(LocalStore store, std::string key) { co_return store.memory->get(key); }
 
-Result<Listing> listOver(HttpStore store, std::string target, kernel::Duration timeout)
+Result<Listing> listOver(HttpStore store, std::string cause, std::string target, kernel::Duration timeout)
 {
     auto request = http::makeRequest(verb::get, target);
-    const auto document = co_await call(store, std::move(request), target, timeout);
+    const auto document = co_await call(store, std::move(cause), std::move(request), target, timeout);
     if (!document) {
         co_return tl::unexpected(document.error());
     }
@@ -103,7 +121,7 @@
 {
     auto request = http::makeRequest(
         verb::put, "/kv/" + encode(key) + "?if-version=" + std::to_string(ifVersion), std::move(value));
-    const auto document = co_await call(store, std::move(request), key, store.timeout);
+    const auto document = co_await call(store, causeOf(key, "write"), std::move(request), key, store.timeout);
     if (!document) {
         co_return tl::unexpected(document.error());
     }
@@ -127,7 +145,9 @@
 {
     return std::visit(
         kernel::Overloaded {
-            [&](HttpStore http) { return listOver(http, "/kv?prefix=" + encode(prefix), http.timeout); },
+            [&](HttpStore http) {
+                return listOver(http, causeOf(prefix, "list"), "/kv?prefix=" + encode(prefix), http.timeout);
+            },
             [&](LocalStore local) -> Result<Listing> {
                 return [](LocalStore store, std::string prefix) -> Result<Listing> {
                     co_return store.memory->list(prefix);
@@ -152,7 +172,7 @@
                           [&](HttpStore http) {
                               const auto target = "/watch?prefix=" + encode(prefix) + "&after="
                                   + std::to_string(after) + "&wait-ms=" + std::to_string(wait.milliseconds);
-                              return listOver(http, target, http.timeout + wait);
+                              return listOver(http, causeOf(prefix, "watch"), target, http.timeout + wait);
                           },
                           [&](LocalStore local) { return list(local, prefix); },
                       },
@@ -166,8 +186,8 @@
                           [](HttpStore http) {
                               return [](HttpStore http) -> Result<List> {
                                   auto request = http::makeRequest(verb::get, "/vms");
-                                  const auto document
-                                      = co_await call(http, std::move(request), "/vms", http.timeout);
+                                  const auto document = co_await call(
+                                      http, "vms-list", std::move(request), "/vms", http.timeout);
                                   if (!document) {
                                       co_return tl::unexpected(document.error());
                                   }
