--- /dev/null
+++ b/src/wasabiroad/peer/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace wasabiroad::peer {
+
+class Membership;
+class Node;
+class Transport;
+struct Envelope;
+struct Heartbeat;
+
+} // namespace wasabiroad::peer
