--- a/src/wasabiroad/control/configuration_follower.cpp
+++ b/src/wasabiroad/control/configuration_follower.cpp
@@ -41,9 +41,10 @@
         return tl::unexpected(error);
     }
     this->current = *adopted;
+    this->bus.publish(ConfigurationAdopted { this->current });
+    // The line says that requests from now on see the configuration, so it follows the publication.
     kernel::logEvent(
         "configuration-adopted", { { "generation", head.generation.value }, { "digest", head.digest } });
-    this->bus.publish(ConfigurationAdopted { this->current });
     return {};
 }
 
--- a/src/wasabiroad/peer/membership.cpp
+++ b/src/wasabiroad/peer/membership.cpp
@@ -107,6 +107,12 @@
     return peer.name.zone == this->own.zone ? zoneTiming : linkTiming;
 }
 
+/** The newest confirmation names a message that is up to one interval old when it arrives. */
+Duration Membership::unconfirmedFor(Instant now, const Peer& peer) const
+{
+    return now - peer.confirmedAt - timingOf(peer).interval;
+}
+
 void Membership::judge(Instant now, Peer& peer, Changes& changes)
 {
     switch (peer.state) {
@@ -126,9 +132,10 @@
 void Membership::judgeMember(Instant now, Peer& peer, Changes& changes)
 {
     const auto& timing = timingOf(peer);
-    const auto silentSince = std::min(peer.heardAt, peer.confirmedAt);
-    const auto silence = peer.heardAt <= peer.confirmedAt ? Silence::NotHeard : Silence::NotConfirmed;
-    const auto silent = now - silentSince;
+    const auto unheard = now - peer.heardAt;
+    const auto unconfirmed = unconfirmedFor(now, peer);
+    const auto silence = unheard >= unconfirmed ? Silence::NotHeard : Silence::NotConfirmed;
+    const auto silent = std::max(unheard, unconfirmed);
     if (silent >= timing.removeAfter) {
         remove(now, peer, silence, changes);
     } else if (silent >= timing.suspectAfter && peer.state == PeerState::Live) {
@@ -164,7 +171,7 @@
         peer.joiningSince = now;
         peer.oneWayReported = false;
     }
-    const bool isConfirmed = now - peer.confirmedAt < timing.suspectAfter;
+    const bool isConfirmed = unconfirmedFor(now, peer) < timing.suspectAfter;
     if (isConfirmed && now - peer.heardAt < timing.suspectAfter && now >= peer.heldUntil) {
         peer.state = PeerState::Live;
         peer.liveSince = now;
--- a/src/wasabiroad/peer/membership.hpp
+++ b/src/wasabiroad/peer/membership.hpp
@@ -134,7 +134,7 @@
     void apply(
         kernel::Instant now, const model::EntryId& sender, const Heartbeat& heartbeat, Changes& changes);
 
-    /** @brief Judges all peers by the time; called once per interval. */
+    /** @brief Judges all peers by the time; called at least once per interval. */
     void advance(kernel::Instant now, Changes& changes);
 
     /** @return The view of a peer, or nothing when it is not configured. */
@@ -180,6 +180,7 @@
     static constexpr kernel::Instant never { -1000000000 };
 
     const Timing& timingOf(const Peer& peer) const;
+    kernel::Duration unconfirmedFor(kernel::Instant now, const Peer& peer) const;
     void judge(kernel::Instant now, Peer& peer, Changes& changes);
     void judgeMember(kernel::Instant now, Peer& peer, Changes& changes);
     void judgeOther(kernel::Instant now, Peer& peer, Changes& changes);
--- a/src/wasabiroad/peer/node.cpp
+++ b/src/wasabiroad/peer/node.cpp
@@ -21,8 +21,16 @@
 
 /** With the platform's own lag, a leaving VM gets no new work within 3 s. */
 constexpr kernel::Duration vmInterval { 1000 };
-/** Heartbeats between two repetitions of the list of leaving VMs and of the message counts. */
-constexpr std::uint64_t repeatTicks = 10;
+/** Members are judged twice per interval, so that a killed peer is removed within 3 s of its end. */
+constexpr kernel::Duration tickInterval { 250 };
+/** Ticks between two repetitions of the list of leaving VMs and of the message counts: 5 s. */
+constexpr std::uint64_t repeatTicks = 20;
+
+/** True at each tick at which the messages of one kind of link are due. */
+bool isDue(std::uint64_t tick, const Timing& timing)
+{
+    return tick % static_cast<std::uint64_t>(timing.interval.milliseconds / tickInterval.milliseconds) == 0;
+}
 
 kernel::Instant steadyNow() { return kernel::now(kernel::SteadyClock {}); }
 
@@ -126,7 +134,7 @@
 
 void Node::scheduleTick()
 {
-    this->timer.expires_after(zoneTiming.interval.chrono());
+    this->timer.expires_after(tickInterval.chrono());
     this->timer.async_wait([this](boost::system::error_code cancelled) {
         if (!cancelled) {
             tick();
@@ -143,9 +151,9 @@
     Changes changes;
     this->membership.advance(now, changes);
     closeUnusedLinks(now);
-    const auto ratio
-        = static_cast<std::uint64_t>(linkTiming.interval.milliseconds / zoneTiming.interval.milliseconds);
-    announce(this->ticks % ratio == 0);
+    if (isDue(this->ticks, zoneTiming)) {
+        announce(isDue(this->ticks, linkTiming));
+    }
     ask();
     settle(changes);
     if (++this->ticks % repeatTicks == 0) {
