--- a/src/wasabiroad/peer/node.cpp
+++ b/src/wasabiroad/peer/node.cpp
@@ -241,13 +241,12 @@
             }
         }
     }
-    const control::MembershipChanged members {
-        static_cast<std::uint32_t>(this->membership.zoneMembers().size()), this->membership.siteEntries()
-    };
+    const control::MembershipChanged members { this->membership.zoneMembers(),
+        this->membership.siteEntries() };
     if (members != *this->published) {
         this->published = std::make_shared<const control::MembershipChanged>(members);
         logEvent("membership-changed",
-            { { "zone-entries", members.entriesInZone }, { "site-entries", members.entriesInSite } });
+            { { "zone-entries", members.zoneEntries.size() }, { "site-entries", members.entriesInSite } });
         this->kernel.bus().publish(members);
     }
     decideRole();
@@ -404,7 +403,8 @@
     add("wasabiroad_peer_received_bytes_total", counts.receivedBytes, before.receivedBytes);
     add("wasabiroad_peer_dropped_messages_total", counts.dropped, before.dropped);
     this->counted = std::make_shared<const TransportCounts>(counts);
-    this->metrics->set("wasabiroad_peer_zone_entries", {}, this->published->entriesInZone);
+    this->metrics->set(
+        "wasabiroad_peer_zone_entries", {}, static_cast<double>(this->published->zoneEntries.size()));
     this->metrics->set("wasabiroad_peer_site_entries", {}, this->published->entriesInSite);
 }
 
--- a/src/wasabiroad/peer/spread.cpp
+++ b/src/wasabiroad/peer/spread.cpp
@@ -1,7 +1,7 @@
 #include "wasabiroad/peer/spread.hpp"
 
 #include "wasabiroad/peer/delta.hpp"
-#include "wasabiroad/peer/rendezvous.hpp"
+#include "wasabiroad/routing/rendezvous.hpp"
 
 #include <tuple>
 
@@ -51,7 +51,7 @@
     std::optional<PeerView> best;
     const auto rank = [&](const PeerView& peer) {
         return std::tuple { peer.heartbeat.configuration.generation, peer.name.zone == membership.self().zone,
-            rendezvousScore(membership.self().entry.text(), peer.name.entry) };
+            routing::rendezvousScore(membership.self().entry.text(), peer.name.entry.text()) };
     };
     for (const auto& peer : membership.views()) {
         if (isCandidate(now, peer) && (!best || rank(*best) < rank(peer))) {
--- a/src/wasabiroad/peer/watch_role.cpp
+++ b/src/wasabiroad/peer/watch_role.cpp
@@ -1,6 +1,6 @@
 #include "wasabiroad/peer/watch_role.hpp"
 
-#include "wasabiroad/peer/rendezvous.hpp"
+#include "wasabiroad/peer/choose.hpp"
 
 namespace wasabiroad::peer {
 
--- a/test/wasabiroad/integration/peers.cpp
+++ b/test/wasabiroad/integration/peers.cpp
@@ -1,11 +1,10 @@
+#include "wasabiroad/example.hpp"
 #include "wasabiroad/launch/site.hpp"
 
 #include <array>
 #include <csignal>
-#include <fstream>
 #include <functional>
 #include <ostream>
-#include <sstream>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -77,13 +76,6 @@
     return { own.name, own.zone, boost::json::serialize(settings) };
 }
 
-std::string example()
-{
-    std::ostringstream text;
-    text << std::ifstream { std::string { EXAMPLES_DIR } + "/hallbach.json" }.rdbuf();
-    return text.str();
-}
-
 /** Two entries in one zone and one in another, and the platform. */
 class Fixture {
 public:
@@ -99,7 +91,7 @@
         for (std::size_t index = 0; index < started; ++index) {
             daemons.push_back(optionsOf(entries, index));
         }
-        auto site = launch::Site::start({ example(), daemons });
+        auto site = launch::Site::start({ test::example("hallbach.json"), daemons });
         BOOST_REQUIRE(site);
         return std::move(*site);
     }
--- a/test/wasabiroad/peer/readers.cpp
+++ b/test/wasabiroad/peer/readers.cpp
@@ -1,12 +1,11 @@
+#include "wasabiroad/example.hpp"
 #include "wasabiroad/manifest/read.hpp"
 #include "wasabiroad/peer/codec.hpp"
 #include "wasabiroad/settings/settings.hpp"
 
 #include <array>
-#include <fstream>
 #include <functional>
 #include <ostream>
-#include <sstream>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -17,13 +16,6 @@
 
 using namespace wasabiroad;
 
-std::string example(const std::string& name)
-{
-    std::ostringstream text;
-    text << std::ifstream { std::string { SOURCE_DIR } + "/examples/" + name }.rdbuf();
-    return text.str();
-}
-
 peer::Envelope envelopeOf(peer::Body body)
 {
     return { model::EntryId { "entry-a" }, model::ZoneId { "by-1" }, { 1700000000000, 9 }, std::move(body) };
@@ -80,8 +72,8 @@
 }
 
 const std::array readers {
-    Reader { "manifest", example("hallbach.json"), 150, readManifest },
-    Reader { "settings", example("settings.json"), 3000, readSettings },
+    Reader { "manifest", test::example("hallbach.json"), 150, readManifest },
+    Reader { "settings", test::example("settings.json"), 3000, readSettings },
     Reader { "heartbeat", peer::encode(envelopeOf(peer::Heartbeat { version, false, 20, true, { 5, 6 } })),
         30000, readMessage },
     Reader { "manifest request", peer::encode(envelopeOf(peer::ManifestRequest { version, version })), 30000,
