Cut off no request at a stop, and stop what its caller gave up

SIGTERM under 64 callers broke 8 of 9174 requests: a listener that closes resets handshakes in progress, and a new connection without its first bytes was closed as idle. A stoppable request whose caller left in its first milliseconds ran to its end: the watch ended at the event of the request's own bytes, and a cancel between two operations had no effect. change: listeners drop new handshakes for 200 ms before they close; connections count as idle after 250 ms; the watch is renewed when nothing is readable; a stop closes the upstream's connection.

--- a/src/wasabiroad/traffic/attempt.cpp
+++ b/src/wasabiroad/traffic/attempt.cpp
@@ -155,7 +155,7 @@
     this->active = connection.get();
     auto result = co_await send(attempt, *connection, caller, reusable);
     this->active = nullptr;
-    if (reusable) {
+    if (reusable && !this->aborted) {
         connection->stream.expires_never();
         this->pool.keep(attempt.grant.address, std::move(connection));
     }
@@ -279,7 +279,8 @@
 {
     this->aborted = true;
     if (this->active != nullptr) {
-        this->active->stream.cancel();
+        // Cancelling would miss an operation that has ended but whose handler has not run yet.
+        this->active->stream.close();
     }
 }
 
--- a/src/wasabiroad/traffic/caller_watch.cpp
+++ b/src/wasabiroad/traffic/caller_watch.cpp
@@ -11,24 +11,36 @@
     const std::function<void()> gone;
 };
 
-CallerWatch::CallerWatch(tcp::socket& socket, std::function<void()> gone)
-    : state(new State { &socket, std::move(gone) })
+namespace {
+
+template <typename StatePointer> void watch(const StatePointer& state)
 {
-    socket.async_wait(tcp::socket::wait_read, [watched = this->state](boost::system::error_code failed) {
-        if (failed || watched->socket == nullptr) {
+    state->socket->async_wait(tcp::socket::wait_read, [state](boost::system::error_code failed) {
+        if (failed || state->socket == nullptr) {
             return;
         }
         std::array<char, 1> byte {};
         boost::system::error_code result;
-        watched->socket->non_blocking(true, result);
-        watched->socket->receive(boost::asio::buffer(byte), tcp::socket::message_peek, result);
-        // Data is a pipelined request; the caller is still there.
-        if (result && result != boost::asio::error::would_block) {
-            watched->gone();
+        state->socket->non_blocking(true, result);
+        state->socket->receive(boost::asio::buffer(byte), tcp::socket::message_peek, result);
+        if (result == boost::asio::error::would_block) {
+            // The event of the request's own last bytes can arrive after they were read.
+            watch(state);
+        } else if (result) {
+            state->gone();
         }
+        // Data is a pipelined request: the caller is still there. Watching on would wake up at once.
     });
 }
 
+} // namespace
+
+CallerWatch::CallerWatch(tcp::socket& socket, std::function<void()> gone)
+    : state(new State { &socket, std::move(gone) })
+{
+    watch(this->state);
+}
+
 CallerWatch::~CallerWatch()
 {
     this->state->socket->cancel();
--- a/src/wasabiroad/traffic/front_end.cpp
+++ b/src/wasabiroad/traffic/front_end.cpp
@@ -4,6 +4,7 @@
 #include "wasabiroad/kernel/log.hpp"
 
 #include <array>
+#include <cerrno>
 #include <random>
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,6 +12,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 namespace wasabiroad::traffic {
@@ -23,10 +25,37 @@
 
 /** Time in which answers close their connections before the listeners close. */
 constexpr kernel::Duration lameDuck { 500 };
+/**
+ * Time between the last new connection and the close of the listeners. Handshakes that have begun
+ * end in it; a listener that closes would reset them and cut off their requests.
+ */
+constexpr kernel::Duration settleTime { 200 };
+/** A connection without a request for this time is closed; a new one may have its request on the way. */
+constexpr kernel::Duration idleGrace { 250 };
 constexpr kernel::Duration drainPoll { 10 };
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+/**
+ * Drops segments that open a connection, so that callers find another daemon, while those of
+ * handshakes in progress pass. The offset is that of the flags in the TCP header.
+ */
+void refuseHandshakes(tcp::acceptor& acceptor)
+{
+    constexpr unsigned flagsOffset = 13;
+    constexpr unsigned syn = 0x02;
+    constexpr unsigned synAndAck = 0x12;
+    constexpr unsigned passAll = 0xffffffff;
+    std::array<sock_filter, 5> program { sock_filter BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
+        sock_filter BPF_STMT(BPF_ALU | BPF_AND | BPF_K, synAndAck),
+        sock_filter BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, syn, 0, 1), sock_filter BPF_STMT(BPF_RET | BPF_K, 0),
+        sock_filter BPF_STMT(BPF_RET | BPF_K, passAll) };
+    const sock_fprog filter { static_cast<unsigned short>(program.size()), program.data() };
+    if (::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)) != 0) {
+        kernel::logEvent("listener-filter-failed", { { "error", errno } });
+    }
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -170,6 +199,9 @@
     lane.thread.closing = true;
     lane.timer.expires_after(lameDuck.chrono());
     co_await lane.timer.async_wait(asio::use_awaitable);
+    refuseHandshakes(lane.acceptor);
+    lane.timer.expires_after(settleTime.chrono());
+    co_await lane.timer.async_wait(asio::use_awaitable);
     acceptPending(lane);
     if (&lane == this->lanes.front().get()) {
         this->port.refuseAll(ResultCode::Stopping);
@@ -177,7 +209,7 @@
     while (!lane.sessions.empty()) {
         for (const auto& [key, weak] : lane.sessions) {
             if (const auto session = weak.lock()) {
-                session->closeIfIdle();
+                session->closeIfIdle(kernel::now(this->clock) - idleGrace);
             }
         }
         lane.timer.expires_after(drainPoll.chrono());
--- a/src/wasabiroad/traffic/session.cpp
+++ b/src/wasabiroad/traffic/session.cpp
@@ -46,6 +46,11 @@
             { "reason", grant.reason }, { "code", 0 } });
 }
 
+void logCancelled(const model::Request& request, RequestState state)
+{
+    kernel::logEvent("request-cancelled", { { "request", request.id.text() }, { "state", name(state) } });
+}
+
 void logRefusal(const SystemAnswer& answer)
 {
     kernel::logEvent("refusal",
@@ -82,9 +87,9 @@
 
 std::string Session::makeId() { return this->thread.idPrefix + std::to_string(this->thread.nextId++); }
 
-void Session::closeIfIdle()
+void Session::closeIfIdle(kernel::Instant idleBefore)
 {
-    if (this->idle) {
+    if (this->idle && this->idleSince < idleBefore) {
         this->stream.cancel();
     }
 }
@@ -107,6 +112,7 @@
 {
     boost::system::error_code failed;
     this->idle = true;
+    this->idleSince = kernel::now(this->environment.clock);
     this->stream.expires_after(this->environment.limits.idleTimeout.chrono());
     auto received = co_await this->stream.async_read_some(
         this->buffer.prepare(firstReadBytes), asio::redirect_error(asio::use_awaitable, failed));
@@ -255,8 +261,7 @@
         const SystemAnswer unknown { request.id, unresolved.code, Certainty::Unknown, {}, unresolved.reason };
         co_return co_await answer(unknown, keepAlive);
     }
-    kernel::logEvent(
-        "request-cancelled", { { "request", request.id.text() }, { "state", name(this->state) } });
+    logCancelled(request, this->state);
     co_return false;
 }
 
@@ -278,6 +283,7 @@
     if (this->gone) {
         this->environment.port.finish(this->submission, admission::Outcome::Abandoned);
         advance(RequestEvent::CallerGone);
+        logCancelled(decoded.request, this->state);
         co_return Next::Close;
     }
     co_return co_await execute(decoded, body, grant, keepAlive);
@@ -320,7 +326,22 @@
     const Attempt attempt { request, grant, makeId(), body, keepAlive, decoded.stoppable };
     const auto result = co_await this->exchange.run(attempt, this->stream);
     this->stream.expires_never();
-    const auto after = std::visit(
+    if (this->gone) {
+        advance(RequestEvent::CallerGone);
+        record(attempt, result, started);
+        this->environment.port.finish(this->submission, admission::Outcome::Abandoned);
+        logCancelled(request, this->state);
+        co_return Next::Close;
+    }
+    const auto after = settle(request, result);
+    record(attempt, result, started);
+    this->environment.port.finish(this->submission, outcomeOf(result));
+    co_return after;
+}
+
+Session::Next Session::settle(const model::Request& request, const AttemptResult& result)
+{
+    return std::visit(
         kernel::Overloaded {
             [&](const Answered&) {
                 advance(RequestEvent::AnswerStarted);
@@ -347,11 +368,6 @@
             },
         },
         result);
-    record(attempt, result, started);
-    const bool abandoned = this->gone;
-    this->environment.port.finish(
-        this->submission, abandoned ? admission::Outcome::Abandoned : outcomeOf(result));
-    co_return abandoned ? Next::Close : after;
 }
 
 void Session::record(const Attempt& attempt, const AttemptResult& result, kernel::Instant started)
--- a/src/wasabiroad/traffic/session.hpp
+++ b/src/wasabiroad/traffic/session.hpp
@@ -56,8 +56,8 @@
     /** @brief Serves requests until the connection ends. */
     boost::asio::awaitable<void> run();
 
-    /** @brief Ends the connection if it waits for a request. */
-    void closeIfIdle();
+    /** @brief Ends the connection if it has waited for a request since before an instant. */
+    void closeIfIdle(kernel::Instant idleBefore);
 
 private:
     Session(boost::asio::ip::tcp::socket socket, ThreadState& thread, const Environment& environment);
@@ -93,6 +93,7 @@
     boost::asio::awaitable<void> closeGently();
     void receive(const admission::Decision& decision);
     void callerGone(bool stoppable);
+    Next settle(const model::Request& request, const AttemptResult& result);
     void record(const Attempt& attempt, const AttemptResult& result, kernel::Instant started);
     void advance(lifecycle::RequestEvent event);
     std::string makeId();
@@ -107,6 +108,7 @@
     DispatchPort::SubmissionPointer submission {};
     lifecycle::RequestState state { lifecycle::RequestState::Received };
     bool idle { true };
+    kernel::Instant idleSince {};
     bool gone { false };
     /** @brief Whether this session holds the claim of its current request. */
     bool claimHeld { false };
