--- a/src/wasabiroad/standin/upstream.cpp
+++ b/src/wasabiroad/standin/upstream.cpp
@@ -45,6 +45,8 @@
     if (fault == "truncate") {
         response.content_length(response.body().size() + 1000);
         response.keep_alive(false);
+    } else if (fault == "chunked") {
+        response.chunked(true);
     } else if (fault == "no-length") {
         response.content_length(boost::none);
         response.keep_alive(false);
--- a/src/wasabiroad/standin/upstream.hpp
+++ b/src/wasabiroad/standin/upstream.hpp
@@ -37,9 +37,9 @@
  * the upstream misbehave for this request: `refuse` and `refuse-unproven` answer 503 with and
  * without the proof that nothing ran, `fail` answers 500, `truncate` closes the connection within
  * the body, `no-length` sends a body that ends with the connection, `foreign` and `no-attempt` answer
- * with another attempt or none, `leaving` sets the leaving sign, `contradict` adds the headers that only
- * the system itself sends. The answer repeats the request
- * id and the body, so that a caller can tell whether it is its own.
+ * with another attempt or none, `chunked` sends the body in chunks, `leaving` sets the leaving sign,
+ * `contradict` adds the headers that only the system itself sends. The answer repeats the request id and the
+ * body, so that a caller can tell whether it is its own.
  */
 class Upstream {
 public:
--- a/src/wasabiroad/traffic/attempt.cpp
+++ b/src/wasabiroad/traffic/attempt.cpp
@@ -7,15 +7,16 @@
 #include "wasabiroad/traffic/headers.hpp"
 
 #include <algorithm>
+#include <array>
 #include <memory>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_cat.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/write.hpp>
 
 namespace wasabiroad::traffic {
 
@@ -40,8 +41,9 @@
 http::Request makeRequest(const Attempt& attempt, kernel::Duration remaining)
 {
     const auto& request = attempt.request;
-    auto message = http::makeRequest(beast::http::verb::post,
-        "/run/" + request.service.text() + "/" + request.operation.text(), attempt.body);
+    auto message = http::makeRequest(
+        beast::http::verb::post, "/run/" + request.service.text() + "/" + request.operation.text());
+    message.content_length(attempt.body.size());
     message.set(view(headers::attempt), attempt.id);
     message.set(view(headers::requestId), request.id.text());
     message.set(view(headers::deadline), std::to_string(remaining.milliseconds));
@@ -85,6 +87,22 @@
     return answer;
 }
 
+/**
+ * Serializes a header into one buffer. Beast would send each field as a buffer of its own, and
+ * walking through these buffers costs more than copying them.
+ */
+template <bool isRequest, typename Body>
+std::string headerText(beast::http::message<isRequest, Body, beast::http::fields>& message)
+{
+    beast::http::serializer<isRequest, Body, beast::http::fields> serializer { message };
+    serializer.split(true);
+    std::string text;
+    boost::system::error_code ignored;
+    serializer.next(ignored,
+        [&](boost::system::error_code&, const auto& buffers) { text = beast::buffers_to_string(buffers); });
+    return text;
+}
+
 // GCC 12 destroys aggregates twice that are initialised inside a co_return or co_await
 // expression, so results are made by functions.
 
@@ -170,10 +188,12 @@
         co_return ended<NotStarted>("deadline passed or caller gone before the request was sent");
     }
     connection.stream.expires_after(remaining.chrono());
-    const auto request = makeRequest(attempt, remaining);
+    auto request = makeRequest(attempt, remaining);
+    const auto header = headerText(request);
+    const std::array<asio::const_buffer, 2> message { asio::buffer(header), asio::buffer(attempt.body) };
     boost::system::error_code failed;
-    const auto sent = co_await beast::http::async_write(
-        connection.stream, request, asio::redirect_error(asio::use_awaitable, failed));
+    const auto sent = co_await asio::async_write(
+        connection.stream, message, asio::redirect_error(asio::use_awaitable, failed));
     if (failed && sent == 0) {
         co_return ended<NotStarted>("write", failed);
     }
@@ -183,6 +203,28 @@
     co_return co_await receive(attempt, connection, caller, reusable);
 }
 
+asio::awaitable<boost::system::error_code> Exchange::read(
+    UpstreamConnection& connection, Parser& parser, Until until) const
+{
+    boost::system::error_code failed;
+    while (true) {
+        connection.buffer.consume(parser.put(connection.buffer.data(), failed));
+        const bool reached = until == Until::Header ? parser.is_header_done() : parser.is_done();
+        if (reached || failed == beast::http::error::need_buffer) {
+            co_return boost::system::error_code {};
+        }
+        if (failed && failed != beast::http::error::need_more) {
+            co_return failed;
+        }
+        const auto received = co_await connection.stream.async_read_some(
+            connection.buffer.prepare(streamBufferBytes), asio::redirect_error(asio::use_awaitable, failed));
+        if (failed) {
+            co_return failed;
+        }
+        connection.buffer.commit(received);
+    }
+}
+
 asio::awaitable<boost::system::error_code> Exchange::readHeader(
     UpstreamConnection& connection, std::optional<Parser>& parser) const
 {
@@ -190,8 +232,7 @@
     for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
         parser.emplace();
         parser->body_limit(boost::none);
-        co_await beast::http::async_read_header(
-            connection.stream, connection.buffer, *parser, asio::redirect_error(asio::use_awaitable, failed));
+        failed = co_await read(connection, *parser, Until::Header);
         const bool isInterim
             = beast::http::to_status_class(parser->get().result()) == beast::http::status_class::informational
             && parser->get().result() != beast::http::status::switching_protocols;
@@ -231,21 +272,19 @@
 asio::awaitable<AttemptResult> Exchange::stream(
     const Attempt& attempt, UpstreamConnection& connection, Parser& parser, beast::tcp_stream& caller)
 {
-    const auto status = parser.get().result_int();
-    auto answer = makeAnswer(parser.get(), parser.chunked(), attempt);
-    beast::http::response_serializer<beast::http::buffer_body> serializer { answer };
+    const bool chunked = parser.chunked();
+    auto answer = makeAnswer(parser.get(), chunked, attempt);
+    auto header = headerText(answer);
     const auto buffer = std::make_unique_for_overwrite<char[]>(streamBufferBytes);
-    boost::system::error_code failed;
     boost::system::error_code callerFailed;
     bool begun = false;
-    while (!(callerFailed ? parser.is_done() : serializer.is_done())) {
+    parser.eager(true);
+    do {
         auto& target = parser.get().body();
         target.data = buffer.get();
         target.size = streamBufferBytes;
         if (!parser.is_done()) {
-            co_await beast::http::async_read(connection.stream, connection.buffer, parser,
-                asio::redirect_error(asio::use_awaitable, failed));
-            if (failed && failed != beast::http::error::need_buffer) {
+            if (const auto failed = co_await read(connection, parser, Until::FullBuffer)) {
                 if (begun) {
                     co_return ended<Truncated>("read", failed);
                 }
@@ -255,24 +294,40 @@
         if (callerFailed) {
             continue;
         }
-        answer.body().data = buffer.get();
-        answer.body().size = streamBufferBytes - target.size;
-        answer.body().more = !parser.is_done();
+        const asio::const_buffer part { buffer.get(), streamBufferBytes - target.size };
         begun = true;
         caller.expires_after(callerWriteTimeout.chrono());
-        co_await beast::http::async_write(
-            caller, serializer, asio::redirect_error(asio::use_awaitable, callerFailed));
-        if (callerFailed == beast::http::error::need_buffer) {
-            callerFailed = {};
-        }
+        co_await write(caller, header, part, chunked, parser.is_done(), callerFailed);
+        header.clear();
         if (callerFailed && attempt.stoppable) {
             break;
         }
-    }
+    } while (!parser.is_done());
     if (callerFailed) {
         co_return ended<CallerLost>("caller", callerFailed);
     }
-    co_return answered(status);
+    co_return answered(parser.get().result_int());
+}
+
+asio::awaitable<void> Exchange::write(beast::tcp_stream& caller, const std::string& header,
+    asio::const_buffer part, bool chunked, bool last, boost::system::error_code& failed)
+{
+    const auto begin = asio::buffer(header);
+    if (!chunked) {
+        const std::array<asio::const_buffer, 2> message { begin, part };
+        co_await asio::async_write(caller, message, asio::redirect_error(asio::use_awaitable, failed));
+        co_return;
+    }
+    if (part.size() > 0) {
+        const auto message = beast::buffers_cat(begin, beast::http::make_chunk(part));
+        co_await asio::async_write(caller, message, asio::redirect_error(asio::use_awaitable, failed));
+    } else {
+        co_await asio::async_write(caller, begin, asio::redirect_error(asio::use_awaitable, failed));
+    }
+    if (last && !failed) {
+        const auto message = beast::http::make_chunk_last();
+        co_await asio::async_write(caller, message, asio::redirect_error(asio::use_awaitable, failed));
+    }
 }
 
 void Exchange::abort()
--- a/src/wasabiroad/traffic/attempt.hpp
+++ b/src/wasabiroad/traffic/attempt.hpp
@@ -102,12 +102,19 @@
         const Attempt& attempt);
     boost::asio::awaitable<AttemptResult> send(const Attempt& attempt, UpstreamConnection& connection,
         boost::beast::tcp_stream& caller, bool& reusable);
+    /** @brief What a read waits for: the whole header, or a full buffer or the end of the body. */
+    enum class Until : std::uint8_t { Header, FullBuffer };
+
+    boost::asio::awaitable<boost::system::error_code> read(
+        UpstreamConnection& connection, Parser& parser, Until until) const;
     boost::asio::awaitable<boost::system::error_code> readHeader(
         UpstreamConnection& connection, std::optional<Parser>& parser) const;
     boost::asio::awaitable<AttemptResult> receive(const Attempt& attempt, UpstreamConnection& connection,
         boost::beast::tcp_stream& caller, bool& reusable);
     boost::asio::awaitable<AttemptResult> stream(const Attempt& attempt, UpstreamConnection& connection,
         Parser& parser, boost::beast::tcp_stream& caller);
+    static boost::asio::awaitable<void> write(boost::beast::tcp_stream& caller, const std::string& header,
+        boost::asio::const_buffer part, bool chunked, bool last, boost::system::error_code& failed);
 
     UpstreamPool& pool;
     const kernel::Clock clock;
--- a/src/wasabiroad/traffic/session.cpp
+++ b/src/wasabiroad/traffic/session.cpp
@@ -128,23 +128,30 @@
 
 asio::awaitable<boost::system::error_code> Session::readMessage(Parser& parser)
 {
+    // Most requests arrive whole. Parsing what is there avoids an asynchronous operation with its
+    // timer and its post for the header and another one for the body.
     boost::system::error_code failed;
-    co_await beast::http::async_read_header(
-        this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
-    if (failed || parser.is_done()) {
-        co_return failed;
-    }
-    if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
-        constexpr std::string_view proceed { "HTTP/1.1 100 Continue\r\n\r\n" };
-        co_await asio::async_write(
-            this->stream, asio::buffer(proceed), asio::redirect_error(asio::use_awaitable, failed));
+    bool proceeded = false;
+    parser.eager(true);
+    while (true) {
+        this->buffer.consume(parser.put(this->buffer.data(), failed));
+        if (parser.is_done() || (failed && failed != beast::http::error::need_more)) {
+            co_return failed;
+        }
+        if (parser.is_header_done() && !proceeded
+            && beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
+            constexpr std::string_view proceed { "HTTP/1.1 100 Continue\r\n\r\n" };
+            proceeded = true;
+            co_await asio::async_write(
+                this->stream, asio::buffer(proceed), asio::redirect_error(asio::use_awaitable, failed));
+        }
+        const auto received = co_await this->stream.async_read_some(
+            this->buffer.prepare(firstReadBytes), asio::redirect_error(asio::use_awaitable, failed));
         if (failed) {
             co_return failed;
         }
+        this->buffer.commit(received);
     }
-    co_await beast::http::async_read(
-        this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
-    co_return failed;
 }
 
 asio::awaitable<bool> Session::readRequest(Parser& parser)
