--- a/src/wasabiroad/admission/dispatcher.cpp
+++ b/src/wasabiroad/admission/dispatcher.cpp
@@ -127,7 +127,7 @@
         this->slots.shortArrived(service.pool, now);
     }
     const auto handle = this->table[index].handle;
-    const auto wait = service.queue.expectedWait(workClass);
+    const auto wait = expectedWait(service, workClass);
     enqueue(index, Lane::End::Tail);
     serve(found->second, Part::All, now, decisions);
     if (this->table.find(handle) && this->table[index].phase == Phase::Queued) {
@@ -283,7 +283,7 @@
     }
     if (!service.retries.take(now, service.retryPercent)) {
         refuseAndRelease(index, ResultCode::RetryBudgetExhausted, decisions,
-            retryAfter(service.queue.expectedWait(record.workClass), this->random()));
+            retryAfter(expectedWait(service, record.workClass), this->random()));
         return;
     }
     this->table.setPhase(index, Phase::Delayed);
@@ -528,6 +528,11 @@
     }
 }
 
+double Dispatcher::expectedWait(const ServiceState& service, WorkClass workClass) const
+{
+    return service.queue.expectedWait(workClass, this->slots.reserved(service.pool, queuePolicy()));
+}
+
 OperationState& Dispatcher::operationOf(const Record& record)
 {
     return this->services[record.facts->service].operations[record.facts->operation];
--- a/src/wasabiroad/admission/dispatcher.hpp
+++ b/src/wasabiroad/admission/dispatcher.hpp
@@ -109,6 +109,7 @@
     void retry(RecordIndex index, kernel::ResultCode exhausted, kernel::Instant now, Decisions& decisions);
 
     std::uint64_t sequence() const { return this->snapshot ? this->snapshot->sequence : 0; }
+    double expectedWait(const ServiceState& service, WorkClass workClass) const;
     OperationState& operationOf(const Record& record);
     const model::QueuePolicy& queuePolicy() const { return this->snapshot->policies.queue; }
 
--- a/src/wasabiroad/admission/service_queue.cpp
+++ b/src/wasabiroad/admission/service_queue.cpp
@@ -100,12 +100,15 @@
     }
 }
 
-double ServiceQueue::expectedWait(WorkClass workClass) const
+double ServiceQueue::expectedWait(WorkClass workClass, std::uint32_t reserved) const
 {
     // Each slot that a class holds works off one ms of its queue in a ms; short work that ends is
-    // followed by short work, and long by long.
+    // followed by short work, and long by long. A class that has just begun to queue holds few slots.
     const auto index = static_cast<std::size_t>(workClass);
-    return this->queuedWork[index] / std::max(1U, this->running[index]);
+    const auto held = this->running[index];
+    const auto all = this->running[0] + this->running[1];
+    const auto slots = workClass == WorkClass::Short ? std::max(held, reserved) : (held > 0 ? held : all);
+    return this->queuedWork[index] / std::max(1U, slots);
 }
 
 void ServiceQueue::countRunning(WorkClass workClass, int change)
--- a/src/wasabiroad/admission/service_queue.hpp
+++ b/src/wasabiroad/admission/service_queue.hpp
@@ -71,8 +71,11 @@
     std::size_t size() const { return this->counts[0] + this->counts[1]; }
     std::size_t size(WorkClass workClass) const { return this->counts[static_cast<std::size_t>(workClass)]; }
 
-    /** @return Expected wait in ms of a request that joins the lanes of a class. */
-    double expectedWait(WorkClass workClass) const;
+    /**
+     * @return Expected wait in ms of a request that joins the lanes of a class.
+     * @param reserved Slots of the own pool that long work leaves to short work.
+     */
+    double expectedWait(WorkClass workClass, std::uint32_t reserved) const;
 
     /** @brief Counts a running request of a class, or with -1 the end of one. */
     void countRunning(WorkClass workClass, int change);
--- a/src/wasabiroad/admission/slot_table.cpp
+++ b/src/wasabiroad/admission/slot_table.cpp
@@ -172,6 +172,12 @@
     return std::nullopt;
 }
 
+std::uint32_t SlotTable::reserved(std::uint32_t pool, const model::QueuePolicy& policy) const
+{
+    const auto usable = this->poolStates[pool].usable;
+    return usable - longLimit(policy, usable, true);
+}
+
 std::uint32_t SlotTable::freeUpstreams(const Tier& tier) const
 {
     std::uint32_t count = 0;
--- a/src/wasabiroad/admission/slot_table.hpp
+++ b/src/wasabiroad/admission/slot_table.hpp
@@ -49,6 +49,9 @@
     std::optional<std::uint32_t> choose(
         const Tier& tier, const model::PlacementPolicy& policy, std::uint64_t draw, std::uint32_t avoid);
 
+    /** @return Slots of a pool that long work leaves to short work while short work arrives. */
+    std::uint32_t reserved(std::uint32_t pool, const model::QueuePolicy& policy) const;
+
     /** @return Number of upstreams of a tier with a free slot. */
     std::uint32_t freeUpstreams(const Tier& tier) const;
 
@@ -81,9 +84,6 @@
     /** @brief Lets probes through to upstreams whose ejection has ended. @return Whether there are any. */
     bool readmit(kernel::Instant now);
 
-    /** @return Number of upstreams that are ejected or on probation in a pool. */
-    std::uint32_t ejected(std::uint32_t pool) const { return this->poolStates[pool].ejected; }
-
 private:
     struct Upstream {
         model::VmId vm {};
--- a/src/wasabiroad/bench/decision_cost.cpp
+++ b/src/wasabiroad/bench/decision_cost.cpp
@@ -203,6 +203,36 @@
         (heldBytes.load() - before) / queuedRequests);
 }
 
+/** Times the removal of queued requests, all at once, by their callers or by their deadline. */
+void measureRemoval(const Size& size)
+{
+    constexpr std::uint32_t queuedRequests = 100'000;
+    const auto requests = requestsOf(size);
+    for (const bool byDeadline : { false, true }) {
+        admission::Dispatcher dispatcher { 1 };
+        dispatcher.update(snapshotOf(size), { 1 });
+        std::vector<admission::Handle> handles;
+        std::size_t next = 0;
+        while (dispatcher.queued() < queuedRequests) {
+            handles.push_back(dispatcher.submit(requests[next++ % requests.size()], { 1 }).handle);
+        }
+        const auto queued = dispatcher.queued();
+        const auto start = std::chrono::steady_clock::now();
+        if (byDeadline) {
+            dispatcher.expire({ 2'000'000'000'000 });
+        } else {
+            for (const auto handle : handles) {
+                dispatcher.cancel(handle);
+            }
+        }
+        const auto elapsed = std::chrono::steady_clock::now() - start;
+        std::printf("upstreams=%u removed=%zu left=%zu ns_per_%s=%lld\n", size.upstreams,
+            queued - dispatcher.queued(), dispatcher.queued(), byDeadline ? "expiry" : "cancellation",
+            static_cast<long long>(
+                std::chrono::duration_cast<std::chrono::nanoseconds>(elapsed).count() / queuedRequests));
+    }
+}
+
 } // namespace
 
 int main()
@@ -214,6 +244,7 @@
     for (const Size& size : { Size { 50, 5, 20, 100, 0 }, Size { 2800, 29, 260, 100, 0 } }) {
         measureUpdate(size);
         measureMemory(size);
+        measureRemoval(size);
     }
     return 0;
 }
--- a/test/wasabiroad/admission/dispatcher_properties.cpp
+++ b/test/wasabiroad/admission/dispatcher_properties.cpp
@@ -53,7 +53,7 @@
         } else if (choice == 8 && !this->waiting.empty()) {
             cancel(pick);
         } else if (choice == 9 && pick % 20 == 0) {
-            apply(this->dispatcher.update(test::snapshotOf(this->row.site), { this->time }));
+            update(pick / 20 % 2 == 0);
         } else {
             apply(this->dispatcher.expire({ this->time }));
         }
@@ -61,9 +61,19 @@
         RC_ASSERT(this->dispatcher.running() == this->running.size());
     }
 
+    /** A smaller site lacks one VM and names the others of pool `b` differently. */
+    void update(bool smaller)
+    {
+        const auto& site = this->row.site;
+        apply(this->dispatcher.update(test::snapshotOf({ site.upstreamsA - (smaller ? 1 : 0), site.upstreamsB,
+                                          site.slots, site.queue }),
+            { this->time }));
+    }
+
     /** Ends all work and fills all slots again: none may be missing and none may be there twice. */
     void drain()
     {
+        update(false);
         while (!this->running.empty()) {
             const auto handle = this->running.begin()->first;
             this->running.erase(this->running.begin());
