--- a/src/wasabiroad/admission/dispatcher.cpp
+++ b/src/wasabiroad/admission/dispatcher.cpp
@@ -422,19 +422,24 @@
 
 void Dispatcher::servePool(std::uint32_t pool, kernel::Instant now, Decisions& decisions)
 {
-    if (queued() == 0 || pool >= this->users.size()) {
+    if (queued() == 0 || pool >= this->users.size() || !this->slots.anyFree(pool)) {
         return;
     }
     auto& poolUsers = this->users[pool];
+    const auto serveWhileFree = [&](std::uint32_t service, Part part) {
+        if (this->slots.anyFree(pool)) {
+            serve(service, part, now, decisions);
+        }
+    };
     const auto count = poolUsers.borrowers.size();
     // Borrowed slots of short work come back soon, so short work of all users goes before long work of
     // the owner; it counts against the bound of the owner's long work.
     for (const auto part : { Part::Urgent, Part::All }) {
         for (const auto owner : poolUsers.owners) {
-            serve(owner, part, now, decisions);
+            serveWhileFree(owner, part);
         }
         for (std::size_t step = 0; step < count; ++step) {
-            serve(poolUsers.borrowers[(poolUsers.turn + step) % count], part, now, decisions);
+            serveWhileFree(poolUsers.borrowers[(poolUsers.turn + step) % count], part);
         }
     }
     poolUsers.turn = count == 0 ? 0 : (poolUsers.turn + 1) % count;
--- a/src/wasabiroad/admission/slot_table.cpp
+++ b/src/wasabiroad/admission/slot_table.cpp
@@ -159,6 +159,9 @@
     for (std::uint32_t position = 0; position < route.size(); ++position) {
         const auto& tier = route[position];
         const auto& pool = this->poolStates[tier.pool];
+        if (pool.free == 0) {
+            continue;
+        }
         if (limited) {
             const bool shortExpected = pool.lastShort && now - *pool.lastShort < shortIdle;
             if (pool.longRunning >= longLimit(policy, pool.usable, shortExpected)) {
@@ -315,11 +318,14 @@
         return 0;
     }();
     auto& group = this->free[upstream.group];
+    auto& pool = this->poolStates[upstream.pool];
+    pool.free -= group.count();
     if (upstream.accepting && upstream.outstanding < limit) {
         group.offer(upstream.member, upstream.outstanding);
     } else {
         group.withdraw(upstream.member);
     }
+    pool.free += group.count();
 }
 
 } // namespace wasabiroad::admission
--- a/src/wasabiroad/admission/slot_table.hpp
+++ b/src/wasabiroad/admission/slot_table.hpp
@@ -49,6 +49,9 @@
     std::optional<std::uint32_t> choose(
         const Tier& tier, const model::PlacementPolicy& policy, std::uint64_t draw, std::uint32_t avoid);
 
+    /** @return Whether an upstream of the pool has a free slot. */
+    bool anyFree(std::uint32_t pool) const { return this->poolStates[pool].free > 0; }
+
     /** @return Slots of a pool that long work leaves to short work while short work arrives. */
     std::uint32_t reserved(std::uint32_t pool, const model::QueuePolicy& policy) const;
 
@@ -107,6 +110,8 @@
         /** @brief Slots of upstreams that accept work and are not ejected. */
         std::uint32_t usable { 0 };
         std::uint32_t longRunning { 0 };
+        /** @brief Upstreams with a free slot. */
+        std::uint32_t free { 0 };
         std::optional<kernel::Instant> lastShort {};
     };
     struct Group {
