--- a/src/wasabiroad/admission/dispatcher.cpp
+++ b/src/wasabiroad/admission/dispatcher.cpp
@@ -277,13 +277,19 @@
     auto& record = this->table[index];
     auto& service = this->services[record.facts->service];
     const auto release = now + retryDelay(record.attempts, this->random());
-    if (record.attempts >= maxAttempts || release >= record.facts->deadline) {
-        refuseAndRelease(index, exhausted, decisions, {}, "attempts or deadline used up");
+    if (record.attempts >= maxAttempts) {
+        refuseAndRelease(index, exhausted, decisions, {}, "attempts used up");
+        return;
+    }
+    if (release >= record.facts->deadline) {
+        refuseAndRelease(index, ResultCode::DeadlineExceeded, decisions, {}, "no time for a retry");
         return;
     }
     if (!service.retries.take(now, service.retryPercent)) {
-        refuseAndRelease(index, ResultCode::RetryBudgetExhausted, decisions,
-            retryAfter(expectedWait(service, record.workClass), this->random()));
+        // A caller must not take a request that may have run for one that it can simply send again.
+        const auto code = record.mayHaveRun ? exhausted : ResultCode::RetryBudgetExhausted;
+        refuseAndRelease(index, code, decisions,
+            retryAfter(expectedWait(service, record.workClass), this->random()), "retry budget used up");
         return;
     }
     this->table.setPhase(index, Phase::Delayed);
--- a/src/wasabiroad/admission/dispatcher.hpp
+++ b/src/wasabiroad/admission/dispatcher.hpp
@@ -57,6 +57,12 @@
     /** @brief Removes a request that is still queued; a granted one keeps its slot until `finish`. */
     void cancel(Handle handle);
 
+    /**
+     * @brief Places nothing on an upstream until a snapshot shows it as not accepting or no longer lists it.
+     * @return Whether this was not known before.
+     */
+    bool leaving(const model::VmId& vm) { return this->slots.leave(vm); }
+
     /** @brief Refuses queued requests whose deadline has passed and starts retries that are due. */
     Decisions expire(kernel::Instant now);
 
--- a/src/wasabiroad/admission/slot_table.cpp
+++ b/src/wasabiroad/admission/slot_table.cpp
@@ -38,6 +38,7 @@
     for (std::uint32_t index = 0; index < this->upstreams.size(); ++index) {
         auto& upstream = this->upstreams[index];
         if (!upstream.position) {
+            upstream.leaving = false;
             continue;
         }
         const Group key { upstream.pool, snapshot.upstreams[*upstream.position].sameZone,
@@ -62,10 +63,11 @@
     auto& upstream = this->upstreams[index];
     upstream.position = position;
     upstream.pool = poolIndex(view.pool);
-    upstream.slots = view.slots;
+    upstream.slots = std::min(view.slots, view.connections);
     upstream.memory = view.memory;
     upstream.accelerators = view.accelerators;
     upstream.accepting = view.accepting;
+    upstream.leaving = upstream.leaving && view.accepting;
     auto& pool = this->poolStates[upstream.pool];
     ++pool.upstreams;
     pool.ejected += upstream.health.admittance() == Admittance::Full ? 0 : 1;
@@ -73,6 +75,19 @@
     pool.longRunning += upstream.longRunning;
 }
 
+bool SlotTable::leave(const model::VmId& vm)
+{
+    const auto found = this->upstreamIndices.find(vm);
+    if (found == this->upstreamIndices.end() || this->upstreams[found->second].leaving) {
+        return false;
+    }
+    auto& upstream = this->upstreams[found->second];
+    this->poolStates[upstream.pool].usable -= usable(upstream) ? upstream.slots : 0;
+    upstream.leaving = true;
+    refresh(upstream);
+    return true;
+}
+
 void SlotTable::removeIdle()
 {
     for (std::uint32_t index = 0; index < this->upstreams.size(); ++index) {
@@ -281,7 +296,8 @@
 
 bool SlotTable::usable(const Upstream& upstream) const
 {
-    return upstream.position && upstream.accepting && upstream.health.admittance() == Admittance::Full;
+    return upstream.position && upstream.accepting && !upstream.leaving
+        && upstream.health.admittance() == Admittance::Full;
 }
 
 void SlotTable::setHealth(Upstream& upstream, const routing::UpstreamHealth& health)
@@ -320,7 +336,7 @@
     auto& group = this->free[upstream.group];
     auto& pool = this->poolStates[upstream.pool];
     pool.free -= group.count();
-    if (upstream.accepting && upstream.outstanding < limit) {
+    if (upstream.accepting && !upstream.leaving && upstream.outstanding < limit) {
         group.offer(upstream.member, upstream.outstanding);
     } else {
         group.withdraw(upstream.member);
--- a/src/wasabiroad/admission/slot_table.hpp
+++ b/src/wasabiroad/admission/slot_table.hpp
@@ -26,6 +26,10 @@
     /** @brief Takes over a snapshot; slots that are held are kept. */
     void update(const model::RoutingSnapshot& snapshot);
 
+    /** @brief Places nothing on an upstream until a snapshot shows that it leaves. @return Whether it is new.
+     */
+    bool leave(const model::VmId& vm);
+
     /** @return Tiers of a service for a requirement; empty when no VM of its pools meets it. */
     Route route(const model::ServiceView& view, const Requirement& requirement) const;
 
@@ -99,6 +103,8 @@
         std::uint32_t memory { 0 };
         std::uint32_t accelerators { 0 };
         bool accepting { false };
+        /** @brief Whether the upstream said that it leaves and the snapshot does not show it yet. */
+        bool leaving { false };
         std::uint32_t outstanding { 0 };
         std::uint32_t longRunning { 0 };
         routing::UpstreamHealth health {};
--- a/src/wasabiroad/bench/queue_policies.cpp
+++ b/src/wasabiroad/bench/queue_policies.cpp
@@ -175,7 +175,8 @@
     for (std::uint32_t index = 0; index < total; ++index) {
         upstreams.emplace_back(model::UpstreamView { .vm = model::VmId { "vm-" + std::to_string(index) },
             .pool = pool(index / upstreamsPerPool),
-            .slots = slotsPerUpstream });
+            .slots = slotsPerUpstream,
+            .connections = slotsPerUpstream });
     }
     for (std::uint32_t index = 0; index < serviceCount; ++index) {
         std::vector<std::uint32_t> own(upstreamsPerPool);
--- a/src/wasabiroad/control/events.hpp
+++ b/src/wasabiroad/control/events.hpp
@@ -51,12 +51,21 @@
     friend auto operator<=>(const LeavingVmsChanged&, const LeavingVmsChanged&) = default;
 };
 
-/** @brief Number of live entry VMs, this one included. */
+/** @brief Live entry VMs, this one included. */
 struct MembershipChanged {
-    const std::uint32_t entriesInZone { 1 };
+    /** @brief Live entry VMs of this daemon's availability zone, itself included; empty when it has no peers.
+     */
+    const std::vector<model::EntryId> zoneEntries {};
     const std::uint32_t entriesInSite { 1 };
 
     friend auto operator<=>(const MembershipChanged&, const MembershipChanged&) = default;
 };
 
+/** @brief An upstream said in an answer that it leaves; published once until the snapshot shows it. */
+struct UpstreamLeaving {
+    const model::VmId vm;
+
+    friend auto operator<=>(const UpstreamLeaving&, const UpstreamLeaving&) = default;
+};
+
 } // namespace wasabiroad::control
