--- a/src/wasabiroad/admission/dispatcher.cpp
+++ b/src/wasabiroad/admission/dispatcher.cpp
@@ -259,37 +259,40 @@
         this->table.release(index);
         return;
     case Outcome::NotStarted:
+        // Nothing ran, so another try adds no work to the upstreams; the delay and the number of tries bound
+        // it.
         retry(index, ResultCode::NoUpstream, now, decisions);
         return;
     case Outcome::Lost:
-        record.mayHaveRun = true;
-        if (record.facts->idempotent) {
-            retry(index, ResultCode::OutcomeUnknown, now, decisions);
-        } else {
-            refuseAndRelease(index, ResultCode::OutcomeUnknown, decisions);
-        }
+        settleLost(index, now, decisions);
         return;
     }
 }
 
-void Dispatcher::retry(RecordIndex index, ResultCode exhausted, kernel::Instant now, Decisions& decisions)
+void Dispatcher::settleLost(RecordIndex index, kernel::Instant now, Decisions& decisions)
 {
     auto& record = this->table[index];
     auto& service = this->services[record.facts->service];
-    const auto release = now + retryDelay(record.attempts, this->random());
+    record.mayHaveRun = true;
+    if (!record.facts->idempotent) {
+        refuseAndRelease(index, ResultCode::OutcomeUnknown, decisions);
+    } else if (now < record.facts->deadline && !service.retries.take(now, service.retryPercent)) {
+        refuseAndRelease(index, ResultCode::OutcomeUnknown, decisions, {}, "retry budget used up");
+    } else {
+        retry(index, ResultCode::OutcomeUnknown, now, decisions);
+    }
+}
+
+void Dispatcher::retry(RecordIndex index, ResultCode exhausted, kernel::Instant now, Decisions& decisions)
+{
+    const auto& record = this->table[index];
     if (record.attempts >= maxAttempts) {
         refuseAndRelease(index, exhausted, decisions, {}, "attempts used up");
         return;
     }
+    const auto release = now + retryDelay(record.attempts, this->random());
     if (release >= record.facts->deadline) {
-        refuseAndRelease(index, ResultCode::DeadlineExceeded, decisions, {}, "no time for a retry");
-        return;
-    }
-    if (!service.retries.take(now, service.retryPercent)) {
-        // A caller must not take a request that may have run for one that it can simply send again.
-        const auto code = record.mayHaveRun ? exhausted : ResultCode::RetryBudgetExhausted;
-        refuseAndRelease(index, code, decisions,
-            retryAfter(expectedWait(service, record.workClass), this->random()), "retry budget used up");
+        refuseAndRelease(index, ResultCode::DeadlineExceeded, decisions, {}, "no time for another attempt");
         return;
     }
     this->table.setPhase(index, Phase::Delayed);
--- a/src/wasabiroad/admission/dispatcher.hpp
+++ b/src/wasabiroad/admission/dispatcher.hpp
@@ -47,8 +47,8 @@
      * @brief Gives back the slot of a granted request.
      *
      * A request that did not start returns to the head of its queue after a delay. One that was lost is
-     * tried again when it is idempotent, and is otherwise `Unresolved`. Both need the retry budget of
-     * the service. Other outcomes end the request.
+     * tried again when it is idempotent and the retry budget of the service allows it, and is otherwise
+     * `Unresolved`. Other outcomes end the request.
      * @param handle Handle of the granted request.
      * @param outcome How the attempt ended.
      */
@@ -61,7 +61,7 @@
      * @brief Places nothing on an upstream until a snapshot shows it as not accepting or no longer lists it.
      * @return Whether this was not known before.
      */
-    bool leaving(const model::VmId& vm) { return this->slots.leave(vm); }
+    bool leaving(const model::VmId& vm) { return this->slots.leaving(vm); }
 
     /** @brief Refuses queued requests whose deadline has passed and starts retries that are due. */
     Decisions expire(kernel::Instant now);
@@ -112,6 +112,7 @@
     void learnSuccess(const Record& record, kernel::Instant now);
     void learnFailure(const Record& record, kernel::Instant now);
     void settle(RecordIndex index, Outcome outcome, kernel::Instant now, Decisions& decisions);
+    void settleLost(RecordIndex index, kernel::Instant now, Decisions& decisions);
     void retry(RecordIndex index, kernel::ResultCode exhausted, kernel::Instant now, Decisions& decisions);
 
     std::uint64_t sequence() const { return this->snapshot ? this->snapshot->sequence : 0; }
--- a/src/wasabiroad/admission/retry_budget.cpp
+++ b/src/wasabiroad/admission/retry_budget.cpp
@@ -4,9 +4,8 @@
 
 namespace {
 
-/** Retries in ten seconds that a service with few requests may always make: enough for all attempts of one.
- */
-constexpr std::uint64_t floorOfRetries = 10;
+/** Retries in ten seconds that a service with few requests may always make. */
+constexpr std::uint64_t floorOfRetries = 5;
 
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
--- a/src/wasabiroad/admission/slot_table.cpp
+++ b/src/wasabiroad/admission/slot_table.cpp
@@ -75,7 +75,7 @@
     pool.longRunning += upstream.longRunning;
 }
 
-bool SlotTable::leave(const model::VmId& vm)
+bool SlotTable::leaving(const model::VmId& vm)
 {
     const auto found = this->upstreamIndices.find(vm);
     if (found == this->upstreamIndices.end() || this->upstreams[found->second].leaving) {
--- a/src/wasabiroad/admission/slot_table.hpp
+++ b/src/wasabiroad/admission/slot_table.hpp
@@ -26,9 +26,11 @@
     /** @brief Takes over a snapshot; slots that are held are kept. */
     void update(const model::RoutingSnapshot& snapshot);
 
-    /** @brief Places nothing on an upstream until a snapshot shows that it leaves. @return Whether it is new.
+    /**
+     * @brief Takes an upstream out of use until a snapshot shows it as not accepting or no longer lists it.
+     * @return Whether this was not known before.
      */
-    bool leave(const model::VmId& vm);
+    bool leaving(const model::VmId& vm);
 
     /** @return Tiers of a service for a requirement; empty when no VM of its pools meets it. */
     Route route(const model::ServiceView& view, const Requirement& requirement) const;
--- a/src/wasabiroad/launch/site.hpp
+++ b/src/wasabiroad/launch/site.hpp
@@ -42,7 +42,8 @@
     /** @brief Starts all processes. @return The site. Errors: PeerUnreachable, and those of the manifest. */
     static kernel::Expected<std::unique_ptr<Site>> start(const SiteOptions& options);
 
-    /** @brief Puts the manifest in force with the operators' tool and waits until each daemon adopted it. */
+    /** @brief Puts the manifest in force with the operators' tool and waits until it is in force in each
+     * daemon. */
     kernel::Expected<void> apply(kernel::Duration timeout = { 20000 });
 
     /** @brief Starts one more daemon. */
--- a/src/wasabiroad/traffic/front_end.hpp
+++ b/src/wasabiroad/traffic/front_end.hpp
@@ -2,6 +2,7 @@
 
 #include "wasabiroad/kernel/threads.hpp"
 #include "wasabiroad/traffic/session.hpp"
+#include "wasabiroad/traffic/snapshot_progress.hpp"
 
 #include <unordered_map>
 
@@ -20,8 +21,11 @@
     /** @brief Sets who is told on the control thread when an upstream first says that it leaves. */
     void observeLeaving(DispatchPort::LeavingObserver observer);
 
+    /** @brief Called on the control thread when all traffic threads use a snapshot. */
+    using InUseObserver = std::function<void(std::uint64_t sequence)>;
+
     /** @brief Hands routing snapshots to all threads. */
-    void subscribe(kernel::Publisher<model::RoutingSnapshot>& publisher);
+    void subscribe(kernel::Publisher<model::RoutingSnapshot>& publisher, InUseObserver observer);
 
     /**
      * @brief Stops gracefully.
@@ -54,6 +58,7 @@
     std::vector<std::unique_ptr<Lane>> lanes {};
     DispatchPort port;
     const Environment environment;
+    SnapshotProgress progress;
     std::size_t lanesToDrain { 0 };
 };
 
