--- a/src/wasabiroad/bench/queue_policies.cpp
+++ b/src/wasabiroad/bench/queue_policies.cpp
@@ -109,6 +109,8 @@
 
 /** @brief Measurements of one run. */
 struct Result {
+    /** @brief End of the arrivals; work that ends later does not count as goodput. */
+    double until { 0 };
     std::vector<double> shortWaits {};
     double longResponse { 0 };
     double longSlowdown { 0 };
@@ -128,14 +130,17 @@
 
     void ended(const Arrival& arrival, double now)
     {
-        if (arrival.at < warmUp) {
+        if (now < warmUp) {
             return;
         }
-        if (arrival.isLong) {
+        if (arrival.isLong && arrival.at >= warmUp) {
             this->longResponse += now - arrival.at;
             this->longSlowdown += (now - arrival.at) / arrival.run;
             ++this->longCount;
         }
+        if (now > this->until) {
+            return;
+        }
         if (now <= arrival.deadline) {
             ++this->good;
             this->goodWork += arrival.run;
@@ -207,6 +212,7 @@
     DispatcherRun(const model::Policies& policies, const Load& load)
         : arrivals(load)
         , dispatcher(load.seed + 1)
+        , result { .until = load.length }
     {
         apply(this->dispatcher.update(snapshotOf(policies), {}));
     }
@@ -285,7 +291,7 @@
 
     Arrivals arrivals;
     admission::Dispatcher dispatcher;
-    Result result {};
+    Result result;
     std::unordered_map<std::uint64_t, Arrival> open {};
     std::priority_queue<End, std::vector<End>, std::greater<>> ends {};
     double now { 0 };
@@ -303,7 +309,7 @@
     std::deque<Arrival> all;
     std::priority_queue<const Arrival*, std::vector<const Arrival*>, Later> waiting;
     std::priority_queue<End, std::vector<End>, std::greater<>> ends;
-    Result result;
+    Result result { .until = load.length };
     while (auto arrival = arrivals.next()) {
         all.emplace_back(*arrival);
         result.offered += arrival->at >= warmUp ? 1 : 0;
