--- a/src/wasabiroad/routing/operation_health.cpp
+++ b/src/wasabiroad/routing/operation_health.cpp
@@ -36,6 +36,10 @@
 
 void OperationHealth::suspend(kernel::Instant now)
 {
+    // Attempts that were running when the suspension began say nothing new about the operation.
+    if (this->until && now < *this->until) {
+        return;
+    }
     this->until = now + firstSuspension * (std::int64_t { 1 } << std::min(this->suspensions, doublings));
     ++this->suspensions;
 }
--- a/src/wasabiroad/routing/operation_health.hpp
+++ b/src/wasabiroad/routing/operation_health.hpp
@@ -29,7 +29,7 @@
      * operation. */
     std::optional<kernel::Instant> failingSince() const { return this->since; }
 
-    /** @brief Suspends the operation, each time for twice as long. */
+    /** @brief Suspends the operation, each time for twice as long, unless it is suspended already. */
     void suspend(kernel::Instant now);
 
     /** @return Whether a request must be refused; after the suspension one at a time is let through. */
--- a/test/wasabiroad/routing/operation_health.cpp
+++ b/test/wasabiroad/routing/operation_health.cpp
@@ -41,4 +41,30 @@
     BOOST_TEST(blamed == row.blamed);
 }
 
+struct SuspensionRow {
+    const char* const failure;
+    /** @brief Instants of suspensions. */
+    const std::vector<std::int64_t> suspendedAt;
+    /** @brief Time that remains at the last of these instants. */
+    const std::int64_t remaining;
+};
+
+std::ostream& operator<<(std::ostream& stream, const SuspensionRow& row) { return stream << row.failure; }
+
+const std::vector<SuspensionRow> suspensionRows {
+    { "the first suspension is too long", { 1000 }, 5000 },
+    { "failures of attempts in flight lengthen a suspension", { 1000, 1001, 1002, 2000 }, 4000 },
+    { "a failed probe does not lengthen the next one", { 1000, 6000 }, 10000 },
+    { "suspensions have no bound", { 0, 100'000, 200'000, 300'000, 400'000, 500'000 }, 80000 },
+};
+
+BOOST_DATA_TEST_CASE(suspensions, boost::unit_test::data::make(suspensionRows), row)
+{
+    routing::OperationHealth health;
+    for (const auto instant : row.suspendedAt) {
+        health.suspend({ instant });
+    }
+    BOOST_TEST(health.remaining({ row.suspendedAt.back() }).milliseconds == row.remaining);
+}
+
 } // namespace
