--- a/src/wasabiroad/admission/dispatcher.cpp
+++ b/src/wasabiroad/admission/dispatcher.cpp
@@ -127,7 +127,7 @@
         this->slots.shortArrived(service.pool, now);
     }
     const auto handle = this->table[index].handle;
-    const auto wait = service.queue.expectedWait(workClass);
+    const auto wait = expectedWait(service, workClass);
     enqueue(index, Lane::End::Tail);
     serve(found->second, Part::All, now, decisions);
     if (this->table.find(handle) && this->table[index].phase == Phase::Queued) {
@@ -431,19 +431,24 @@
 
 void Dispatcher::servePool(std::uint32_t pool, kernel::Instant now, Decisions& decisions)
 {
-    if (queued() == 0 || pool >= this->users.size()) {
+    if (queued() == 0 || pool >= this->users.size() || !this->slots.anyFree(pool)) {
         return;
     }
     auto& poolUsers = this->users[pool];
+    const auto serveWhileFree = [&](std::uint32_t service, Part part) {
+        if (this->slots.anyFree(pool)) {
+            serve(service, part, now, decisions);
+        }
+    };
     const auto count = poolUsers.borrowers.size();
     // Borrowed slots of short work come back soon, so short work of all users goes before long work of
     // the owner; it counts against the bound of the owner's long work.
     for (const auto part : { Part::Urgent, Part::All }) {
         for (const auto owner : poolUsers.owners) {
-            serve(owner, part, now, decisions);
+            serveWhileFree(owner, part);
         }
         for (std::size_t step = 0; step < count; ++step) {
-            serve(poolUsers.borrowers[(poolUsers.turn + step) % count], part, now, decisions);
+            serveWhileFree(poolUsers.borrowers[(poolUsers.turn + step) % count], part);
         }
     }
     poolUsers.turn = count == 0 ? 0 : (poolUsers.turn + 1) % count;
@@ -537,6 +542,11 @@
     }
 }
 
+double Dispatcher::expectedWait(const ServiceState& service, WorkClass workClass) const
+{
+    return service.queue.expectedWait(workClass, this->slots.reserved(service.pool, queuePolicy()));
+}
+
 OperationState& Dispatcher::operationOf(const Record& record)
 {
     return this->services[record.facts->service].operations[record.facts->operation];
--- a/src/wasabiroad/admission/slot_table.cpp
+++ b/src/wasabiroad/admission/slot_table.cpp
@@ -38,6 +38,7 @@
     for (std::uint32_t index = 0; index < this->upstreams.size(); ++index) {
         auto& upstream = this->upstreams[index];
         if (!upstream.position) {
+            upstream.leaving = false;
             continue;
         }
         const Group key { upstream.pool, snapshot.upstreams[*upstream.position].sameZone,
@@ -65,8 +66,8 @@
     upstream.slots = std::min(view.slots, view.connections);
     upstream.memory = view.memory;
     upstream.accelerators = view.accelerators;
+    upstream.accepting = view.accepting;
     upstream.leaving = upstream.leaving && view.accepting;
-    upstream.accepting = view.accepting && !upstream.leaving;
     auto& pool = this->poolStates[upstream.pool];
     ++pool.upstreams;
     pool.ejected += upstream.health.admittance() == Admittance::Full ? 0 : 1;
@@ -81,11 +82,8 @@
         return false;
     }
     auto& upstream = this->upstreams[found->second];
-    if (upstream.position && usable(upstream)) {
-        this->poolStates[upstream.pool].usable -= upstream.slots;
-    }
+    this->poolStates[upstream.pool].usable -= usable(upstream) ? upstream.slots : 0;
     upstream.leaving = true;
-    upstream.accepting = false;
     refresh(upstream);
     return true;
 }
@@ -176,6 +174,9 @@
     for (std::uint32_t position = 0; position < route.size(); ++position) {
         const auto& tier = route[position];
         const auto& pool = this->poolStates[tier.pool];
+        if (pool.free == 0) {
+            continue;
+        }
         if (limited) {
             const bool shortExpected = pool.lastShort && now - *pool.lastShort < shortIdle;
             if (pool.longRunning >= longLimit(policy, pool.usable, shortExpected)) {
@@ -189,6 +190,12 @@
     return std::nullopt;
 }
 
+std::uint32_t SlotTable::reserved(std::uint32_t pool, const model::QueuePolicy& policy) const
+{
+    const auto usable = this->poolStates[pool].usable;
+    return usable - longLimit(policy, usable, true);
+}
+
 std::uint32_t SlotTable::freeUpstreams(const Tier& tier) const
 {
     std::uint32_t count = 0;
@@ -289,7 +296,8 @@
 
 bool SlotTable::usable(const Upstream& upstream) const
 {
-    return upstream.position && upstream.accepting && upstream.health.admittance() == Admittance::Full;
+    return upstream.position && upstream.accepting && !upstream.leaving
+        && upstream.health.admittance() == Admittance::Full;
 }
 
 void SlotTable::setHealth(Upstream& upstream, const routing::UpstreamHealth& health)
@@ -326,11 +334,14 @@
         return 0;
     }();
     auto& group = this->free[upstream.group];
-    if (upstream.accepting && upstream.outstanding < limit) {
+    auto& pool = this->poolStates[upstream.pool];
+    pool.free -= group.count();
+    if (upstream.accepting && !upstream.leaving && upstream.outstanding < limit) {
         group.offer(upstream.member, upstream.outstanding);
     } else {
         group.withdraw(upstream.member);
     }
+    pool.free += group.count();
 }
 
 } // namespace wasabiroad::admission
--- a/test/wasabiroad/admission/dispatcher.cpp
+++ b/test/wasabiroad/admission/dispatcher.cpp
@@ -45,10 +45,20 @@
     const Outcome outcome;
 };
 
+/** @brief An upstream says that it leaves. */
+struct Leave {
+    const char* const vm;
+};
+
+/** @brief A snapshot shows upstream `a0` in this state. */
+struct Show {
+    const bool accepting;
+};
+
 struct CancelQueued { };
 struct RefuseAll { };
 
-using Step = std::variant<Submit, Finish, Pass, Run, CancelQueued, RefuseAll>;
+using Step = std::variant<Submit, Finish, Pass, Run, Leave, Show, CancelQueued, RefuseAll>;
 
 struct Row {
     const char* const failure;
@@ -64,7 +74,11 @@
 
 class Play {
 public:
-    explicit Play(const Site& site) { note(this->dispatcher.update(test::snapshotOf(site), now())); }
+    explicit Play(const Site& itsSite)
+        : site(itsSite)
+    {
+        (*this)(Show { true });
+    }
 
     void operator()(const Submit& step)
     {
@@ -101,6 +115,11 @@
             this->dispatcher.finish(submission.handle, step.outcome, now());
         }
     }
+    void operator()(const Leave& step) { this->dispatcher.leaving(model::VmId { step.vm }); }
+    void operator()(const Show& step)
+    {
+        note(this->dispatcher.update(test::snapshotOf(this->site, step.accepting), now()));
+    }
     void operator()(const CancelQueued&)
     {
         for (const auto handle : this->handles) {
@@ -149,6 +168,7 @@
         }
     }
 
+    const Site site;
     std::int64_t time { 1'000'000 };
     std::vector<admission::Handle> handles {};
 };
@@ -211,6 +231,9 @@
         "1:own-pool 1:unresolved-outcome-unknown" },
     { "a lost idempotent request is not tried again", {},
         { check, Finish { 1, Outcome::Lost }, Pass { 100 } }, "1:own-pool 1:own-pool", 0, 1 },
+    { "a lost request whose deadline has passed is tried again", {},
+        { Submit { .deadlineAfter = 50 }, Pass { 100 }, Finish { 1, Outcome::Lost } },
+        "1:own-pool 1:unresolved-deadline-exceeded" },
     { "a retry starts without a delay", {}, { check, Finish { 1, Outcome::NotStarted } }, "1:own-pool", 1,
         0 },
     { "a request may have run and is refused as not run", { .retryPercent = 0 },
@@ -243,6 +266,10 @@
         { Run { 60, "check", Outcome::NotStarted }, Pass { 5000, Outcome::Abandoned },
             Submit { .times = 6 } },
         "1:own-pool 2:own-pool 3:own-pool 4:own-pool 5:own-pool", 1, 5 },
+    { "a leaving upstream gets work before a snapshot shows that it leaves", {},
+        { Leave { "a0" }, check, Show { true } }, "", 1, 0 },
+    { "an upstream that left never returns", {}, { Leave { "a0" }, check, Show { false }, Show { true } },
+        "1:own-pool", 0, 1 },
     { "cancelled requests stay in the queue", {},
         { check, Submit { .times = 1000 }, CancelQueued {}, Finish { 1 } }, "1:own-pool" },
     { "a shutdown leaves requests queued", {}, { check, check, render, RefuseAll {} },
--- a/test/wasabiroad/admission/site.hpp
+++ b/test/wasabiroad/admission/site.hpp
@@ -20,7 +20,7 @@
 };
 
 /** @return The site's snapshot. Operations: `check` is short, `render` is long, `huge` fits no VM. */
-inline model::RoutingSnapshotPointer snapshotOf(const Site& site)
+inline model::RoutingSnapshotPointer snapshotOf(const Site& site, bool firstAccepting = true)
 {
     using namespace model;
     std::vector<UpstreamView> upstreams;
@@ -31,8 +31,9 @@
         (inA ? poolA : poolB).push_back(index);
         upstreams.emplace_back(UpstreamView { .vm = VmId { (inA ? "a" : "b") + std::to_string(index) },
             .pool = PoolId { inA ? "a" : "b" },
+            .accepting = index > 0 || firstAccepting,
             .slots = site.slots,
-            .connections = site.slots,
+            .connections = 64,
             .memory = 64 });
     }
     const std::vector<Operation> operations { { .id = OperationId { "check" }, .declared = { 10 } },
