--- a/src/wasabiroad/bench/arrivals.hpp
+++ b/src/wasabiroad/bench/arrivals.hpp
@@ -28,7 +28,7 @@
     /** @brief Standard deviation of the logarithm of run times. */
     const double spread { 0.5 };
     /** @brief Whether operations that are not idempotent are part of the mix. */
-    const bool nonIdempotent { false };
+    const bool nonIdempotent { true };
 
     friend auto operator<=>(const LoadProfile&, const LoadProfile&) = default;
 };
--- a/src/wasabiroad/bench/experiment.cpp
+++ b/src/wasabiroad/bench/experiment.cpp
@@ -58,7 +58,7 @@
         .longPercent = reader.count("long-percent", defaults.longPercent),
         .longFactor = reader.count("long-factor", defaults.longFactor),
         .wrongPercent = reader.count("wrong-percent", defaults.wrongPercent),
-        .nonIdempotent = reader.flag("non-idempotent"),
+        .nonIdempotent = reader.flag("non-idempotent", true),
     };
 }
 
--- a/src/wasabiroad/bench/invocation.cpp
+++ b/src/wasabiroad/bench/invocation.cpp
@@ -16,7 +16,7 @@
         "long-percent", "Share of long work", value<std::uint32_t>()->default_value("5"))("long-factor",
         "Run time of long work relative to short work", value<std::uint32_t>()->default_value("50"))(
         "wrong-percent", "Share of wrong declarations", value<std::uint32_t>()->default_value("10"))(
-        "non-idempotent", "Include operations that are not idempotent");
+        "idempotent-only", "Leave out operations that are not idempotent");
 }
 
 LoadProfile profileOf(const cxxopts::ParseResult& arguments)
@@ -34,7 +34,7 @@
         .longPercent = arguments["long-percent"].as<std::uint32_t>(),
         .longFactor = arguments["long-factor"].as<std::uint32_t>(),
         .wrongPercent = arguments["wrong-percent"].as<std::uint32_t>(),
-        .nonIdempotent = arguments.count("non-idempotent") != 0,
+        .nonIdempotent = arguments.count("idempotent-only") == 0,
     };
 }
 
