--- a/src/wasabiroad/traffic/attempt.cpp
+++ b/src/wasabiroad/traffic/attempt.cpp
@@ -119,11 +119,10 @@
 asio::awaitable<std::variant<UpstreamConnectionPointer, AttemptResult>> Exchange::connect(
     const Attempt& attempt)
 {
-    // An idle connection can break between its check and its use, which leaves the outcome open.
-    if (attempt.request.idempotent) {
-        if (auto connection = this->pool.take(attempt.grant.address)) {
-            co_return connection;
-        }
+    // An idle connection can break between its check and its use, which leaves the outcome open. A new
+    // connection takes the place of an idle one, so that non-idempotent work does not add idle connections.
+    if (auto idle = this->pool.take(attempt.grant.address); idle && attempt.request.idempotent) {
+        co_return idle;
     }
     const auto endpoint = http::parseEndpoint(attempt.grant.address);
     if (!endpoint) {
