--- a/src/wasabiroad/control/snapshots.hpp
+++ b/src/wasabiroad/control/snapshots.hpp
@@ -21,13 +21,20 @@
     /** @return Current control state. Control thread only. */
     const ControlState& state() const { return *this->current; }
 
+    /** @return Configuration that all traffic threads use, or null. Control thread only. */
+    const ConfigurationPointer& inForce() const { return this->used; }
+
 private:
     void replace(ControlState state);
+    void use(std::uint64_t usedSequence);
 
     const Place place;
     std::shared_ptr<const ControlState> current { std::make_shared<const ControlState>() };
     kernel::Publisher<model::RoutingSnapshot> routing {};
     std::uint64_t sequence { 0 };
+    /** @brief Configurations of published snapshots that are not in use yet, by sequence. */
+    std::map<std::uint64_t, ConfigurationPointer> published {};
+    ConfigurationPointer used {};
 };
 
 } // namespace wasabiroad::control
--- a/src/wasabiroad/launch/site.cpp
+++ b/src/wasabiroad/launch/site.cpp
@@ -109,8 +109,8 @@
         return kernel::fail(ResultCode::PlatformRejected, "apply", "the tool reported no generation");
     }
     for (const auto& daemon : this->daemons) {
-        const auto adopted = "event=configuration-adopted generation=" + valueOf(*line, "generation") + " ";
-        if (!daemon->waitForLine(adopted, timeout)) {
+        const auto inForce = "event=configuration-in-force generation=" + valueOf(*line, "generation") + " ";
+        if (!daemon->waitForLine(inForce, timeout)) {
             return kernel::fail(ResultCode::NotInForceEverywhere, "apply", *line);
         }
     }
--- a/src/wasabiroad/operations/plugin.cpp
+++ b/src/wasabiroad/operations/plugin.cpp
@@ -31,7 +31,7 @@
     Status status() const
     {
         const auto settings = this->kernel.find<const settings::Settings>();
-        const auto& configuration = this->kernel.find<control::Snapshots>()->state().configuration;
+        const auto& configuration = this->kernel.find<control::Snapshots>()->inForce();
         return {
             .entry = settings->entry,
             .zone = settings->zone,
