--- a/src/wasabiroad/bench/demo_command.cpp
+++ b/src/wasabiroad/bench/demo_command.cpp
@@ -1,3 +1,4 @@
+#include "wasabiroad/bench/daemons.hpp"
 #include "wasabiroad/bench/invocation.hpp"
 #include "wasabiroad/bench/load.hpp"
 #include "wasabiroad/bench/report.hpp"
@@ -39,14 +40,16 @@
         return reportError(manifest.error());
     }
     std::cout << "starting the platform, 52 upstreams and 3 daemons on loopback" << std::endl;
-    const auto site = launch::Site::start(
-        { *manifest, { { "entry-a", "by-1" }, { "entry-b", "by-2" }, { "entry-c", "by-3" } } });
+    const auto site = launch::Site::start({ *manifest, makeDaemons({ "by-1", "by-2", "by-3" }) });
     if (!site) {
         return reportError(site.error());
     }
     if (const auto applied = (*site)->apply(); !applied) {
         return reportError(applied.error());
     }
+    if (const auto known = waitForMembership(**site); !known) {
+        return reportError(known.error());
+    }
     std::cout << "the manifest is in force; sending mixed short and long work" << std::endl;
     const auto observed = observe(targetOf(**site), profileOf(arguments), printProgress);
     if (!observed) {
--- a/src/wasabiroad/bench/experiment.cpp
+++ b/src/wasabiroad/bench/experiment.cpp
@@ -1,5 +1,6 @@
 #include "wasabiroad/bench/experiment.hpp"
 
+#include "wasabiroad/bench/daemons.hpp"
 #include "wasabiroad/bench/invocation.hpp"
 #include "wasabiroad/json/document.hpp"
 #include "wasabiroad/json/reader.hpp"
@@ -93,18 +94,17 @@
 kernel::Expected<Observations> runOnce(
     const Experiment& experiment, const Variant& variant, const std::string& manifest, std::uint64_t seed)
 {
-    std::vector<launch::DaemonOptions> daemons;
-    for (const auto& zone : experiment.daemons) {
-        daemons.emplace_back(
-            launch::DaemonOptions { "entry-" + zone + "-" + std::to_string(daemons.size()), zone });
-    }
-    const auto site = launch::Site::start({ withPolicies(manifest, variant.policies), daemons });
+    const auto site
+        = launch::Site::start({ withPolicies(manifest, variant.policies), makeDaemons(experiment.daemons) });
     if (!site) {
         return tl::unexpected(site.error());
     }
     if (const auto applied = (*site)->apply(); !applied) {
         return tl::unexpected(applied.error());
     }
+    if (const auto known = waitForMembership(**site); !known) {
+        return tl::unexpected(known.error());
+    }
     for (const auto& fault : experiment.faults) {
         const auto set
             = launch::send({ .address = (*site)->upstreamsAdmin(), .target = "/behaviour?" + fault });
