--- a/src/wasabiroad/bench/daemons.cpp
+++ b/src/wasabiroad/bench/daemons.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <unistd.h>
 #include <zmq.h>
 
 namespace wasabiroad::bench {
@@ -24,12 +25,17 @@
     const std::string secretKey;
 };
 
-/** Daemons must know each other's ports before they start; the port was free a moment ago. */
+/**
+ * Daemons must know each other's ports before they start; the port was free a moment ago. A loopback
+ * address of this process keeps other processes from taking the port meanwhile.
+ */
 std::string reserveAddress()
 {
+    const auto id = static_cast<unsigned>(::getpid());
+    const boost::asio::ip::address_v4 host { { 127, static_cast<unsigned char>(64 + (id >> 16U) % 128),
+        static_cast<unsigned char>((id >> 8U) % 256), static_cast<unsigned char>(1 + id % 254) } };
     boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor { context,
-        { boost::asio::ip::make_address("127.0.0.1"), 0 } };
+    const boost::asio::ip::tcp::acceptor acceptor { context, { host, 0 } };
     return http::toText(acceptor.local_endpoint());
 }
 
