--- a/src/wasabiroad/peer/node.cpp
+++ b/src/wasabiroad/peer/node.cpp
@@ -26,6 +26,10 @@
 /** Ticks between two repetitions of the list of leaving VMs and of the message counts: 5 s. */
 constexpr std::uint64_t repeatTicks = 20;
 
+/** A connection without a known key is tried again several times a second; the log takes one line. */
+constexpr kernel::Duration rejectedLogInterval { 10000 };
+constexpr std::size_t maxRejectedAddresses = 256;
+
 /** True at each tick at which the messages of one kind of link are due. */
 bool isDue(std::uint64_t tick, const Timing& timing)
 {
@@ -99,12 +103,7 @@
         this->transport = std::make_unique<Transport>(
             this->kernel.threads().control(), transportOptionsOf(*this->settings->peers),
             [this](const EntryId& sender, std::string_view bytes) { receive(sender, bytes); },
-            [this](const std::string& address) {
-                const auto code = ResultCode::PeerUnauthenticated;
-                this->metrics->count("wasabiroad_peer_rejected_total", {});
-                logEvent("peer-rejected",
-                    { { "address", address }, { "code", number(code) }, { "reason", kernel::name(code) } });
-            });
+            [this](const std::string& address) { reportRejected(address); });
         const auto address = this->transport->start();
         if (!address) {
             return tl::unexpected(address.error());
@@ -266,6 +265,20 @@
     }
 }
 
+void Node::reportRejected(const std::string& address)
+{
+    this->metrics->count("wasabiroad_peer_rejected_total", {});
+    const auto now = steadyNow();
+    std::erase_if(this->rejectedUntil, [&](const auto& entry) { return entry.second <= now; });
+    if (this->rejectedUntil.size() >= maxRejectedAddresses
+        || !this->rejectedUntil.try_emplace(address, now + rejectedLogInterval).second) {
+        return;
+    }
+    const auto code = ResultCode::PeerUnauthenticated;
+    logEvent("peer-rejected",
+        { { "address", address }, { "code", number(code) }, { "reason", kernel::name(code) } });
+}
+
 void Node::receive(const EntryId& sender, std::string_view bytes)
 {
     const auto envelope = decode(bytes);
--- a/src/wasabiroad/peer/node.hpp
+++ b/src/wasabiroad/peer/node.hpp
@@ -39,6 +39,7 @@
     bool sendStamped(const model::EntryId& peer, std::uint64_t sequence, Body body);
     Heartbeat heartbeatFor(const model::EntryId& peer) const;
 
+    void reportRejected(const std::string& address);
     void receive(const model::EntryId& sender, std::string_view bytes);
     void handle(const model::EntryId& sender, const Heartbeat& heartbeat);
     void handle(const model::EntryId& sender, const ManifestRequest& request);
@@ -67,6 +68,8 @@
     bool leaving { false };
     WatchRole role { Watcher {} };
     std::set<model::VmId> leavingVms {};
+    /** Times until which no rejection of an address is logged again. */
+    std::map<std::string, kernel::Instant> rejectedUntil {};
     std::shared_ptr<const control::MembershipChanged> published {
         std::make_shared<const control::MembershipChanged>()
     };
--- a/tools/control_cost.cpp
+++ b/tools/control_cost.cpp
@@ -15,6 +15,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <cxxopts.hpp>
@@ -60,6 +61,8 @@
     double messages { 0 };
     double bytes { 0 };
     double maxBytes { 0 };
+    double platformReads { 0 };
+    double platformWrites { 0 };
     std::vector<double> delays {};
 };
 
@@ -166,6 +169,7 @@
         // The members settle and the message counts are published once.
         std::this_thread::sleep_for(std::chrono::seconds { 6 });
         const auto before = samples();
+        const auto callsBefore = platformCalls();
         const auto start = std::chrono::steady_clock::now();
         const auto end = start + std::chrono::seconds { this->scenario.seconds };
         Result result;
@@ -179,8 +183,11 @@
         }
         std::this_thread::sleep_until(end);
         const auto after = samples();
+        const auto calls = platformCalls();
         const std::chrono::duration<double> window = std::chrono::steady_clock::now() - start;
         summarise(before, after, window.count(), result);
+        result.platformReads = (calls.first - callsBefore.first) / window.count();
+        result.platformWrites = (calls.second - callsBefore.second) / window.count();
         return result;
     }
 
@@ -232,6 +239,14 @@
         return all;
     }
 
+    /** @return Reads and writes so far, those of the operators' tool included. */
+    std::pair<double, double> platformCalls()
+    {
+        const auto response = launch::send({ .address = this->platformAddress, .target = "/admin/calls" });
+        const auto document = boost::json::parse(response.value().body());
+        return { document.at("reads").to_number<double>(), document.at("writes").to_number<double>() };
+    }
+
     static void summarise(
         const std::vector<Sample>& before, const std::vector<Sample>& after, double seconds, Result& result)
     {
@@ -279,7 +294,9 @@
               << " messages-per-s=" << result.messages << " payload-bytes-per-s=" << result.bytes
               << " payload-bytes-per-s-max=" << result.maxBytes
               << " encrypted-bytes-per-s=" << result.bytes + result.messages * encryptionBytes
-              << " wire-bytes-per-s=" << result.bytes + result.messages * (encryptionBytes + packetBytes);
+              << " wire-bytes-per-s=" << result.bytes + result.messages * (encryptionBytes + packetBytes)
+              << " platform-reads-per-s=" << result.platformReads
+              << " platform-writes-per-s=" << result.platformWrites;
     if (!result.delays.empty()) {
         std::cout << " changes=" << result.delays.size() / scenario.daemons
                   << " delay-p50-ms=" << percentile(result.delays, 0.5)
