--- a/tools/control_cost.cpp
+++ b/tools/control_cost.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <numeric>
 #include <sstream>
@@ -146,6 +147,16 @@
     return 0;
 }
 
+/** @return Time of a log line, as in `time=2026-12-04T11:45:13.123Z`, with a resolution of 1 ms. */
+Clock::time_point timeOf(const std::string& line)
+{
+    std::istringstream text { launch::valueOf(line, "time") };
+    std::tm parts {};
+    double fraction = 0;
+    text >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S") >> fraction;
+    return Clock::from_time_t(::timegm(&parts)) + std::chrono::milliseconds { std::lround(fraction * 1000) };
+}
+
 class Run {
 public:
     explicit Run(const Scenario& measured)
@@ -213,12 +224,14 @@
         const auto text = "event=configuration-adopted generation=" + std::to_string(this->generation) + " ";
         std::vector<double> delays;
         for (std::size_t index = 0; index < this->daemons.size(); ++index) {
-            if (!this->daemons[index]->waitForLine(text, bound)) {
+            const auto line = this->daemons[index]->waitForLine(text, bound);
+            if (!line) {
                 std::cerr << "control-cost: daemon " << index << " did not adopt generation "
                           << this->generation << "\n";
                 std::exit(1);
             }
-            delays.push_back(std::chrono::duration<double, std::milli>(Clock::now() - this->applied).count());
+            delays.push_back(
+                std::chrono::duration<double, std::milli>(timeOf(*line) - this->applied).count());
         }
         return delays;
     }
