--- a/tools/control_cost.cpp
+++ b/tools/control_cost.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <numeric>
 #include <sstream>
@@ -15,6 +16,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <cxxopts.hpp>
@@ -60,6 +62,8 @@
     double messages { 0 };
     double bytes { 0 };
     double maxBytes { 0 };
+    double platformReads { 0 };
+    double platformWrites { 0 };
     std::vector<double> delays {};
 };
 
@@ -143,6 +147,16 @@
     return 0;
 }
 
+/** @return Time of a log line, as in `time=2026-12-04T11:45:13.123Z`, with a resolution of 1 ms. */
+Clock::time_point timeOf(const std::string& line)
+{
+    std::istringstream text { launch::valueOf(line, "time") };
+    std::tm parts {};
+    double fraction = 0;
+    text >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S") >> fraction;
+    return Clock::from_time_t(::timegm(&parts)) + std::chrono::milliseconds { std::lround(fraction * 1000) };
+}
+
 class Run {
 public:
     explicit Run(const Scenario& measured)
@@ -166,6 +180,7 @@
         // The members settle and the message counts are published once.
         std::this_thread::sleep_for(std::chrono::seconds { 6 });
         const auto before = samples();
+        const auto callsBefore = platformCalls();
         const auto start = std::chrono::steady_clock::now();
         const auto end = start + std::chrono::seconds { this->scenario.seconds };
         Result result;
@@ -179,8 +194,11 @@
         }
         std::this_thread::sleep_until(end);
         const auto after = samples();
+        const auto calls = platformCalls();
         const std::chrono::duration<double> window = std::chrono::steady_clock::now() - start;
         summarise(before, after, window.count(), result);
+        result.platformReads = (calls.first - callsBefore.first) / window.count();
+        result.platformWrites = (calls.second - callsBefore.second) / window.count();
         return result;
     }
 
@@ -206,12 +224,14 @@
         const auto text = "event=configuration-adopted generation=" + std::to_string(this->generation) + " ";
         std::vector<double> delays;
         for (std::size_t index = 0; index < this->daemons.size(); ++index) {
-            if (!this->daemons[index]->waitForLine(text, bound)) {
+            const auto line = this->daemons[index]->waitForLine(text, bound);
+            if (!line) {
                 std::cerr << "control-cost: daemon " << index << " did not adopt generation "
                           << this->generation << "\n";
                 std::exit(1);
             }
-            delays.push_back(std::chrono::duration<double, std::milli>(Clock::now() - this->applied).count());
+            delays.push_back(
+                std::chrono::duration<double, std::milli>(timeOf(*line) - this->applied).count());
         }
         return delays;
     }
@@ -232,6 +252,14 @@
         return all;
     }
 
+    /** @return Reads and writes so far, those of the operators' tool included. */
+    std::pair<double, double> platformCalls()
+    {
+        const auto response = launch::send({ .address = this->platformAddress, .target = "/admin/calls" });
+        const auto document = boost::json::parse(response.value().body());
+        return { document.at("reads").to_number<double>(), document.at("writes").to_number<double>() };
+    }
+
     static void summarise(
         const std::vector<Sample>& before, const std::vector<Sample>& after, double seconds, Result& result)
     {
@@ -279,7 +307,9 @@
               << " messages-per-s=" << result.messages << " payload-bytes-per-s=" << result.bytes
               << " payload-bytes-per-s-max=" << result.maxBytes
               << " encrypted-bytes-per-s=" << result.bytes + result.messages * encryptionBytes
-              << " wire-bytes-per-s=" << result.bytes + result.messages * (encryptionBytes + packetBytes);
+              << " wire-bytes-per-s=" << result.bytes + result.messages * (encryptionBytes + packetBytes)
+              << " platform-reads-per-s=" << result.platformReads
+              << " platform-writes-per-s=" << result.platformWrites;
     if (!result.delays.empty()) {
         std::cout << " changes=" << result.delays.size() / scenario.daemons
                   << " delay-p50-ms=" << percentile(result.delays, 0.5)
