Add the ledger, budgets with shares, and the wave planner

cause: nothing keeps a pool within its availability budget while VMs are stopped, and nothing plans a maintenance wave.

change: fleet holds one ledger value per zone and pure steps on it. A step that disrupts checks the zone's share and makes the change in one value, so one compare-and-swap covers both. Zones lend unused shares; shares rise with a new manifest only after every zone has lowered its own. The wave planner orders VMs by the time that their pools still need and says why each waits.

--- /dev/null
+++ b/src/wasabiroad/fleet/wave_planner.cpp
@@ -0,0 +1,281 @@
+#include "wasabiroad/fleet/wave_planner.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace wasabiroad::fleet {
+
+namespace {
+
+using PoolCounts = std::map<model::PoolId, std::uint32_t>;
+
+/** Budget of each pool; absent for pools that no service runs on. */
+PoolCounts poolBudgets(const model::Manifest& manifest)
+{
+    PoolCounts budgets;
+    for (const auto& service : manifest.services) {
+        const auto [entry, isNew] = budgets.emplace(service.pool, service.maxUnavailable);
+        entry->second = std::min(entry->second, service.maxUnavailable);
+    }
+    return budgets;
+}
+
+bool isPending(const WaveProgress& progress, const model::VmId& vm)
+{
+    return !progress.done.contains(vm) && !progress.failed.contains(vm);
+}
+
+/** Ledgers that the plan changes as if its steps had been made. */
+class Outlook {
+public:
+    Outlook(const Plan& plan, const Ledgers& ledgers, kernel::Instant instant)
+        : now(instant)
+    {
+        for (const auto& zone : plan.manifest.zones) {
+            const auto ledger = ledgers.find(zone.id);
+            if (ledger != ledgers.end() && ledger->second.generation == plan.generation) {
+                this->current.emplace(zone.id, ledger->second);
+                this->layouts.emplace(zone.id, layoutOf(plan.manifest, plan.generation, zone.id));
+            }
+        }
+    }
+
+    std::variant<StartNow, Wait> disrupt(const model::ZoneId& zone, const Disrupt& step)
+    {
+        const auto ledger = this->current.find(zone);
+        if (ledger == this->current.end()) {
+            return Wait { WaitReason::NoLedger, zone.text() };
+        }
+        const auto next = apply(ledger->second, this->layouts.at(zone), step, this->now);
+        if (!next) {
+            const auto& error = next.error();
+            const bool isBudget = error.code == kernel::ResultCode::BudgetExhausted;
+            return Wait { isBudget ? WaitReason::Budget : WaitReason::NotServing,
+                error.found + "; allowed: " + error.allowed };
+        }
+        this->current.erase(ledger);
+        this->current.emplace(zone, *next);
+        return StartNow {};
+    }
+
+private:
+    const kernel::Instant now;
+    std::map<model::ZoneId, Ledger> current {};
+    std::map<model::ZoneId, Layout> layouts {};
+};
+
+struct Candidate {
+    const model::Vm* vm;
+    /** Rounds of stops that the pool still needs in the site, then in the zone, scaled by 1000. */
+    std::uint64_t poolRounds;
+    std::uint64_t zoneRounds;
+};
+
+std::vector<Candidate> order(
+    const Plan& plan, const model::Wave& wave, const WaveProgress& progress, const Pending& pending)
+{
+    const auto budgets = poolBudgets(plan.manifest);
+    const auto selected = selectedVms(plan.manifest, wave);
+    PoolCounts remaining;
+    for (const auto& [zone, pools] : pending) {
+        for (const auto& [pool, count] : pools) {
+            remaining[pool] += count;
+        }
+    }
+    std::vector<Candidate> candidates;
+    for (const auto& vm : plan.manifest.vms) {
+        if (!selected.contains(vm.id) || !isPending(progress, vm.id) || progress.active.contains(vm.id)) {
+            continue;
+        }
+        const auto budget = budgets.find(vm.pool);
+        const auto bound = budget == budgets.end() ? wave.parallel : std::min(budget->second, wave.parallel);
+        const std::uint64_t scale = budget == budgets.end() ? 0 : 1000;
+        candidates.push_back({ &vm, scale * remaining[vm.pool] / std::max(1U, bound),
+            scale * pending.at(vm.zone).at(vm.pool) });
+    }
+    std::ranges::sort(candidates, [](const Candidate& left, const Candidate& right) {
+        return std::tie(right.poolRounds, right.zoneRounds, left.vm->rack, left.vm->id)
+            < std::tie(left.poolRounds, left.zoneRounds, right.vm->rack, right.vm->id);
+    });
+    return candidates;
+}
+
+std::uint32_t countOf(const Pending& pending, const model::ZoneId& zone, const model::PoolId& pool)
+{
+    const auto pools = pending.find(zone);
+    if (pools == pending.end()) {
+        return 0;
+    }
+    const auto count = pools->second.find(pool);
+    return count == pools->second.end() ? 0 : count->second;
+}
+
+std::optional<Step> redeemable(const Layout& layout, const Ledgers& ledgers, const Ledger& own)
+{
+    for (const auto& [zone, ledger] : ledgers) {
+        const auto last = own.redeemed.find(zone);
+        for (const auto& [number, loan] : ledger.loans) {
+            const bool isNew = last == own.redeemed.end() || last->second < number;
+            if (loan.to == layout.zone && isNew && ledger.generation == own.generation) {
+                return Redeem { zone, ledger.generation, number, loan };
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Step> returnable(const Layout& layout, const Ledger& own, const Pending& pending)
+{
+    for (const auto& [key, credit] : own.credits) {
+        const auto budget = layout.services.find(credit.service);
+        if (budget != layout.services.end() && countOf(pending, layout.zone, budget->second.pool) == 0
+            && allowance(own, credit.service) > unavailable(own, budget->second.pool)) {
+            return GiveBack { key };
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Step> closable(const Ledgers& ledgers, const Ledger& own)
+{
+    for (const auto& [number, loan] : own.loans) {
+        const auto borrower = ledgers.find(loan.to);
+        if (borrower == ledgers.end()) {
+            continue;
+        }
+        const auto redeemed = borrower->second.redeemed.find(own.zone);
+        const bool isCredited = borrower->second.credits.contains(LoanKey { own.zone, number });
+        if (redeemed != borrower->second.redeemed.end() && redeemed->second >= number && !isCredited) {
+            return CloseLoan { number, redeemed->second, isCredited };
+        }
+    }
+    return std::nullopt;
+}
+
+/** Loans to a zone that its ledger does not show as a credit yet. */
+std::uint32_t onTheWay(const Ledgers& ledgers, const model::ZoneId& zone, const model::ServiceId& service)
+{
+    std::uint32_t count = 0;
+    const auto borrower = ledgers.find(zone);
+    for (const auto& [lender, ledger] : ledgers) {
+        for (const auto& [number, loan] : ledger.loans) {
+            const bool isCredited = borrower->second.credits.contains(LoanKey { lender, number });
+            count += loan.to == zone && loan.service == service && !isCredited ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+std::optional<Step> lendable(
+    const Layout& layout, const Ledgers& ledgers, const Ledger& own, const Pending& pending)
+{
+    for (const auto& [service, budget] : layout.services) {
+        if (countOf(pending, layout.zone, budget.pool) > 0
+            || allowance(own, service) <= unavailable(own, budget.pool)) {
+            continue;
+        }
+        const model::ZoneId* neediest = nullptr;
+        std::uint32_t largest = 0;
+        for (const auto& [zone, ledger] : ledgers) {
+            const auto wanted = countOf(pending, zone, budget.pool);
+            const auto held = allowance(ledger, service) + onTheWay(ledgers, zone, service);
+            if (zone != layout.zone && ledger.generation == own.generation && wanted > held
+                && wanted - held > largest) {
+                neediest = &zone;
+                largest = wanted - held;
+            }
+        }
+        if (neediest != nullptr) {
+            return Lend { service, *neediest };
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string_view name(WaitReason reason)
+{
+    switch (reason) {
+    case WaitReason::WaveNotRunning:
+        return "wave-not-running";
+    case WaitReason::Parallel:
+        return "parallel";
+    case WaitReason::Budget:
+        return "budget";
+    case WaitReason::NotServing:
+        return "not-serving";
+    case WaitReason::NoLedger:
+        return "no-ledger";
+    }
+    return "unlisted";
+}
+
+std::vector<WaveChoice> planWave(const Plan& plan, const model::Wave& wave, const WaveProgress& progress,
+    const Ledgers& ledgers, const std::set<model::ZoneId>& zones, kernel::Instant now)
+{
+    Outlook outlook { plan, ledgers, now };
+    const auto cause = runName(progress);
+    for (const auto& vm : plan.manifest.vms) {
+        const auto ledger = ledgers.find(vm.zone);
+        const bool isMaintained = ledger != ledgers.end() && ledger->second.vms.contains(vm.id)
+            && ledger->second.vms.at(vm.id).maintained == cause;
+        if (progress.active.contains(vm.id) && !isMaintained) {
+            outlook.disrupt(vm.zone, { vm.id, Reason::Wave, cause });
+        }
+    }
+    auto free = wave.parallel - std::min<std::size_t>(wave.parallel, progress.active.size());
+    std::vector<WaveChoice> choices;
+    for (const auto& candidate : order(plan, wave, progress, pendingOf(plan.manifest, wave, progress))) {
+        const auto& vm = *candidate.vm;
+        const auto decide = [&]() -> std::variant<StartNow, Wait> {
+            if (progress.phase != WavePhase::Running) {
+                return Wait { WaitReason::WaveNotRunning, std::string { name(progress.phase) } };
+            }
+            if (free == 0 || (!zones.empty() && !zones.contains(vm.zone))) {
+                return Wait { WaitReason::Parallel, std::to_string(wave.parallel) + " at once" };
+            }
+            return outlook.disrupt(vm.zone, { vm.id, Reason::Wave, cause });
+        };
+        auto decision = decide();
+        free -= std::holds_alternative<StartNow>(decision) ? 1 : 0;
+        choices.emplace_back(WaveChoice { vm.id, vm.zone, std::move(decision) });
+    }
+    return choices;
+}
+
+Pending pendingOf(const model::Manifest& manifest, const model::Wave& wave, const WaveProgress& progress)
+{
+    Pending pending;
+    if (progress.phase != WavePhase::Running && progress.phase != WavePhase::Paused) {
+        return pending;
+    }
+    const auto selected = selectedVms(manifest, wave);
+    for (const auto& vm : manifest.vms) {
+        if (selected.contains(vm.id) && isPending(progress, vm.id)) {
+            ++pending[vm.zone][vm.pool];
+        }
+    }
+    return pending;
+}
+
+std::optional<Step> nextLendingStep(const Layout& layout, const Ledgers& ledgers, const Pending& pending)
+{
+    const auto found = ledgers.find(layout.zone);
+    if (found == ledgers.end() || found->second.generation != layout.generation) {
+        return std::nullopt;
+    }
+    const auto& own = found->second;
+    if (auto step = redeemable(layout, ledgers, own)) {
+        return step;
+    }
+    if (auto step = closable(ledgers, own)) {
+        return step;
+    }
+    if (auto step = returnable(layout, own, pending)) {
+        return step;
+    }
+    return lendable(layout, ledgers, own, pending);
+}
+
+} // namespace wasabiroad::fleet
