--- a/src/wasabiroad/fleet/ledger.hpp
+++ b/src/wasabiroad/fleet/ledger.hpp
@@ -31,7 +31,7 @@
 
 /** @brief Assignment and state of one VM. */
 struct VmRecord {
-    const model::PoolId pool;
+    const model::PoolId pool {};
     const model::VmState state { model::VmState::Serving };
     const Reason reason { Reason::None };
     /** @brief Name of the wave run, or a note of the operator. */
--- a/src/wasabiroad/fleet/step.cpp
+++ b/src/wasabiroad/fleet/step.cpp
@@ -104,7 +104,7 @@
             const auto held = ledger.shares.find(service);
             auto share = held == ledger.shares.end() ? 0 : std::min(held->second, budget.share);
             const auto lent = static_cast<std::uint32_t>(std::ranges::count_if(
-                ledger.loans, [&](const auto& entry) { return entry.second.service == service; }));
+                ledger.loans, [&id = service](const auto& entry) { return entry.second.service == id; }));
             share -= std::min(share, lent);
             draft.shares.emplace(service, share);
         }
--- a/src/wasabiroad/fleet/wave.hpp
+++ b/src/wasabiroad/fleet/wave.hpp
@@ -29,7 +29,7 @@
 
 /** @brief Progress of a wave, stored under the key `wave/<name>`. */
 struct WaveProgress {
-    const model::WaveId wave;
+    const model::WaveId wave {};
     /** @brief Number of the run; each start begins a new one. */
     const std::uint64_t run { 0 };
     const WavePhase phase { WavePhase::Idle };
--- /dev/null
+++ b/src/wasabiroad/maintenance/controller.cpp
@@ -0,0 +1,539 @@
+#include "wasabiroad/maintenance/controller.hpp"
+
+#include "wasabiroad/kernel/log.hpp"
+#include "wasabiroad/kernel/overloaded.hpp"
+
+#include <algorithm>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wasabiroad::maintenance {
+
+using fleet::WavePhase;
+using kernel::ResultCode;
+using lifecycle::VmEvent;
+using model::VmState;
+
+namespace {
+
+const kernel::Clock steadyClock { kernel::SteadyClock {} };
+const kernel::Clock wallClock { kernel::WallClock {} };
+
+/** A watch ends after this time, so that a half-open connection is noticed. */
+constexpr kernel::Duration watchWait { 10000 };
+/** Pause after a failed call, so that an outage does not turn into a load of calls. */
+constexpr kernel::Duration retryPause { 1000 };
+constexpr kernel::Duration tick { 250 };
+/** A daemon that was not chosen acts when a VM or wave has waited this long without a change. */
+constexpr kernel::Duration takeOverAfter { 10000 };
+/** Probes of VMs that change, and of those that serve; 560 of these cost about 37 probes a second. */
+constexpr kernel::Duration probeInterval { 500 };
+constexpr kernel::Duration servingProbeInterval { 15000 };
+/** Interval of reading the platform's list while a VM of the zone is out of service. */
+constexpr kernel::Duration listInterval { 500 };
+/** Places of a wave that other zones leave unused for this long are taken by the own zone. */
+constexpr kernel::Duration otherZonesWait { 5000 };
+
+void logFailure(std::string_view call, const kernel::Error& error)
+{
+    kernel::logEvent("platform-call-failed",
+        { { "call", call }, { "code", number(error.code) }, { "detail", error.found } });
+}
+
+void logStep(const fleet::Step& step, const fleet::Ledger& ledger)
+{
+    std::visit(kernel::Overloaded {
+                   [&](const fleet::Disrupt& one) {
+                       kernel::logEvent("vm-step",
+                           { { "vm", one.vm.text() }, { "event", "drain-requested" },
+                               { "reason", fleet::name(one.reason) }, { "cause", one.cause },
+                               { "step", ledger.lastStep } });
+                   },
+                   [&](const fleet::Advance& one) {
+                       const auto record = ledger.vms.find(one.vm);
+                       const auto state
+                           = record == ledger.vms.end() ? "removed" : model::name(record->second.state);
+                       kernel::logEvent("vm-step",
+                           { { "vm", one.vm.text() }, { "event", lifecycle::name(one.event) },
+                               { "state", state }, { "step", ledger.lastStep } });
+                   },
+                   [&](const auto&) {
+                       kernel::logEvent(
+                           "ledger-step", { { "zone", ledger.zone.text() }, { "step", ledger.lastStep } });
+                   },
+               },
+        step);
+}
+
+} // namespace
+
+Controller::Controller(boost::asio::io_context& ioContext, kernel::EventBus& eventBus,
+    platform::Store platformStore, model::EntryId entryId, model::ZoneId zoneId)
+    : context(ioContext)
+    , bus(eventBus)
+    , store(std::move(platformStore))
+    , entry(std::move(entryId))
+    , zone(std::move(zoneId))
+    , actor(this->entry)
+    , probes(ioContext)
+{
+    this->bus.subscribe<control::ConfigurationAdopted>(
+        [this](const control::ConfigurationAdopted& event) { adopt(event); });
+    this->bus.subscribe<LiveEntriesChanged>(
+        [this](const LiveEntriesChanged& event) { this->actor = chooseActor(event.entries, this->zone); });
+}
+
+void Controller::adopt(const control::ConfigurationAdopted& event)
+{
+    this->configuration = event.configuration;
+    this->layout = std::make_shared<const fleet::Layout>(
+        fleet::layoutOf(event.configuration->manifest, event.configuration->generation, this->zone));
+}
+
+void Controller::receive(const platform::Entry& received)
+{
+    if (received.key.starts_with(ledgerPrefix)) {
+        if (const auto ledger = parseLedger(received.value)) {
+            storeLedger(std::make_shared<const StoredLedger>(StoredLedger { *ledger, received.version }));
+        } else {
+            logFailure(received.key, ledger.error());
+        }
+    } else if (const auto progress = parseWaveProgress(received.value)) {
+        storeProgress(std::make_shared<const StoredProgress>(StoredProgress { *progress, received.version }));
+    } else {
+        logFailure(received.key, progress.error());
+    }
+}
+
+/** A watch may deliver a version older than the one that this daemon has just written. */
+void Controller::storeLedger(LedgerPointer ledger)
+{
+    auto& current = this->ledgers[ledger->document.zone];
+    if (current && current->version >= ledger->version) {
+        return;
+    }
+    current = std::move(ledger);
+    this->lastChange = kernel::now(steadyClock);
+    if (current->document.zone == this->zone) {
+        for (const auto& [vm, record] : current->document.vms) {
+            this->probes.see(vm, record.step);
+        }
+    }
+    publishAssignments();
+}
+
+void Controller::storeProgress(ProgressPointer progress)
+{
+    auto& current = this->waves[progress->document.wave];
+    if (!current || current->version < progress->version) {
+        current = std::move(progress);
+        this->lastChange = kernel::now(steadyClock);
+    }
+}
+
+void Controller::publishAssignments()
+{
+    std::map<model::VmId, control::Assignment> assignments;
+    for (const auto& [id, ledger] : this->ledgers) {
+        for (const auto& [vm, record] : ledger->document.vms) {
+            assignments.emplace(vm, control::Assignment { record.pool, record.state });
+        }
+    }
+    this->bus.publish(control::AssignmentsChanged { std::move(assignments) });
+}
+
+fleet::Ledgers Controller::ledgersByZone() const
+{
+    fleet::Ledgers documents;
+    for (const auto& [id, ledger] : this->ledgers) {
+        documents.emplace(id, ledger->document);
+    }
+    return documents;
+}
+
+const fleet::Ledger& Controller::own() const { return this->ledgers.at(this->zone)->document; }
+
+boost::asio::awaitable<void> Controller::follow(std::string prefix)
+{
+    boost::asio::steady_timer timer { this->context };
+    std::uint64_t revision = 0;
+    while (true) {
+        // The first listing returns at once, because a watch of an empty prefix would wait.
+        auto call = this->loaded.contains(prefix) ? platform::watch(this->store, prefix, revision, watchWait)
+                                                  : platform::list(this->store, prefix);
+        const auto listing = co_await std::move(call);
+        if (!listing) {
+            logFailure("watch", listing.error());
+            timer.expires_after(retryPause.chrono());
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            continue;
+        }
+        revision = listing->revision;
+        this->loaded.insert(prefix);
+        for (const auto& received : listing->entries) {
+            receive(received);
+        }
+    }
+}
+
+boost::asio::awaitable<void> Controller::run()
+{
+    boost::asio::steady_timer timer { this->context };
+    while (!this->stopping) {
+        const bool acting = isActing();
+        if (this->wasActing && !acting) {
+            this->probes.clear();
+        }
+        this->wasActing = acting;
+        bool made = false;
+        if (acting) {
+            made = co_await act();
+        }
+        if (!made) {
+            timer.expires_after(tick.chrono());
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+    }
+}
+
+bool Controller::isActing()
+{
+    if (!this->layout || !this->loaded.contains(std::string { ledgerPrefix })
+        || !this->loaded.contains(std::string { wavePrefix })) {
+        return false;
+    }
+    return this->actor == this->entry || kernel::now(steadyClock) - this->lastChange >= takeOverAfter;
+}
+
+Controller::Made Controller::act()
+{
+    if (!this->ledgers.contains(this->zone)) {
+        const StoredLedger empty { fleet::emptyLedger(this->zone) };
+        this->ledgers.emplace(this->zone, std::make_shared<const StoredLedger>(empty));
+    }
+    if (co_await followManifest()) {
+        co_return true;
+    }
+    if (own().generation != this->layout->generation) {
+        co_return false;
+    }
+    probeZone();
+    co_await readPlatformList();
+    if (co_await lend()) {
+        co_return true;
+    }
+    if (co_await advanceVms()) {
+        co_return true;
+    }
+    const auto current = this->waves;
+    for (const auto& [id, progress] : current) {
+        const auto wave = fleet::findWave(this->configuration->manifest, id);
+        if (!wave) {
+            continue;
+        }
+        const model::Wave declared = **wave;
+        const StoredProgress stored = *progress;
+        if (co_await advanceWave(declared, stored)) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+/** Follows a newer manifest, then raises the shares when all zones follow it, then drains removed VMs. */
+Controller::Made Controller::followManifest()
+{
+    const auto& ledger = own();
+    if (ledger.generation > this->layout->generation) {
+        co_return false;
+    }
+    const auto isMissing = [&](const auto& declared) { return !ledger.vms.contains(declared.first); };
+    const auto isRemovable = [&](const auto& entry) {
+        const auto state = entry.second.state;
+        return !this->layout->vms.contains(entry.first)
+            && (state == VmState::Drained || state == VmState::Failed);
+    };
+    if (ledger.generation < this->layout->generation || std::ranges::any_of(this->layout->vms, isMissing)
+        || std::ranges::any_of(ledger.vms, isRemovable)) {
+        const fleet::Step adoption { fleet::Adopt {} };
+        co_return co_await step(adoption);
+    }
+    const bool isRaised = std::ranges::all_of(this->layout->services, [&](const auto& service) {
+        const auto share = ledger.shares.find(service.first);
+        return share != ledger.shares.end() && share->second == service.second.share;
+    });
+    if (!isRaised) {
+        std::map<model::ZoneId, model::Generation> seen;
+        for (const auto& [id, stored] : this->ledgers) {
+            seen.emplace(id, stored->document.generation);
+        }
+        const bool allFollow = std::ranges::all_of(this->layout->zones, [&](const auto& id) {
+            const auto generation = seen.find(id);
+            return generation != seen.end() && generation->second >= this->layout->generation;
+        });
+        const fleet::Step raise { fleet::RaiseShares { std::move(seen) } };
+        co_return allFollow&& co_await step(raise);
+    }
+    for (const auto& [vm, record] : ledger.vms) {
+        if (!this->layout->vms.contains(vm) && record.state == VmState::Serving) {
+            const fleet::Step removal { fleet::Disrupt { vm, fleet::Reason::Operator, "removed", {} } };
+            if (fleet::apply(ledger, *this->layout, removal, {})) {
+                co_return co_await step(removal);
+            }
+        }
+    }
+    co_return false;
+}
+
+fleet::Pending Controller::pending() const
+{
+    fleet::Pending sum;
+    for (const auto& [id, progress] : this->waves) {
+        const auto wave = fleet::findWave(this->configuration->manifest, id);
+        if (!wave) {
+            continue;
+        }
+        for (const auto& [zoneId, pools] :
+            fleet::pendingOf(this->configuration->manifest, **wave, progress->document)) {
+            for (const auto& [pool, count] : pools) {
+                sum[zoneId][pool] += count;
+            }
+        }
+    }
+    return sum;
+}
+
+Controller::Made Controller::lend()
+{
+    const auto next = fleet::nextLendingStep(*this->layout, ledgersByZone(), pending());
+    if (!next) {
+        co_return false;
+    }
+    co_return co_await step(*next);
+}
+
+void Controller::probeZone()
+{
+    for (const auto& [vm, record] : own().vms) {
+        const auto declared = this->layout->vms.find(vm);
+        if (declared != this->layout->vms.end()) {
+            this->probes.probe(vm, declared->second.address,
+                record.state == VmState::Serving ? servingProbeInterval : probeInterval, probeInterval);
+        }
+    }
+}
+
+boost::asio::awaitable<void> Controller::readPlatformList()
+{
+    const bool isNeeded = std::ranges::any_of(own().vms, [](const auto& record) {
+        return record.second.state == VmState::InMaintenance || record.second.state == VmState::Failed;
+    });
+    const auto now = kernel::now(steadyClock);
+    if (!isNeeded || now - this->listRead < listInterval) {
+        co_return;
+    }
+    const auto vms = co_await platform::listVms(this->store);
+    this->listRead = kernel::now(steadyClock);
+    this->listed.reset();
+    if (!vms) {
+        logFailure("vms", vms.error());
+        co_return;
+    }
+    this->listed.emplace();
+    for (const auto& vm : *vms) {
+        this->listed->emplace(model::VmId { vm.id }, vm);
+    }
+}
+
+bool Controller::wasAborted(const fleet::VmRecord& record) const
+{
+    return std::ranges::any_of(this->waves, [&](const auto& wave) {
+        const auto& progress = wave.second->document;
+        return progress.phase == WavePhase::Aborted && record.cause == fleet::runName(progress);
+    });
+}
+
+fleet::ProgressRules Controller::rulesFor(const fleet::VmRecord& record) const
+{
+    for (const auto& [id, progress] : this->waves) {
+        const auto wave = fleet::findWave(this->configuration->manifest, id);
+        if (wave && record.cause == fleet::runName(progress->document)) {
+            return { .healthWait = (*wave)->healthWait };
+        }
+    }
+    return {};
+}
+
+fleet::VmObservation Controller::observe(const model::VmId& vm, const fleet::VmRecord& record) const
+{
+    const auto seen = this->probes.observe(vm, rulesFor(record));
+    // A VM that the platform does not list has had no stop yet.
+    const platform::ListedVm unlisted { vm.text() };
+    const auto found = this->listed ? this->listed->find(vm) : decltype(this->listed->end()) {};
+    const auto& entryOfVm = this->listed && found != this->listed->end() ? found->second : unlisted;
+    return {
+        .inState = seen.inState,
+        .healthyFor = seen.healthyFor,
+        .failedProbes = seen.failedProbes,
+        .running = seen.running,
+        .platformStep = this->listed ? std::optional { entryOfVm.step } : std::nullopt,
+        .rebooting = entryOfVm.rebooting,
+        .aborted = wasAborted(record),
+    };
+}
+
+Controller::Made Controller::advanceVms()
+{
+    const auto records = own().vms;
+    for (const auto& [vm, record] : records) {
+        if (co_await advanceVm(vm, record)) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+Controller::Made Controller::advanceVm(model::VmId vm, fleet::VmRecord record)
+{
+    const auto observation = observe(vm, record);
+    const auto action = fleet::nextAction(record, observation, rulesFor(record));
+    if (const auto* const stop = std::get_if<fleet::StopVm>(&action)) {
+        const auto started = co_await platform::startMaintenance(this->store, vm.text(), stop->step);
+        if (!started) {
+            logFailure("maintenance", started.error());
+        }
+        // The list that showed no stop is out of date now.
+        this->listed.reset();
+        this->listRead = {};
+        co_return false;
+    }
+    const auto* const event = std::get_if<fleet::WriteEvent>(&action);
+    if (event == nullptr) {
+        co_return false;
+    }
+    const fleet::Step made { fleet::Advance { vm, event->event, observation.platformStep.value_or(0) } };
+    if (!fleet::apply(own(), *this->layout, made, {})) {
+        co_return false;
+    }
+    co_return co_await step(made);
+}
+
+Controller::Made Controller::settleActive(model::Wave wave, StoredProgress progress, model::VmId vm)
+{
+    const auto record = own().vms.find(vm);
+    if (record == own().vms.end()) {
+        const fleet::WaveChange released { fleet::ReleasePlace { vm, false } };
+        co_return co_await change(wave, progress, released);
+    }
+    const auto run = fleet::runName(progress.document);
+    if (record->second.state == VmState::Failed) {
+        const fleet::WaveChange failed { fleet::RecordFailure { vm } };
+        co_return co_await change(wave, progress, failed);
+    }
+    if (record->second.state != VmState::Serving) {
+        co_return false;
+    }
+    const bool maintained = record->second.maintained == run;
+    const fleet::Step drain { fleet::Disrupt { vm, fleet::Reason::Wave, run, {} } };
+    const bool wanted = progress.document.phase == WavePhase::Running;
+    if (!maintained && wanted && fleet::apply(own(), *this->layout, drain, {})) {
+        co_return co_await step(drain);
+    }
+    const fleet::WaveChange released { fleet::ReleasePlace { vm, maintained } };
+    co_return co_await change(wave, progress, released);
+}
+
+Controller::Made Controller::advanceWave(model::Wave wave, StoredProgress progress)
+{
+    const auto& document = progress.document;
+    for (const auto& vm : document.active) {
+        if (this->layout->vms.contains(vm) && co_await settleActive(wave, progress, vm)) {
+            co_return true;
+        }
+    }
+    if (document.phase != WavePhase::Running) {
+        co_return false;
+    }
+    const auto selected = fleet::selectedVms(this->configuration->manifest, wave);
+    const auto& records = own().vms;
+    for (const auto& [vm, record] : records) {
+        if (record.state == VmState::Failed && record.since >= document.started && selected.contains(vm)
+            && !document.failed.contains(vm)) {
+            const fleet::WaveChange failed { fleet::RecordFailure { vm } };
+            co_return co_await change(wave, progress, failed);
+        }
+    }
+    co_return document.active.size() < wave.parallel&& co_await claimPlace(wave, progress);
+}
+
+Controller::Made Controller::claimPlace(model::Wave wave, StoredProgress progress)
+{
+    const auto now = kernel::now(wallClock);
+    const bool othersIdle = now - progress.document.changed >= otherZonesWait;
+    const auto zones = othersIdle ? std::set<model::ZoneId> { this->zone } : std::set<model::ZoneId> {};
+    const fleet::Plan plan { this->configuration->manifest, this->configuration->generation };
+    const auto choices = fleet::planWave(plan, wave, progress.document, ledgersByZone(), zones, now);
+    for (const auto& choice : choices) {
+        if (choice.zone == this->zone && std::holds_alternative<fleet::StartNow>(choice.decision)) {
+            const fleet::WaveChange claimed { fleet::ClaimPlace { choice.vm } };
+            co_return co_await change(wave, progress, claimed);
+        }
+    }
+    co_return false;
+}
+
+Controller::Made Controller::step(fleet::Step made)
+{
+    const LedgerPointer current = this->ledgers.at(this->zone);
+    const auto next = fleet::apply(current->document, *this->layout, made, kernel::now(wallClock));
+    if (!next) {
+        kernel::logEvent("step-rejected",
+            { { "code", number(next.error().code) }, { "where", next.error().where },
+                { "found", next.error().found }, { "allowed", next.error().allowed } });
+        co_return false;
+    }
+    const auto key = ledgerKey(this->zone);
+    const auto version = co_await writeBack(this->store, key, toText(*next), current->version);
+    if (!version) {
+        logFailure(key, version.error());
+        co_await reread(key);
+        co_return false;
+    }
+    logStep(made, *next);
+    storeLedger(std::make_shared<const StoredLedger>(StoredLedger { *next, *version }));
+    co_return true;
+}
+
+Controller::Made Controller::change(model::Wave wave, StoredProgress progress, fleet::WaveChange made)
+{
+    const auto selected = fleet::selectedVms(this->configuration->manifest, wave);
+    const auto next = fleet::apply(progress.document, wave, selected, made, kernel::now(wallClock));
+    if (!next) {
+        co_return false;
+    }
+    const auto key = waveKey(wave.id);
+    const auto version = co_await writeBack(this->store, key, toText(*next), progress.version);
+    if (!version) {
+        logFailure(key, version.error());
+        co_await reread(key);
+        co_return false;
+    }
+    kernel::logEvent("wave-changed",
+        { { "wave", fleet::runName(*next) }, { "phase", fleet::name(next->phase) },
+            { "active", next->active.size() }, { "done", next->done.size() },
+            { "failed", next->failed.size() } });
+    storeProgress(std::make_shared<const StoredProgress>(StoredProgress { *next, *version }));
+    co_return true;
+}
+
+boost::asio::awaitable<void> Controller::reread(std::string key)
+{
+    const auto current = co_await platform::get(this->store, key);
+    if (current) {
+        receive(*current);
+    }
+}
+
+} // namespace wasabiroad::maintenance
--- /dev/null
+++ b/src/wasabiroad/maintenance/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace wasabiroad::maintenance {
+
+class Controller;
+class Probes;
+
+} // namespace wasabiroad::maintenance
--- a/src/wasabiroad/platform/entry.hpp
+++ b/src/wasabiroad/platform/entry.hpp
@@ -29,6 +29,10 @@
 struct ListedVm {
     const std::string id;
     const bool leaving { false };
+    /** @brief Whether the VM is stopped for maintenance at this moment. */
+    const bool rebooting { false };
+    /** @brief Highest step that a maintenance stop of the VM was called with. */
+    const std::uint64_t step { 0 };
 
     friend auto operator<=>(const ListedVm&, const ListedVm&) = default;
 };
--- a/src/wasabiroad/platform/store.cpp
+++ b/src/wasabiroad/platform/store.cpp
@@ -74,7 +74,8 @@
 ListedVm readListedVm(const boost::json::value& value)
 {
     const json::Reader reader { value };
-    return { reader.text("id"), reader.flag("leaving") };
+    return { reader.text("id"), reader.flag("leaving"), reader.text("state") == "rebooting",
+        static_cast<std::uint64_t>(reader.integer("step")) };
 }
 
 Result<Entry> getOver(HttpStore store, std::string key)
@@ -179,4 +180,24 @@
         std::move(store));
 }
 
+Result<bool> startMaintenance(Store store, std::string vm, std::uint64_t step)
+{
+    return std::visit(
+        kernel::Overloaded {
+            [&](HttpStore http) {
+                return [](HttpStore http, std::string vm, std::uint64_t step) -> Result<bool> {
+                    const auto target = "/vms/" + encode(vm) + "/maintenance?step=" + std::to_string(step);
+                    auto request = http::makeRequest(verb::post, target);
+                    const auto document = co_await call(http, std::move(request), vm, http.timeout);
+                    if (!document) {
+                        co_return tl::unexpected(document.error());
+                    }
+                    co_return json::Reader { *document }.flag("started");
+                }(http, vm, step);
+            },
+            [](LocalStore) { return []() -> Result<bool> { co_return false; }(); },
+        },
+        std::move(store));
+}
+
 } // namespace wasabiroad::platform
--- a/src/wasabiroad/platform/store.hpp
+++ b/src/wasabiroad/platform/store.hpp
@@ -45,4 +45,11 @@
 /** @brief Reads the lagging list of VMs. Errors: PlatformUnreachable, PlatformTimeout, PlatformRejected. */
 Result<std::vector<ListedVm>> listVms(Store store);
 
+/**
+ * @brief Stops a VM for maintenance, once for each step; a repeated or older step has no effect.
+ * @param step Step of the ledger that allowed the stop.
+ * @return Whether this call started the stop. Errors: PlatformUnreachable, PlatformTimeout, PlatformRejected.
+ */
+Result<bool> startMaintenance(Store store, std::string vm, std::uint64_t step);
+
 } // namespace wasabiroad::platform
--- a/src/wasabiroad/standin/platform.cpp
+++ b/src/wasabiroad/standin/platform.cpp
@@ -2,6 +2,8 @@
 
 #include "wasabiroad/json/reader.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
@@ -18,6 +20,10 @@
 
 const kernel::Clock clock { kernel::SteadyClock {} };
 
+/** Versions kept for outside checkers; a wave over 52 VMs writes about 500. */
+constexpr std::size_t maxHistory = 10000;
+constexpr std::size_t historyPage = 50;
+
 http::Response reply(const http::Request& request, unsigned status, const boost::json::value& document)
 {
     return http::respond(request, status, "application/json", boost::json::serialize(document));
@@ -125,6 +131,9 @@
     if (target.path == "/vms") {
         co_return listVms(request);
     }
+    if (target.path.starts_with("/vms/") && target.path.ends_with("/maintenance")) {
+        co_return maintenance(request, target);
+    }
     co_return reply(request, 404, { { "error", "unknown path" } });
 }
 
@@ -145,6 +154,12 @@
     if (!version) {
         return replyError(request, version.error());
     }
+    if (key.starts_with("ledger/") || key.starts_with("wave/")) {
+        this->history.emplace_back(platform::Entry { key, request.body(), *version });
+        if (this->history.size() > maxHistory) {
+            this->history.pop_front();
+        }
+    }
     this->changed.cancel();
     return reply(request, 200, { { "version", *version } });
 }
@@ -194,12 +209,36 @@
 http::Response Platform::listVms(const http::Request& request) const
 {
     boost::json::array list;
-    for (const auto& [id, leaving] : this->vms) {
-        list.push_back({ { "id", id }, { "leaving", leaving } });
+    for (const auto& [id, vm] : this->vms) {
+        const bool rebooting = kernel::now(clock) < vm.stoppedUntil;
+        list.push_back({ { "id", id }, { "leaving", vm.leaving },
+            { "state", rebooting ? "rebooting" : "live" }, { "step", vm.step } });
     }
     return reply(request, 200, { { "vms", std::move(list) } });
 }
 
+http::Response Platform::maintenance(const http::Request& request, const http::Target& target)
+{
+    const auto parts = http::segments(target.path);
+    const auto step = static_cast<std::uint64_t>(http::numberOf(target, "step", 0));
+    if (parts.size() != 3 || step == 0 || request.method() != verb::post) {
+        return reply(request, 400, { { "error", "a POST with a step is required" } });
+    }
+    const std::string id { parts[1] };
+    const PlatformVm vm = this->vms[id];
+    const bool starts = step > vm.step;
+    if (starts) {
+        replaceVm(id, { vm.leaving, kernel::now(clock) + this->maintenanceDuration, step });
+    }
+    return reply(request, 200, { { "started", starts } });
+}
+
+void Platform::replaceVm(const std::string& id, const PlatformVm& vm)
+{
+    this->vms.erase(id);
+    this->vms.emplace(id, vm);
+}
+
 http::Response Platform::admin(const http::Request& request, const http::Target& target)
 {
     if (target.path == "/admin/calls") {
@@ -213,7 +252,24 @@
         return reply(request, 200, { { "set", true } });
     }
     if (target.path == "/admin/vms" && target.query.contains("id")) {
-        this->vms[target.query.at("id")] = http::numberOf(target, "leaving", 0) != 0;
+        const auto id = target.query.at("id");
+        const PlatformVm vm = this->vms[id];
+        replaceVm(id, { http::numberOf(target, "leaving", 0) != 0, vm.stoppedUntil, vm.step });
+        return reply(request, 200, { { "set", true } });
+    }
+    if (target.path == "/admin/history") {
+        // Pages keep the response below the limit of the HTTP client.
+        const auto begin = std::min<std::size_t>(
+            static_cast<std::size_t>(http::numberOf(target, "from", 0)), this->history.size());
+        const auto end = std::min(begin + historyPage, this->history.size());
+        boost::json::array entries;
+        for (auto index = begin; index < end; ++index) {
+            entries.push_back(toJson(this->history[index]));
+        }
+        return reply(request, 200, { { "next", end }, { "entries", std::move(entries) } });
+    }
+    if (target.path == "/admin/maintenance") {
+        this->maintenanceDuration = { http::numberOf(target, "duration-ms", 2000) };
         return reply(request, 200, { { "set", true } });
     }
     return reply(request, 404, { { "error", "unknown path" } });
--- a/src/wasabiroad/standin/platform.hpp
+++ b/src/wasabiroad/standin/platform.hpp
@@ -4,6 +4,7 @@
 #include "wasabiroad/http/target.hpp"
 #include "wasabiroad/platform/memory_store.hpp"
 
+#include <deque>
 #include <map>
 
 #include <boost/asio/steady_timer.hpp>
@@ -22,6 +23,17 @@
     friend auto operator<=>(const PlatformFaults&, const PlatformFaults&) = default;
 };
 
+/** @brief A VM in the platform's list. */
+struct PlatformVm {
+    const bool leaving { false };
+    /** @brief End of the last maintenance stop, on the steady clock. */
+    const kernel::Instant stoppedUntil {};
+    /** @brief Highest step that a stop was called with. */
+    const std::uint64_t step { 0 };
+
+    friend auto operator<=>(const PlatformVm&, const PlatformVm&) = default;
+};
+
 /** @brief Stand-in of the platform's key-value service, with counted calls and faults; for tests only. */
 class Platform {
 public:
@@ -41,6 +53,8 @@
     Answer watch(const http::Request& request, const http::Target& target);
     http::Response lease(const http::Request& request, const http::Target& target);
     http::Response listVms(const http::Request& request) const;
+    http::Response maintenance(const http::Request& request, const http::Target& target);
+    void replaceVm(const std::string& id, const PlatformVm& vm);
     http::Response admin(const http::Request& request, const http::Target& target);
 
     boost::asio::io_context& context;
@@ -48,7 +62,10 @@
     boost::asio::steady_timer changed;
     std::shared_ptr<const PlatformFaults> faults { std::make_shared<const PlatformFaults>() };
     std::map<std::string, std::uint64_t> calls {};
-    std::map<std::string, bool> vms {};
+    std::map<std::string, PlatformVm> vms {};
+    kernel::Duration maintenanceDuration { 2000 };
+    /** Every version of the ledgers and waves, oldest first, for outside checkers. */
+    std::deque<platform::Entry> history {};
     http::Server server;
 };
 
--- a/src/wasabiroad/standin/upstream.cpp
+++ b/src/wasabiroad/standin/upstream.cpp
@@ -50,6 +50,11 @@
 
 asio::awaitable<http::Response> Upstream::handle(http::Request request)
 {
+    if (request.target() == "/status") {
+        co_return http::respond(request, 200, "application/json",
+            "{\"running\":" + std::to_string(this->running)
+                + ",\"leaving\":" + (this->behaviour->leaving ? "true" : "false") + "}");
+    }
     if (this->running >= this->behaviour->slots) {
         auto response = answer(request, 503, "no free slot\n");
         response.set(view(headers::started), "no");
