--- a/src/wasabiroad/standin/upstream.cpp
+++ b/src/wasabiroad/standin/upstream.cpp
@@ -136,6 +136,12 @@
     return response;
 }
 
+http::Response status(const http::Request& request, std::uint32_t running, bool leaving)
+{
+    return http::respond(request, 200, "application/json",
+        "{\"running\":" + std::to_string(running) + ",\"leaving\":" + (leaving ? "true" : "false") + "}");
+}
+
 template <typename State> std::size_t logStart(State& state, const http::Request& request)
 {
     const Run run { valueOf(request, headers::requestId), valueOf(request, headers::attempt),
@@ -159,6 +165,10 @@
     constexpr std::uint32_t hundred = 100;
     const auto course = courseOf(*behaviour, state->random(hundred));
     std::optional<http::Response> response;
+    if (request.target() == "/status") {
+        response = status(request, state->running, leaving);
+        co_return response;
+    }
     if (course.end == Course::End::Silence) {
         // Longer than any deadline; the connection ends with the process.
         co_await pause({ 3600000 });
