--- a/src/wasabiroad/bench/experiment_command.cpp
+++ b/src/wasabiroad/bench/experiment_command.cpp
@@ -105,8 +105,9 @@
             series.emplace_back(Series { variant.name, medians(results.at(variant.name), row) });
         }
         const auto file = fmt::format("{}-{}.svg", experiment.name, row.file);
-        std::ofstream { folder + "/" + file } << plot(fmt::format("{}, median of the repetitions", row.title),
-            std::string { row.unit }, results.begin()->second.timelines.front().interval, series);
+        std::ofstream { fmt::format("{}/{}", folder, file) }
+            << plot(fmt::format("{}, median of the repetitions", row.title), std::string { row.unit },
+                   results.begin()->second.timelines.front().interval, series);
         links += fmt::format("![{}]({})\n\n", row.title, file);
     }
     return links;
--- a/src/wasabiroad/maintenance/controller.cpp
+++ b/src/wasabiroad/maintenance/controller.cpp
@@ -73,6 +73,7 @@
     const std::vector<model::EntryId>& entries, const model::ZoneId& zone, const model::EntryId& self)
 {
     std::vector<std::string> names;
+    names.reserve(entries.size());
     for (const auto& entry : entries) {
         names.push_back(entry.text());
     }
