--- a/src/wasabiroad/daemon/main.cpp
+++ b/src/wasabiroad/daemon/main.cpp
@@ -8,7 +8,12 @@
 #include <iostream>
 #include <sstream>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cxxopts.hpp>
 
 namespace {
@@ -84,6 +89,19 @@
     return errors.front().code;
 }
 
+/** Lines are written in batches of this interval, which spares a system call for each request. */
+constexpr kernel::Duration logInterval { 50 };
+
+boost::asio::awaitable<void> flushLogRegularly()
+{
+    boost::asio::steady_timer timer { co_await boost::asio::this_coro::executor };
+    while (true) {
+        timer.expires_after(logInterval.chrono());
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        kernel::flushLog();
+    }
+}
+
 ResultCode serve(const settings::Settings& settings)
 {
     kernel::startLogging();
@@ -102,6 +120,7 @@
             kernel.shutDown();
         }
     });
+    boost::asio::co_spawn(kernel.threads().control(), flushLogRegularly(), boost::asio::detached);
     kernel.run();
     kernel::stopLogging();
     return ResultCode::Ok;
--- a/src/wasabiroad/kernel/log.hpp
+++ b/src/wasabiroad/kernel/log.hpp
@@ -32,6 +32,9 @@
 /** @brief Sends log lines to the standard output through a bounded queue and one writer thread. */
 void startLogging();
 
+/** @brief Asks the writer thread to write all lines that it has formatted; does not wait for it. */
+void flushLog();
+
 /** @brief Writes queued lines and stops the writer thread. */
 void stopLogging();
 
--- a/src/wasabiroad/metrics/metrics.cpp
+++ b/src/wasabiroad/metrics/metrics.cpp
@@ -30,23 +30,31 @@
 
 Metrics::~Metrics() = default;
 
-void Metrics::count(const std::string& name, const Labels& labels, double amount)
+void Counter::increment(double amount) { this->target->Increment(amount); }
+
+void Histogram::observe(double milliseconds) { this->target->Observe(milliseconds); }
+
+Counter Metrics::counter(const std::string& name, const Labels& labels)
 {
-    prometheus::BuildCounter().Name(name).Register(this->state->registry).Add(labels).Increment(amount);
+    return Counter { prometheus::BuildCounter().Name(name).Register(this->state->registry).Add(labels) };
 }
 
-void Metrics::set(const std::string& name, const Labels& labels, double value)
+Histogram Metrics::histogram(const std::string& name, const Labels& labels)
 {
-    prometheus::BuildGauge().Name(name).Register(this->state->registry).Add(labels).Set(value);
+    return Histogram { prometheus::BuildHistogram()
+                           .Name(name)
+                           .Register(this->state->registry)
+                           .Add(labels, bucketsInMilliseconds()) };
 }
 
-void Metrics::observe(const std::string& name, const Labels& labels, double milliseconds)
+void Metrics::count(const std::string& name, const Labels& labels, double amount)
 {
-    prometheus::BuildHistogram()
-        .Name(name)
-        .Register(this->state->registry)
-        .Add(labels, bucketsInMilliseconds())
-        .Observe(milliseconds);
+    counter(name, labels).increment(amount);
+}
+
+void Metrics::set(const std::string& name, const Labels& labels, double value)
+{
+    prometheus::BuildGauge().Name(name).Register(this->state->registry).Add(labels).Set(value);
 }
 
 std::string Metrics::text() const
--- a/src/wasabiroad/traffic/front_end.cpp
+++ b/src/wasabiroad/traffic/front_end.cpp
@@ -81,15 +81,18 @@
     , incarnation(randomSeed())
     , port(daemonThreads.traffic(0), this->clock, randomSeed(),
           TicketBook { daemonSettings.entry, this->incarnation, randomSecret() })
-    , environment { this->port, daemonSettings.limits, this->clock, daemonMetrics, store }
+    , environment { this->port, daemonSettings.limits, this->clock, store }
     , progress(daemonThreads.trafficCount())
 {
     for (std::size_t index = 0; index < this->threads.trafficCount(); ++index) {
         auto& context = this->threads.traffic(index);
         const auto prefix = this->settings.entry.text() + "-" + hexadecimal(this->incarnation) + "-"
             + std::to_string(index) + "-";
-        this->lanes.push_back(std::unique_ptr<Lane>(
-            new Lane { { .context = context, .pool = UpstreamPool { context }, .idPrefix = prefix },
+        this->lanes.push_back(
+            std::unique_ptr<Lane>(new Lane { { .context = context,
+                                                 .pool = UpstreamPool { context },
+                                                 .metrics = RequestMetrics { daemonMetrics },
+                                                 .idPrefix = prefix },
                 tcp::acceptor { context }, asio::steady_timer { context } }));
     }
 }
--- a/src/wasabiroad/traffic/session.cpp
+++ b/src/wasabiroad/traffic/session.cpp
@@ -328,9 +328,7 @@
 {
     const auto& request = decoded.request;
     const auto started = kernel::now(this->environment.clock);
-    this->environment.metrics.observe("wasabiroad_wait_milliseconds",
-        { { "service", request.service.text() } },
-        static_cast<double>((started - request.arrival).milliseconds));
+    this->thread.metrics.waited(request.service, started - request.arrival);
     advance(RequestEvent::SendStarted);
     const Attempt attempt { request, grant, makeId(), body, keepAlive, decoded.stoppable };
     const auto result = co_await this->exchange.run(attempt, this->stream);
@@ -392,8 +390,7 @@
         { { "request", request.id.text() }, { "attempt", attempt.id }, { "vm", attempt.grant.vm.text() },
             { "state", name(this->state) }, { "result", reason },
             { "milliseconds", (kernel::now(this->environment.clock) - started).milliseconds } });
-    this->environment.metrics.count("wasabiroad_attempts_total",
-        { { "service", request.service.text() }, { "state", std::string { name(this->state) } } });
+    this->thread.metrics.attempted(request.service, this->state);
 }
 
 asio::awaitable<std::optional<admission::Decision>> Session::nextDecision()
@@ -449,8 +446,7 @@
 asio::awaitable<bool> Session::answer(const SystemAnswer& systemAnswer, bool keepAlive)
 {
     logRefusal(systemAnswer);
-    this->environment.metrics.count(
-        "wasabiroad_refusals_total", { { "code", std::string { kernel::name(systemAnswer.code) } } });
+    this->thread.metrics.refused(systemAnswer.code);
     const auto response = encode(systemAnswer, keepAlive);
     co_return co_await send(response, keepAlive);
 }
--- a/src/wasabiroad/traffic/session.hpp
+++ b/src/wasabiroad/traffic/session.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "wasabiroad/lifecycle/request_machine.hpp"
-#include "wasabiroad/metrics/metrics.hpp"
 #include "wasabiroad/settings/settings.hpp"
 #include "wasabiroad/traffic/attempt.hpp"
 #include "wasabiroad/traffic/claim.hpp"
 #include "wasabiroad/traffic/decode.hpp"
 #include "wasabiroad/traffic/dispatch_port.hpp"
 #include "wasabiroad/traffic/encode.hpp"
+#include "wasabiroad/traffic/request_metrics.hpp"
 
 #include <optional>
 
@@ -20,6 +20,7 @@
 struct ThreadState {
     boost::asio::io_context& context;
     UpstreamPool pool;
+    RequestMetrics metrics;
     model::RoutingSnapshotPointer snapshot {};
     /** @brief Prefix of identifiers made by this thread, unique among all daemons. */
     const std::string idPrefix;
@@ -35,7 +36,6 @@
     const settings::Limits limits;
     /** @brief Steady clock. */
     const kernel::Clock clock;
-    metrics::Metrics& metrics;
     /** @brief Holds the claims. */
     const platform::Store store;
 };
