--- a/src/wasabiroad/http/endpoint.cpp
+++ b/src/wasabiroad/http/endpoint.cpp
@@ -33,4 +33,23 @@
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+kernel::Expected<std::string> listen(tcp::acceptor& acceptor, const std::string& address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        return tl::unexpected(endpoint.error());
+    }
+    boost::system::error_code failed;
+    acceptor.open(endpoint->protocol(), failed);
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+    acceptor.bind(*endpoint, failed);
+    if (!failed) {
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        return kernel::fail(ResultCode::ListenFailed, address, failed.message(), "a free local address");
+    }
+    return toText(acceptor.local_endpoint());
+}
+
 } // namespace wasabiroad::http
--- a/src/wasabiroad/http/endpoint.hpp
+++ b/src/wasabiroad/http/endpoint.hpp
@@ -18,4 +18,11 @@
 /** @return The endpoint as IP address and port. */
 std::string toText(const boost::asio::ip::tcp::endpoint& endpoint);
 
+/**
+ * @brief Opens an acceptor on an address and starts to listen.
+ * @param address IP address and port; port 0 lets the system choose.
+ * @return The bound address. Errors: ValueOutOfRange, ListenFailed.
+ */
+kernel::Expected<std::string> listen(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address);
+
 } // namespace wasabiroad::http
--- a/src/wasabiroad/http/server.cpp
+++ b/src/wasabiroad/http/server.cpp
@@ -77,23 +77,11 @@
 
 kernel::Expected<std::string> Server::listen(const std::string& address)
 {
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint) {
-        return tl::unexpected(endpoint.error());
+    auto bound = http::listen(this->state->acceptor, address);
+    if (bound) {
+        asio::co_spawn(this->state->context, accept(this->state), asio::detached);
     }
-    boost::system::error_code failed;
-    this->state->acceptor.open(endpoint->protocol(), failed);
-    this->state->acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
-    this->state->acceptor.bind(*endpoint, failed);
-    if (!failed) {
-        this->state->acceptor.listen(asio::socket_base::max_listen_connections, failed);
-    }
-    if (failed) {
-        return kernel::fail(
-            kernel::ResultCode::ListenFailed, address, failed.message(), "a free local address");
-    }
-    asio::co_spawn(this->state->context, accept(this->state), asio::detached);
-    return toText(this->state->acceptor.local_endpoint());
+    return bound;
 }
 
 void Server::close()
--- a/src/wasabiroad/standin/upstream.cpp
+++ b/src/wasabiroad/standin/upstream.cpp
@@ -253,23 +253,11 @@
 
 kernel::Expected<std::string> Upstream::listen(const std::string& address)
 {
-    const auto endpoint = http::parseEndpoint(address);
-    if (!endpoint) {
-        return tl::unexpected(endpoint.error());
+    auto bound = http::listen(this->state->acceptor, address);
+    if (bound) {
+        asio::co_spawn(this->state->context, accept(this->state), asio::detached);
     }
-    boost::system::error_code failed;
-    this->state->acceptor.open(endpoint->protocol(), failed);
-    this->state->acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
-    this->state->acceptor.bind(*endpoint, failed);
-    if (!failed) {
-        this->state->acceptor.listen(asio::socket_base::max_listen_connections, failed);
-    }
-    if (failed) {
-        return kernel::fail(
-            kernel::ResultCode::ListenFailed, address, failed.message(), "a free local address");
-    }
-    asio::co_spawn(this->state->context, accept(this->state), asio::detached);
-    return http::toText(this->state->acceptor.local_endpoint());
+    return bound;
 }
 
 void Upstream::behave(const Behaviour& next)
