--- /dev/null
+++ b/src/wasabiroad/agent/duties.cpp
@@ -0,0 +1,308 @@
+#include "wasabiroad/agent/duties.hpp"
+
+#include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/kernel/log.hpp"
+#include "wasabiroad/kernel/overloaded.hpp"
+
+namespace wasabiroad::agent {
+
+using kernel::Duration;
+using kernel::Instant;
+
+namespace {
+
+/** Lifetime of the lease; bounds the time without an owner after a crash. */
+constexpr Duration leaseLifetime { 2500 };
+
+/** Interval of renewals: three may fail before the lease ends. */
+constexpr Duration renewInterval { 600 };
+
+/** Time for which an owner acts on after its lease may have ended; a new owner waits for it, see Policy. */
+constexpr Duration actGrace { 1500 };
+
+/** Wait of a watch; a connection that is silent is noticed after this time and some slack. */
+constexpr Duration watchWait { 3000 };
+
+constexpr Duration retryInterval { 300 };
+
+/** Delay before a vacant duty is taken, for each duty that is held already: spreads duties over daemons. */
+constexpr Duration delayPerHeldDuty { 250 };
+
+Instant bootNow() { return kernel::now(kernel::BootClock {}); }
+
+} // namespace
+
+Duties::Duties(boost::asio::io_context& ioContext, std::shared_ptr<const store::Store> dutyStore,
+    model::EntryId self, std::uint64_t run, DutyHandlers dutyHandlers)
+    : context(ioContext)
+    , store(std::move(dutyStore))
+    , entry(std::move(self))
+    , incarnation(run)
+    , handlers(std::move(dutyHandlers))
+    , leaseTimer(ioContext)
+    , retryTimer(ioContext)
+{
+}
+
+std::string Duties::self() const { return this->entry.text() + "#" + std::to_string(this->incarnation); }
+
+void Duties::start()
+{
+    readOwners();
+    keepLease();
+}
+
+void Duties::want(const std::set<std::string>& duties)
+{
+    this->wanted = duties;
+    for (const auto& duty : duties) {
+        if (!this->owners.contains(duty)) {
+            this->vacantSince.try_emplace(duty, bootNow());
+        }
+    }
+    tryVacant();
+}
+
+bool Duties::mayAct() const { return bootNow() < this->validUntil + actGrace; }
+
+void Duties::keepLease()
+{
+    if (this->stopping) {
+        return;
+    }
+    this->leaseTimer.start(renewInterval, [self = shared_from_this()] { self->keepLease(); });
+    const auto sent = bootNow();
+    if (this->lease && !this->renewing) {
+        this->renewing = true;
+        this->store->renew(*this->lease, [self = shared_from_this(), sent](kernel::Expected<bool> alive) {
+            self->renewing = false;
+            self->onRenewed(alive, sent);
+        });
+    } else if (!this->lease && !this->granting) {
+        this->granting = true;
+        this->store->grant(
+            leaseLifetime, [self = shared_from_this(), sent](const kernel::Expected<store::Lease>& granted) {
+                self->granting = false;
+                self->onLease(granted, sent);
+            });
+    }
+}
+
+void Duties::onLease(const kernel::Expected<store::Lease>& granted, Instant sent)
+{
+    if (!granted || this->stopping) {
+        return;
+    }
+    this->lease = granted->id;
+    this->contact = bootNow();
+    this->validUntil = sent + granted->lifetime;
+    tryVacant();
+}
+
+void Duties::onRenewed(const kernel::Expected<bool>& alive, Instant sent)
+{
+    if (!alive) {
+        kernel::logEvent("lease-not-renewed", { { "code", number(alive.error().code) },
+                                                  { "reason", alive.error().found },
+                                                  { "valid_ms", (this->validUntil - bootNow()).milliseconds } });
+        return;
+    }
+    this->contact = bootNow();
+    if (!*alive) {
+        this->lease.reset();
+        loseAll("lease ended");
+        return;
+    }
+    this->validUntil = sent + leaseLifetime;
+}
+
+void Duties::readOwners()
+{
+    this->store->list(keys::owners, [self = shared_from_this()](const kernel::Expected<store::Listing>& listing) {
+        if (self->stopping) {
+            return;
+        }
+        if (!listing) {
+            callLater(self->context, retryInterval, [self] { self->readOwners(); });
+            return;
+        }
+        self->contact = bootNow();
+        self->informed = true;
+        std::set<std::string> present;
+        for (const auto& found : listing->entries) {
+            const auto duty = found.key.substr(keys::owners.size());
+            present.insert(duty);
+            self->onOwner(duty, found.value, found.created);
+        }
+        const auto known = self->owners;
+        for (const auto& [duty, owner] : known) {
+            if (!present.contains(duty)) {
+                self->onVacant(duty);
+            }
+        }
+        self->want(self->wanted);
+        self->watchOwners(listing->asOf);
+    });
+}
+
+void Duties::watchOwners(store::Revision after)
+{
+    this->store->watch(keys::owners, after, watchWait,
+        [self = shared_from_this(), after](const store::WatchOutcome& outcome) {
+            if (self->stopping) {
+                return;
+            }
+            std::visit(kernel::Overloaded {
+                           [&](const store::KeyEvents& changes) {
+                               self->contact = bootNow();
+                               for (const auto& event : changes.events) {
+                                   std::visit(kernel::Overloaded {
+                                                  [&](const store::Entry& found) {
+                                                      self->onOwner(found.key.substr(keys::owners.size()),
+                                                          found.value, found.created);
+                                                  },
+                                                  [&](const store::Removed& removed) {
+                                                      self->onVacant(removed.key.substr(keys::owners.size()));
+                                                  },
+                                              },
+                                       event);
+                               }
+                               self->tryVacant();
+                               self->watchOwners(std::max(changes.asOf, after));
+                           },
+                           [&](const store::HistoryGone&) { self->readOwners(); },
+                           [&](const kernel::Error&) {
+                               callLater(self->context, retryInterval, [self] { self->readOwners(); });
+                           },
+                       },
+                outcome);
+        });
+}
+
+void Duties::onOwner(const std::string& duty, const std::string& owner, store::Revision created)
+{
+    this->owners[duty] = owner;
+    this->vacantSince.erase(duty);
+    const auto mine = this->held.find(duty);
+    if (owner == self()) {
+        if (mine == this->held.end() && this->lease) {
+            const ports::Term term { created.value };
+            this->held.emplace(duty, term);
+            kernel::logEvent("duty-taken", { { "duty", duty }, { "term", term.value } });
+            this->handlers.begin(duty, term);
+        }
+    } else if (mine != this->held.end()) {
+        lose(duty, "another owner");
+    }
+}
+
+void Duties::onVacant(const std::string& duty)
+{
+    this->owners.erase(duty);
+    this->vacantSince.try_emplace(duty, bootNow());
+    if (this->held.contains(duty)) {
+        lose(duty, "key removed");
+    }
+}
+
+void Duties::tryVacant()
+{
+    if (this->stopping) {
+        return;
+    }
+    bool vacant = false;
+    const auto now = bootNow();
+    const auto delay = delayPerHeldDuty * static_cast<std::int64_t>(this->held.size() + this->taking.size());
+    for (const auto& duty : this->wanted) {
+        const auto since = this->vacantSince.find(duty);
+        if (since == this->vacantSince.end() || this->taking.contains(duty)) {
+            continue;
+        }
+        vacant = true;
+        if (this->informed && this->lease && now < this->validUntil && now - since->second >= delay) {
+            tryTake(duty);
+        }
+    }
+    if (vacant) {
+        this->retryTimer.start(delayPerHeldDuty, [self = shared_from_this()] { self->tryVacant(); });
+    }
+}
+
+void Duties::tryTake(const std::string& duty)
+{
+    this->taking.insert(duty);
+    const auto key = keys::owner(duty);
+    this->store->change({ { { key, {} } }, { { key, self(), *this->lease } }, {} },
+        [self = shared_from_this(), duty, lease = *this->lease](const store::ChangeOutcome& outcome) {
+            self->taking.erase(duty);
+            if (self->stopping) {
+                return;
+            }
+            std::visit(
+                kernel::Overloaded {
+                    [&](const store::Committed& committed) {
+                        self->contact = bootNow();
+                        if (self->lease == lease) {
+                            self->onOwner(duty, self->self(), committed.revision);
+                        }
+                    },
+                    [&](const store::Conflict& conflict) {
+                        self->contact = bootNow();
+                        for (const auto& found : conflict.current) {
+                            self->onOwner(duty, found.value, found.created);
+                        }
+                    },
+                    [&](const store::LeaseEnded&) {
+                        self->lease.reset();
+                        self->loseAll("lease ended");
+                    },
+                    // The watch shows whether it was taken.
+                    [&](const store::NotDone&) {},
+                    [&](const store::OutcomeUnknown&) {},
+                },
+                outcome);
+            self->tryVacant();
+        });
+}
+
+void Duties::lose(const std::string& duty, std::string_view reason)
+{
+    kernel::logEvent("duty-lost",
+        { { "duty", duty }, { "term", this->held.at(duty).value }, { "reason", reason } });
+    this->held.erase(duty);
+    this->handlers.end(duty);
+}
+
+void Duties::loseAll(std::string_view reason)
+{
+    const auto lost = this->held;
+    for (const auto& [duty, term] : lost) {
+        lose(duty, reason);
+        this->owners.erase(duty);
+        this->vacantSince.try_emplace(duty, bootNow());
+    }
+    tryVacant();
+}
+
+void Duties::release(std::function<void()> done)
+{
+    this->stopping = true;
+    this->leaseTimer.cancel();
+    this->retryTimer.cancel();
+    const auto lost = this->held;
+    for (const auto& [duty, term] : lost) {
+        lose(duty, "stopping");
+    }
+    if (!this->lease) {
+        done();
+        return;
+    }
+    this->store->end(*this->lease, [done = std::move(done)](const kernel::Expected<void>& ended) {
+        if (!ended) {
+            kernel::logEvent("lease-not-ended", { { "code", number(ended.error().code) } });
+        }
+        done();
+    });
+}
+
+} // namespace wasabiroad::agent
--- /dev/null
+++ b/src/wasabiroad/agent/fwd.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace wasabiroad::agent {
+
+struct Intake;
+class Duties;
+class PoolAgent;
+class RecordWriter;
+class Submissions;
+class Timer;
+class UpstreamAgent;
+
+} // namespace wasabiroad::agent
--- /dev/null
+++ b/src/wasabiroad/agent/intake.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "wasabiroad/jobs/configuration.hpp"
+#include "wasabiroad/kernel/error.hpp"
+#include "wasabiroad/store/store.hpp"
+
+#include <functional>
+#include <optional>
+#include <variant>
+
+namespace wasabiroad::agent {
+
+/** @brief The job is stored and will run. */
+struct Accepted {
+    friend auto operator<=>(const Accepted&, const Accepted&) = default;
+};
+
+/** @brief The job is not stored and never runs. */
+struct Rejected {
+    const kernel::ResultCode code { kernel::ResultCode::PlatformUnreachable };
+    /** @brief When the caller may try again. */
+    const kernel::Duration retryAfter {};
+
+    friend auto operator<=>(const Rejected&, const Rejected&) = default;
+};
+
+/** @brief Whether the job is stored is not known; the caller may send it again under the same id. */
+struct Undecided {
+    friend auto operator<=>(const Undecided&, const Undecided&) = default;
+};
+
+using SubmitOutcome = std::variant<Accepted, Rejected, Undecided>;
+
+/** @brief There is no such job. */
+struct NoSuchJob {
+    friend auto operator<=>(const NoSuchJob&, const NoSuchJob&) = default;
+};
+
+/** @brief The store could not be asked. */
+struct Unavailable {
+    friend auto operator<=>(const Unavailable&, const Unavailable&) = default;
+};
+
+using StateOutcome = std::variant<jobs::JobState, NoSuchJob, Unavailable>;
+
+/** @brief Calls of callers; each callback runs exactly once. Control thread only. */
+struct Intake {
+    const std::function<void(jobs::Job, kernel::Duration deadline, store::Callback<SubmitOutcome>)> submit;
+    const std::function<void(model::ServiceId, jobs::JobId, store::Callback<StateOutcome>)> state;
+    /** @brief Cancels a job; the outcome is its state afterwards. */
+    const std::function<void(model::ServiceId, jobs::JobId, store::Callback<StateOutcome>)> cancel;
+    /** @brief Counts the jobs of a queue that have not begun; nothing when that is not known. */
+    const std::function<void(model::ServiceId, jobs::QueueId, store::Callback<std::optional<std::uint64_t>>)>
+        pending;
+    /** @return Whether the load balancer should send callers to this entry. */
+    const std::function<bool()> ready;
+};
+
+} // namespace wasabiroad::agent
--- /dev/null
+++ b/src/wasabiroad/agent/keys.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "wasabiroad/jobs/job.hpp"
+#include "wasabiroad/model/identifier.hpp"
+
+#include <string>
+
+namespace wasabiroad::agent {
+
+/** Keys of the daemons in the store. */
+namespace keys {
+
+    /** Owners of duties. */
+    inline const std::string owners { "owner/" };
+
+    inline std::string owner(const std::string& duty) { return owners + duty; }
+
+    /** Service that a job was accepted for; its creation makes an id unique over all services. */
+    inline std::string acceptance(const jobs::JobId& job) { return "accepted/" + job.text(); }
+
+    /** All that the owner of a pool watches. */
+    inline std::string pool(const model::ServiceId& service) { return "pool/" + service.text() + "/"; }
+
+    inline std::string jobsOf(const model::ServiceId& service) { return pool(service) + "job/"; }
+
+    inline std::string job(const model::ServiceId& service, const jobs::JobId& job)
+    {
+        return jobsOf(service) + job.text();
+    }
+
+    /** VMs of a pool that are to be emptied for maintenance. */
+    inline std::string drainsOf(const model::ServiceId& service) { return pool(service) + "drain/"; }
+
+    inline std::string recordsOf(const model::ServiceId& service) { return "record/" + service.text() + "/"; }
+
+    inline std::string record(const model::ServiceId& service, const jobs::JobId& job)
+    {
+        return recordsOf(service) + job.text();
+    }
+
+    inline std::string usedUpstreams(const model::ServiceId& service) { return "used/" + service.text(); }
+
+    inline std::string pendingCounts(const model::ServiceId& service) { return "pending/" + service.text(); }
+
+} // namespace keys
+
+} // namespace wasabiroad::agent
--- /dev/null
+++ b/src/wasabiroad/agent/plugin.cpp
@@ -0,0 +1,387 @@
+#include "wasabiroad/agent/duties.hpp"
+#include "wasabiroad/agent/intake.hpp"
+#include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/agent/pool_agent.hpp"
+#include "wasabiroad/agent/submissions.hpp"
+#include "wasabiroad/jobs/codec.hpp"
+#include "wasabiroad/kernel/kernel.hpp"
+#include "wasabiroad/kernel/log.hpp"
+#include "wasabiroad/kernel/overloaded.hpp"
+#include "wasabiroad/settings/settings.hpp"
+
+#include <map>
+
+namespace wasabiroad::agent {
+
+namespace {
+
+using kernel::Duration;
+using kernel::Instant;
+
+/** Wait of the watch for configurations; a silent connection is noticed within the time to apply one. */
+constexpr Duration operatorWait { 1000 };
+
+constexpr Duration retryInterval { 200 };
+
+/** Interval of reading the list of upstreams; a leaving one gets no new tasks after at most 2 s. */
+constexpr Duration membersInterval { 700 };
+
+/** An entry without an answer of the store for this long sends callers elsewhere. */
+constexpr Duration contactLimit { 2500 };
+
+/** Attempts to cancel a job whose record changes at the same time. */
+constexpr int cancelAttempts = 6;
+
+Instant bootNow() { return kernel::now(kernel::BootClock {}); }
+
+/** @brief The control state of one daemon: configuration, duties and calls of callers. */
+class Agent : public std::enable_shared_from_this<Agent> {
+public:
+    explicit Agent(kernel::Kernel& daemonKernel)
+        : context(daemonKernel.threads().control())
+        , settings(daemonKernel.find<const settings::Settings>())
+        , store(daemonKernel.find<const store::Store>())
+        , fleet(daemonKernel.find<const ports::Fleet>())
+        , upstreams(daemonKernel.find<const ports::Upstreams>())
+        , metrics(daemonKernel.find<metrics::Metrics>())
+        , configurations(daemonKernel.find<kernel::Publisher<jobs::Configuration>>())
+        , submissions(std::make_shared<Submissions>(context, store))
+        , membersTimer(context)
+    {
+    }
+
+    void start()
+    {
+        const auto incarnation = static_cast<std::uint64_t>(kernel::now(kernel::WallClock {}).milliseconds);
+        const std::weak_ptr<Agent> weak = weak_from_this();
+        this->duties = std::make_shared<Duties>(this->context, this->store, this->settings->entry, incarnation,
+            DutyHandlers {
+                [weak](const std::string& duty, ports::Term term) {
+                    if (const auto self = weak.lock()) {
+                        self->beginDuty(duty, term);
+                    }
+                },
+                [weak](const std::string& duty) {
+                    if (const auto self = weak.lock()) {
+                        self->endDuty(duty);
+                    }
+                },
+            });
+        this->duties->start();
+        readOperator();
+    }
+
+    void stop(std::function<void()> done) { this->duties->release(std::move(done)); }
+
+    bool isReady() const
+    {
+        return this->configurations->current() != nullptr && bootNow() - this->contact < contactLimit;
+    }
+
+    void submit(jobs::Job job, Duration deadline, store::Callback<SubmitOutcome> callback)
+    {
+        this->submissions->submit(std::move(job), deadline, std::move(callback));
+    }
+
+    void state(const model::ServiceId& service, const jobs::JobId& job, store::Callback<StateOutcome> callback)
+    {
+        for (const auto& [pool, agent] : this->pools) {
+            if (const auto known = agent->stateOf(job); known && this->duties->mayAct()) {
+                callback(*known);
+                return;
+            }
+        }
+        readState(service, job, true, std::move(callback));
+    }
+
+    void cancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+        store::Callback<StateOutcome> callback)
+    {
+        this->store->read(keys::record(service, job),
+            [self = shared_from_this(), service, job, attempts, callback = std::move(callback)](
+                const kernel::Expected<std::optional<store::Entry>>& entry) {
+                if (!entry) {
+                    self->retryCancel(service, job, attempts, callback);
+                } else if (!*entry) {
+                    self->cancelElsewhere(service, job, attempts, callback);
+                } else {
+                    self->cancelRecord(service, job, attempts, **entry, callback);
+                }
+            });
+    }
+
+    void pending(const model::ServiceId& service, const jobs::QueueId& queue,
+        store::Callback<std::optional<std::uint64_t>> callback)
+    {
+        const auto countOf = [queue](const jobs::PendingCounts& counts) {
+            const auto found = counts.find(queue);
+            return found != counts.end() ? found->second : 0;
+        };
+        const auto own = this->pools.find(service);
+        if (own != this->pools.end() && this->duties->mayAct()) {
+            if (const auto counts = own->second->pendingCounts()) {
+                callback(countOf(*counts));
+                return;
+            }
+        }
+        this->store->read(keys::pendingCounts(service),
+            [countOf, callback = std::move(callback)](
+                const kernel::Expected<std::optional<store::Entry>>& entry) {
+                if (!entry) {
+                    callback(std::nullopt);
+                    return;
+                }
+                const auto counts = *entry ? jobs::decodePendingCounts((*entry)->value) : std::nullopt;
+                callback(counts ? countOf(*counts) : 0);
+            });
+    }
+
+private:
+    void readOperator()
+    {
+        this->fleet->readOperator(
+            [self = shared_from_this()](const ports::OperatorOutcome& outcome) { self->onOperator(outcome); });
+    }
+
+    void watchOperator(store::Revision after)
+    {
+        this->fleet->watchOperator(after, operatorWait, [self = shared_from_this(), after](
+                                                            const ports::OperatorOutcome& outcome) {
+            if (std::holds_alternative<kernel::Error>(outcome)) {
+                callLater(self->context, retryInterval, [self, after] { self->watchOperator(after); });
+                return;
+            }
+            self->onOperator(outcome);
+        });
+    }
+
+    void onOperator(const ports::OperatorOutcome& outcome)
+    {
+        std::visit(kernel::Overloaded {
+                       [&](const ports::OperatorState& state) {
+                           this->contact = bootNow();
+                           if (state.configuration) {
+                               adopt(*state.configuration);
+                           }
+                           watchOperator(state.asOf);
+                       },
+                       [&](const store::HistoryGone&) { readOperator(); },
+                       [&](const kernel::Error&) {
+                           callLater(this->context, retryInterval,
+                               [self = shared_from_this()] { self->readOperator(); });
+                       },
+                   },
+            outcome);
+    }
+
+    void adopt(const jobs::Configuration& configuration)
+    {
+        const auto& current = this->configurations->current();
+        if (current && current->generation >= configuration.generation) {
+            return;
+        }
+        kernel::logEvent("configuration-adopted", { { "generation", configuration.generation.value },
+                                                      { "queues", configuration.queues.size() } });
+        this->configurations->publish(std::make_shared<const jobs::Configuration>(configuration));
+        for (const auto& queue : configuration.queues) {
+            this->wanted.insert(queue.service.text());
+        }
+        this->duties->want(this->wanted);
+    }
+
+    void beginDuty(const std::string& duty, ports::Term term)
+    {
+        const model::ServiceId service { duty };
+        const std::weak_ptr<Duties> keeper = this->duties;
+        auto agent = std::make_shared<PoolAgent>(
+            PoolContext { this->context, this->store, this->upstreams, this->metrics,
+                this->settings->fleet->taskLease,
+                [keeper] {
+                    const auto kept = keeper.lock();
+                    return kept && kept->mayAct();
+                } },
+            service, term);
+        this->pools.insert_or_assign(service, agent);
+        agent->start();
+        if (this->pools.size() == 1) {
+            readMembers();
+        }
+    }
+
+    void endDuty(const std::string& duty)
+    {
+        const auto found = this->pools.find(model::ServiceId { duty });
+        if (found != this->pools.end()) {
+            found->second->close();
+            this->pools.erase(found);
+        }
+    }
+
+    void readMembers()
+    {
+        if (this->pools.empty()) {
+            return;
+        }
+        this->membersTimer.start(membersInterval, [self = shared_from_this()] { self->readMembers(); });
+        this->fleet->listUpstreams(
+            [self = shared_from_this()](const kernel::Expected<std::vector<scheduling::UpstreamFacts>>& members) {
+                if (!members) {
+                    return;
+                }
+                self->contact = bootNow();
+                const auto pools = self->pools;
+                for (const auto& [service, agent] : pools) {
+                    agent->setMembers(*members);
+                }
+            });
+    }
+
+    void readState(const model::ServiceId& service, const jobs::JobId& job, bool mayBeElsewhere,
+        store::Callback<StateOutcome> callback)
+    {
+        this->store->read(keys::record(service, job),
+            [self = shared_from_this(), service, job, mayBeElsewhere, callback = std::move(callback)](
+                const kernel::Expected<std::optional<store::Entry>>& entry) {
+                if (!entry) {
+                    callback(Unavailable {});
+                    return;
+                }
+                if (!*entry) {
+                    if (mayBeElsewhere) {
+                        self->readElsewhere(service, job, callback);
+                    } else {
+                        callback(NoSuchJob {});
+                    }
+                    return;
+                }
+                const auto record = jobs::decodeRecord((*entry)->value);
+                callback(record ? StateOutcome { record->state } : StateOutcome { Unavailable {} });
+            });
+    }
+
+    /** A queue may have moved to another service since the job was accepted. */
+    void readElsewhere(
+        const model::ServiceId& service, const jobs::JobId& job, const store::Callback<StateOutcome>& callback)
+    {
+        this->store->read(keys::acceptance(job),
+            [self = shared_from_this(), service, job, callback](
+                const kernel::Expected<std::optional<store::Entry>>& entry) {
+                if (!entry) {
+                    callback(Unavailable {});
+                } else if (!*entry || (*entry)->value == service.text()) {
+                    callback(NoSuchJob {});
+                } else {
+                    self->readState(model::ServiceId { (*entry)->value }, job, false, callback);
+                }
+            });
+    }
+
+    void cancelElsewhere(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+        const store::Callback<StateOutcome>& callback)
+    {
+        this->store->read(keys::acceptance(job),
+            [self = shared_from_this(), service, job, attempts, callback](
+                const kernel::Expected<std::optional<store::Entry>>& entry) {
+                if (!entry) {
+                    self->retryCancel(service, job, attempts, callback);
+                } else if (!*entry || (*entry)->value == service.text()) {
+                    callback(NoSuchJob {});
+                } else {
+                    self->cancel(model::ServiceId { (*entry)->value }, job, attempts - 1, callback);
+                }
+            });
+    }
+
+    void retryCancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+        const store::Callback<StateOutcome>& callback)
+    {
+        if (attempts <= 1) {
+            callback(Unavailable {});
+            return;
+        }
+        callLater(this->context, retryInterval, [self = shared_from_this(), service, job, attempts, callback] {
+            self->cancel(service, job, attempts - 1, callback);
+        });
+    }
+
+    void cancelRecord(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+        const store::Entry& entry, const store::Callback<StateOutcome>& callback)
+    {
+        const auto record = jobs::decodeRecord(entry.value);
+        if (record && jobs::isFinal(record->state)) {
+            callback(record->state);
+            return;
+        }
+        const jobs::Record cancelled { jobs::JobState::Cancelled, {}, kernel::now(kernel::WallClock {}) };
+        this->store->change({ { { entry.key, entry.revision } }, { { entry.key, jobs::encode(cancelled) } },
+                                { keys::job(service, job) } },
+            [self = shared_from_this(), service, job, attempts, callback](const store::ChangeOutcome& outcome) {
+                if (std::holds_alternative<store::Committed>(outcome)) {
+                    kernel::logEvent("job-cancel-stored", { { "job", job.text() } });
+                    callback(jobs::JobState::Cancelled);
+                } else if (std::holds_alternative<store::Conflict>(outcome) && attempts > 1) {
+                    self->cancel(service, job, attempts - 1, callback);
+                } else {
+                    self->retryCancel(service, job, attempts, callback);
+                }
+            });
+    }
+
+    boost::asio::io_context& context;
+    const std::shared_ptr<const settings::Settings> settings;
+    const std::shared_ptr<const store::Store> store;
+    const std::shared_ptr<const ports::Fleet> fleet;
+    const std::shared_ptr<const ports::Upstreams> upstreams;
+    const std::shared_ptr<metrics::Metrics> metrics;
+    const std::shared_ptr<kernel::Publisher<jobs::Configuration>> configurations;
+    const std::shared_ptr<Submissions> submissions;
+    std::shared_ptr<Duties> duties {};
+    std::set<std::string> wanted {};
+    std::map<model::ServiceId, std::shared_ptr<PoolAgent>> pools {};
+    Timer membersTimer;
+    Instant contact {};
+};
+
+Intake makeIntake(const std::shared_ptr<Agent>& agent)
+{
+    return {
+        .submit = [agent](jobs::Job job, Duration deadline,
+                      auto callback) { agent->submit(std::move(job), deadline, std::move(callback)); },
+        .state = [agent](const model::ServiceId& service, const jobs::JobId& job,
+                     auto callback) { agent->state(service, job, std::move(callback)); },
+        .cancel =
+            [agent](const model::ServiceId& service, const jobs::JobId& job, auto callback) {
+                agent->cancel(service, job, cancelAttempts, std::move(callback));
+            },
+        .pending = [agent](const model::ServiceId& service, const jobs::QueueId& queue,
+                       auto callback) { agent->pending(service, queue, std::move(callback)); },
+        .ready = [agent] { return agent->isReady(); },
+    };
+}
+
+kernel::Expected<void> start(kernel::Kernel& kernel)
+{
+    kernel.provide(std::make_shared<kernel::Publisher<jobs::Configuration>>());
+    auto agent = std::make_shared<Agent>(kernel);
+    kernel.provide(agent);
+    kernel.provide(std::make_shared<const Intake>(makeIntake(agent)));
+    agent->start();
+    return {};
+}
+
+void drain(kernel::Kernel& kernel, std::function<void()> done)
+{
+    kernel.find<Agent>()->stop(std::move(done));
+}
+
+const kernel::Registration registration { kernel::Plugin {
+    .name = "agent",
+    .version = { 1, 0 },
+    .dependencies = { "fleet-ports", "metrics" },
+    .start = start,
+    .drain = drain,
+} };
+
+} // namespace
+
+} // namespace wasabiroad::agent
--- /dev/null
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -0,0 +1,610 @@
+#include "wasabiroad/agent/pool_agent.hpp"
+
+#include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/kernel/log.hpp"
+#include "wasabiroad/kernel/overloaded.hpp"
+
+#include <algorithm>
+
+namespace wasabiroad::agent {
+
+using kernel::Duration;
+using scheduling::UpstreamId;
+
+namespace {
+
+/** Interval of the scheduler's time-outs; the shortest of them is some hundred ms. */
+constexpr Duration tickInterval { 200 };
+
+/** Time to gather records before a write when a job has ended, whose caller may be waiting. */
+constexpr Duration urgentFlushDelay { 8 };
+
+/** Time to gather other records: each write is paid for. */
+constexpr Duration flushDelay { 60 };
+
+/** Interval of writing the numbers of waiting jobs, which callers may see up to 2 s late. */
+constexpr Duration countsInterval { 600 };
+
+constexpr Duration watchWait { 3000 };
+constexpr Duration retryInterval { 300 };
+
+/** Upstream clocks may run slow by this part of a hundred; a lease then lasts longer on ours. */
+constexpr std::int64_t clockSlowPercent = 2;
+
+/** Added to a lease for delivery of the call that renews it. */
+constexpr Duration leaseSlack { 400 };
+
+scheduling::Policy makePolicy(Duration taskLease)
+{
+    const Duration span { taskLease.milliseconds + taskLease.milliseconds * clockSlowPercent / 100
+        + leaseSlack.milliseconds };
+    // A former owner may act for the lifetime of its lease and its grace after it was replaced, see Duties.
+    constexpr Duration formerOwner { 4000 };
+    return { .leaseSpan = span, .takeoverSpan = span + formerOwner };
+}
+
+} // namespace
+
+PoolAgent::PoolAgent(PoolContext context, model::ServiceId pool, ports::Term ownTerm)
+    : environment(std::move(context))
+    , service(std::move(pool))
+    , term(ownTerm)
+    , tickTimer(environment.context)
+    , flushTimer(environment.context)
+{
+}
+
+scheduling::Moment PoolAgent::now() const
+{
+    return { kernel::now(kernel::BootClock {}), kernel::now(kernel::WallClock {}) };
+}
+
+void PoolAgent::start()
+{
+    const std::weak_ptr<PoolAgent> weak = weak_from_this();
+    const auto withSelf = [weak](auto function) {
+        return [weak, function](const auto&... arguments) {
+            if (const auto self = weak.lock(); self && !self->closed) {
+                function(*self, arguments...);
+            }
+        };
+    };
+    this->scheduler.emplace(makePolicy(this->environment.taskLease), this->term.value, now());
+    this->writer = std::make_shared<RecordWriter>(this->environment.context, this->environment.store,
+        this->service, this->term,
+        RecordEvents {
+            withSelf([](PoolAgent& self, const jobs::JobId& job) { self.scheduler->recordWritten(job); }),
+            withSelf([](PoolAgent& self, const jobs::JobId& job) {
+                self.apply(scheduling::JobCancelled { job });
+            }),
+            withSelf([](PoolAgent& self) { self.superseded(); }),
+            withSelf([](PoolAgent& self, std::uint64_t batch) { self.onFlushed(batch); }),
+        });
+    load();
+}
+
+void PoolAgent::retryLoad()
+{
+    callLater(this->environment.context, retryInterval, [self = shared_from_this()] { self->load(); });
+}
+
+void PoolAgent::load()
+{
+    if (this->closed) {
+        return;
+    }
+    this->environment.store->list(keys::pool(this->service),
+        [self = shared_from_this()](const kernel::Expected<store::Listing>& pool) {
+            pool ? self->readRecords(*pool) : self->retryLoad();
+        });
+}
+
+void PoolAgent::readRecords(const store::Listing& pool)
+{
+    this->environment.store->list(keys::recordsOf(this->service),
+        [self = shared_from_this(), pool](const kernel::Expected<store::Listing>& records) {
+            records ? self->readUsed(pool, *records) : self->retryLoad();
+        });
+}
+
+void PoolAgent::readUsed(const store::Listing& pool, const store::Listing& records)
+{
+    if (this->closed) {
+        return;
+    }
+    if (this->loaded) {
+        addJobs(pool, records, false);
+        watch(pool.asOf);
+        return;
+    }
+    this->environment.store->read(keys::usedUpstreams(this->service),
+        [self = shared_from_this(), pool, records](
+            const kernel::Expected<std::optional<store::Entry>>& entry) {
+            if (!entry) {
+                self->retryLoad();
+                return;
+            }
+            const auto ids = *entry ? jobs::decodeUpstreams((*entry)->value) : std::nullopt;
+            self->begin(pool, records, ids.value_or(std::vector<std::string> {}),
+                *entry ? (*entry)->revision : store::Revision {});
+        });
+}
+
+void PoolAgent::begin(const store::Listing& pool, const store::Listing& records,
+    const std::vector<std::string>& usedBefore, store::Revision usedRevision)
+{
+    if (this->closed) {
+        return;
+    }
+    this->loaded = true;
+    this->used.insert(usedBefore.begin(), usedBefore.end());
+    addJobs(pool, records, true);
+    std::vector<UpstreamId> ids;
+    for (const auto& id : usedBefore) {
+        ids.emplace_back(id);
+    }
+    kernel::logEvent("pool-loaded",
+        { { "pool", this->service.text() }, { "term", this->term.value },
+            { "jobs", this->scheduler->jobCount() }, { "used", usedBefore.size() },
+            { "used_revision", usedRevision.value }, { "revision", pool.asOf.value } });
+    apply(scheduling::TermBegun { std::move(ids) });
+    useMembers();
+    watch(pool.asOf);
+    tick();
+}
+
+void PoolAgent::addJobs(const store::Listing& pool, const store::Listing& records, bool mayHaveStarted)
+{
+    std::map<std::string, const store::Entry*> recordOf;
+    for (const auto& entry : records.entries) {
+        recordOf[entry.key.substr(keys::recordsOf(this->service).size())] = &entry;
+    }
+    const auto prefix = keys::jobsOf(this->service);
+    for (const auto& entry : pool.entries) {
+        if (!entry.key.starts_with(prefix)) {
+            continue;
+        }
+        const auto found = recordOf.find(entry.key.substr(prefix.size()));
+        const auto job = jobs::decodeJob(entry.value);
+        const auto record = found != recordOf.end() ? jobs::decodeRecord(found->second->value) : std::nullopt;
+        if (!job || !record) {
+            kernel::logEvent("job-unreadable", { { "key", entry.key }, { "revision", entry.revision.value } });
+            continue;
+        }
+        if (this->scheduler->stateOf(job->id) || jobs::isFinal(record->state)) {
+            continue;
+        }
+        this->writer->setRevision(job->id, found->second->revision);
+        // A job that is younger than the term was never seen by a former owner.
+        apply(scheduling::JobAdded {
+            *job, *record, mayHaveStarted && entry.created.value < this->term.value });
+    }
+}
+
+void PoolAgent::watch(store::Revision after)
+{
+    this->environment.store->watch(keys::pool(this->service), after, watchWait,
+        [self = shared_from_this(), after](const store::WatchOutcome& outcome) {
+            if (self->closed) {
+                return;
+            }
+            std::visit(kernel::Overloaded {
+                           [&](const store::KeyEvents& changes) {
+                               for (const auto& event : changes.events) {
+                                   self->onKeyEvent(event);
+                               }
+                               self->watch(std::max(changes.asOf, after));
+                           },
+                           [&](const store::HistoryGone&) { self->load(); },
+                           [&](const kernel::Error&) {
+                               callLater(self->environment.context, retryInterval,
+                                   [self, after] { self->closed ? void() : self->watch(after); });
+                           },
+                       },
+                outcome);
+        });
+}
+
+void PoolAgent::onKeyEvent(const store::KeyEvent& event)
+{
+    const auto prefix = keys::jobsOf(this->service);
+    std::visit(kernel::Overloaded {
+                   [&](const store::Entry& entry) {
+                       if (!entry.key.starts_with(prefix)) {
+                           return;
+                       }
+                       const auto job = jobs::decodeJob(entry.value);
+                       if (!job) {
+                           kernel::logEvent("job-unreadable",
+                               { { "key", entry.key }, { "revision", entry.revision.value } });
+                           return;
+                       }
+                       kernel::logEvent("job-seen",
+                           { { "job", job->id.text() }, { "pool", this->service.text() },
+                               { "revision", entry.revision.value }, { "steps", job->steps.size() } });
+                       if (this->writer->revisionOf(job->id).value == 0) {
+                           this->writer->setRevision(job->id, entry.revision);
+                       }
+                       apply(scheduling::JobAdded { *job });
+                   },
+                   [&](const store::Removed& removed) {
+                       if (!removed.key.starts_with(prefix)) {
+                           return;
+                       }
+                       const jobs::JobId job { removed.key.substr(prefix.size()) };
+                       const auto state = this->scheduler->stateOf(job);
+                       if (state && !jobs::isFinal(*state)) {
+                           kernel::logEvent("job-cancelled",
+                               { { "job", job.text() }, { "revision", removed.revision.value } });
+                           apply(scheduling::JobCancelled { job });
+                       }
+                   },
+               },
+        event);
+}
+
+void PoolAgent::apply(const scheduling::Event& event)
+{
+    this->scheduler->setActive(this->environment.mayAct());
+    for (const auto& order : this->scheduler->apply(event, now())) {
+        carryOut(order);
+    }
+    planFlush();
+}
+
+void PoolAgent::carryOut(const scheduling::Order& order)
+{
+    std::visit(
+        [&](const auto& specific) {
+            const auto link = this->links.find(specific.upstream);
+            if (link != this->links.end()) {
+                carryOut(specific, *link->second);
+            }
+        },
+        order);
+}
+
+void PoolAgent::carryOut(const scheduling::StartTask& order, UpstreamAgent& upstream)
+{
+    kernel::logEvent("task-start", { { "task", jobs::toText(order.task) }, { "run", order.run.value },
+                                       { "upstream", order.upstream.text() },
+                                       { "resumes", order.checkpoint.empty() ? "no" : "yes" } });
+    upstream.orders().start(order, this->term, this->environment.taskLease,
+        [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run](
+            const ports::StartOutcome& outcome) {
+            if (self->closed) {
+                return;
+            }
+            std::visit(kernel::Overloaded {
+                           [&](const scheduling::StartResult& result) {
+                               if (result != scheduling::StartResult::Started) {
+                                   kernel::logEvent("task-not-started",
+                                       { { "task", jobs::toText(task) }, { "run", run.value },
+                                           { "upstream", id.text() }, { "result", scheduling::name(result) } });
+                               }
+                               self->apply(scheduling::StartAnswered { id, task, run, result });
+                           },
+                           [&](const ports::Superseded&) { self->superseded(); },
+                           [&](const ports::OtherUpstream&) { self->replaced(id); },
+                       },
+                outcome);
+        });
+}
+
+void PoolAgent::carryOut(const scheduling::StopTask& order, UpstreamAgent& upstream)
+{
+    kernel::logEvent("task-stop", { { "task", jobs::toText(order.task) }, { "run", order.run.value },
+                                      { "upstream", order.upstream.text() }, { "reason", order.reason } });
+    upstream.orders().stop(order, this->term,
+        [self = shared_from_this(), order](const ports::OrderOutcome& outcome) {
+            if (self->closed) {
+                return;
+            }
+            std::visit(kernel::Overloaded {
+                           [&](bool answered) {
+                               self->apply(scheduling::StopAnswered {
+                                   order.upstream, order.task, order.run, answered });
+                           },
+                           [&](const ports::Superseded&) { self->superseded(); },
+                           [&](const ports::OtherUpstream&) { self->replaced(order.upstream); },
+                       },
+                outcome);
+        });
+}
+
+void PoolAgent::carryOut(const scheduling::PaceTask& order, UpstreamAgent& upstream)
+{
+    kernel::logEvent("task-pace", { { "task", jobs::toText(order.task) }, { "run", order.run.value },
+                                      { "upstream", order.upstream.text() }, { "percent", order.percent } });
+    upstream.orders().pace(
+        order, this->term, [self = shared_from_this(), order](const ports::OrderOutcome& outcome) {
+            if (!self->closed && std::holds_alternative<ports::Superseded>(outcome)) {
+                self->superseded();
+            }
+        });
+}
+
+UpstreamEvents PoolAgent::upstreamEvents()
+{
+    const std::weak_ptr<PoolAgent> weak = weak_from_this();
+    return {
+        .tasks =
+            [weak](const UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent) {
+                if (const auto self = weak.lock(); self && !self->closed) {
+                    self->onTasks(id, tasks, sent);
+                }
+            },
+        .silent =
+            [weak](const UpstreamId& id, kernel::Instant lastRenewal) {
+                if (const auto self = weak.lock(); self && !self->closed) {
+                    self->apply(scheduling::UpstreamSilent { id, lastRenewal });
+                }
+            },
+        .replaced =
+            [weak](const UpstreamId& id) {
+                if (const auto self = weak.lock(); self && !self->closed) {
+                    self->replaced(id);
+                }
+            },
+        .superseded =
+            [weak] {
+                if (const auto self = weak.lock(); self && !self->closed) {
+                    self->superseded();
+                }
+            },
+        .mayAct =
+            [weak] {
+                const auto self = weak.lock();
+                return self && !self->closed && self->environment.mayAct();
+            },
+        .frequent =
+            [weak](const UpstreamId& id) {
+                const auto self = weak.lock();
+                return self && self->scheduler->needsFrequentLooks(id);
+            },
+    };
+}
+
+void PoolAgent::onTasks(const UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent)
+{
+    for (const auto& end : tasks.ended) {
+        if (end.number > this->seenEnds[id]) {
+            kernel::logEvent("task-ended",
+                { { "task", jobs::toText(end.task) }, { "run", end.run.value }, { "upstream", id.text() },
+                    { "kind", scheduling::name(end.kind) }, { "number", end.number } });
+        }
+    }
+    apply(scheduling::TasksListed { id, tasks.born, sent, tasks.running, tasks.ended });
+    const auto last = this->scheduler->lastEnd(id);
+    if (last != this->seenEnds[id] || !tasks.ended.empty()) {
+        this->seenEnds[id] = last;
+        this->unrecordedEnds[0][id] = last;
+        planFlush();
+    }
+}
+
+void PoolAgent::planFlush()
+{
+    if (!this->scheduler->hasChange() && !this->unrecordedEnds.contains(0)) {
+        return;
+    }
+    if (this->flushPlanned && !this->scheduler->hasUrgentChange()) {
+        return;
+    }
+    this->flushPlanned = true;
+    this->flushTimer.start(this->scheduler->hasUrgentChange() ? urgentFlushDelay : flushDelay,
+        [self = shared_from_this()] { self->flush(); });
+}
+
+void PoolAgent::flush()
+{
+    this->flushPlanned = false;
+    if (this->closed) {
+        return;
+    }
+    auto ends = std::move(this->unrecordedEnds[0]);
+    this->unrecordedEnds.erase(0);
+    const auto batch = this->writer->write(this->scheduler->takeChanges());
+    if (this->writer->isBusy()) {
+        this->unrecordedEnds[batch] = std::move(ends);
+        return;
+    }
+    for (const auto& [id, number] : ends) {
+        if (const auto link = this->links.find(id); link != this->links.end()) {
+            link->second->acknowledge(number);
+        }
+    }
+}
+
+void PoolAgent::onFlushed(std::uint64_t batch)
+{
+    while (!this->unrecordedEnds.empty()) {
+        auto first = this->unrecordedEnds.begin();
+        if (first->first == 0) {
+            first = std::next(first);
+        }
+        if (first == this->unrecordedEnds.end() || first->first > batch) {
+            return;
+        }
+        for (const auto& [id, number] : first->second) {
+            if (const auto link = this->links.find(id); link != this->links.end()) {
+                link->second->acknowledge(number);
+            }
+        }
+        this->unrecordedEnds.erase(first);
+    }
+}
+
+void PoolAgent::tick()
+{
+    if (this->closed) {
+        return;
+    }
+    this->tickTimer.start(tickInterval, [self = shared_from_this()] { self->tick(); });
+    apply(scheduling::Tick {});
+    closeUnused();
+    publishCounts();
+}
+
+void PoolAgent::publishCounts()
+{
+    const auto counts = this->scheduler->pendingCounts();
+    const auto at = now().steady;
+    if (this->publishing || counts == this->publishedCounts || at - this->lastPublished < countsInterval) {
+        return;
+    }
+    this->publishing = true;
+    this->lastPublished = at;
+    this->writer->put({ keys::pendingCounts(this->service), jobs::encode(counts) },
+        [self = shared_from_this(), counts](const store::ChangeOutcome& outcome) {
+            self->publishing = false;
+            if (std::holds_alternative<store::Committed>(outcome)) {
+                self->publishedCounts = counts;
+            }
+        });
+}
+
+void PoolAgent::setMembers(const std::vector<scheduling::UpstreamFacts>& all)
+{
+    std::vector<scheduling::UpstreamFacts> own;
+    std::ranges::copy_if(
+        all, std::back_inserter(own), [&](const auto& facts) { return facts.service == this->service; });
+    this->members.swap(own);
+    if (this->loaded && !this->closed) {
+        useMembers();
+    }
+}
+
+void PoolAgent::useMembers()
+{
+    std::vector<std::string> wanted;
+    bool missing = false;
+    for (const auto& facts : this->members) {
+        wanted.push_back(facts.id.text());
+        missing = missing || !this->used.contains(facts.id.text());
+    }
+    std::vector<scheduling::UpstreamFacts> usable;
+    std::ranges::copy_if(this->members, std::back_inserter(usable),
+        [&](const auto& facts) { return this->used.contains(facts.id.text()); });
+    openLinks();
+    apply(scheduling::MembersSeen { std::move(usable) });
+    if (missing && !this->recordingUsed) {
+        for (const auto& [id, link] : this->links) {
+            wanted.push_back(id.text());
+        }
+        std::ranges::sort(wanted);
+        wanted.erase(std::unique(wanted.begin(), wanted.end()), wanted.end());
+        recordUsed(std::move(wanted));
+    }
+}
+
+void PoolAgent::recordUsed(std::vector<std::string> ids)
+{
+    this->recordingUsed = true;
+    auto value = jobs::encode(ids);
+    this->writer->put({ keys::usedUpstreams(this->service), std::move(value) },
+        [self = shared_from_this(), ids = std::move(ids)](const store::ChangeOutcome& outcome) {
+            self->recordingUsed = false;
+            if (self->closed) {
+                return;
+            }
+            if (std::holds_alternative<store::Committed>(outcome)) {
+                self->used = { ids.begin(), ids.end() };
+                self->useMembers();
+            }
+        });
+}
+
+void PoolAgent::openLinks()
+{
+    for (const auto& facts : this->members) {
+        const auto existing = this->links.find(facts.id);
+        if (existing != this->links.end() && existing->second->facts().address == facts.address) {
+            continue;
+        }
+        if (existing != this->links.end()) {
+            existing->second->close();
+            this->links.erase(existing);
+        }
+        if (!this->used.contains(facts.id.text())) {
+            continue;
+        }
+        const auto link = this->environment.upstreams->open(facts);
+        if (!link) {
+            kernel::logEvent("upstream-unusable", { { "upstream", facts.id.text() },
+                                                      { "address", facts.address },
+                                                      { "code", number(link.error().code) } });
+            continue;
+        }
+        auto agent = std::make_shared<UpstreamAgent>(this->environment.context, *link, facts, this->term,
+            this->environment.taskLease, upstreamEvents());
+        this->links.emplace(facts.id, agent);
+        agent->start();
+    }
+}
+
+void PoolAgent::closeUnused()
+{
+    for (auto link = this->links.begin(); link != this->links.end();) {
+        const bool member = std::ranges::any_of(
+            this->members, [&](const auto& facts) { return facts.id == link->first; });
+        if (member || this->scheduler->isUsed(link->first)) {
+            ++link;
+            continue;
+        }
+        link->second->close();
+        this->seenEnds.erase(link->first);
+        link = this->links.erase(link);
+    }
+}
+
+void PoolAgent::replaced(const UpstreamId& id)
+{
+    const auto link = this->links.find(id);
+    if (link == this->links.end()) {
+        return;
+    }
+    kernel::logEvent("upstream-replaced", { { "upstream", id.text() } });
+    link->second->close();
+    this->links.erase(link);
+    this->seenEnds.erase(id);
+    std::vector<scheduling::UpstreamFacts> others;
+    std::ranges::copy_if(
+        this->members, std::back_inserter(others), [&](const auto& facts) { return facts.id != id; });
+    this->members.swap(others);
+    apply(scheduling::UpstreamReplaced { id });
+}
+
+void PoolAgent::superseded()
+{
+    if (!this->closed) {
+        kernel::logEvent(
+            "pool-superseded", { { "pool", this->service.text() }, { "term", this->term.value } });
+        close();
+    }
+}
+
+std::optional<jobs::JobState> PoolAgent::stateOf(const jobs::JobId& job) const
+{
+    return this->loaded && !this->closed ? this->scheduler->stateOf(job) : std::nullopt;
+}
+
+std::optional<jobs::PendingCounts> PoolAgent::pendingCounts() const
+{
+    return this->loaded && !this->closed ? std::optional { this->scheduler->pendingCounts() } : std::nullopt;
+}
+
+void PoolAgent::close()
+{
+    this->closed = true;
+    this->tickTimer.cancel();
+    this->flushTimer.cancel();
+    for (const auto& [id, link] : this->links) {
+        link->close();
+    }
+    if (this->writer) {
+        this->writer->close();
+    }
+}
+
+} // namespace wasabiroad::agent
--- /dev/null
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "wasabiroad/agent/record_writer.hpp"
+#include "wasabiroad/agent/upstream_agent.hpp"
+#include "wasabiroad/jobs/codec.hpp"
+#include "wasabiroad/metrics/metrics.hpp"
+#include "wasabiroad/ports/fleet.hpp"
+#include "wasabiroad/scheduling/pool_scheduler.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace wasabiroad::agent {
+
+/** @brief What the owner of a pool needs from its daemon. */
+struct PoolContext {
+    boost::asio::io_context& context;
+    const std::shared_ptr<const store::Store> store;
+    const std::shared_ptr<const ports::Upstreams> upstreams;
+    const std::shared_ptr<metrics::Metrics> metrics;
+    const kernel::Duration taskLease;
+    /** @brief Whether the daemon may act on its duties. */
+    const std::function<bool()> mayAct;
+};
+
+/** @brief Owns the scheduling of one pool for one term: feeds the scheduler and carries out its orders. */
+class PoolAgent : public std::enable_shared_from_this<PoolAgent> {
+public:
+    PoolAgent(PoolContext context, model::ServiceId service, ports::Term term);
+
+    /** @brief Reads the records of the pool, then begins to schedule. */
+    void start();
+
+    /** @brief Uses the current list of upstreams of all pools. */
+    void setMembers(const std::vector<scheduling::UpstreamFacts>& members);
+
+    /** @return State of a job, or nothing when it is not known here. */
+    std::optional<jobs::JobState> stateOf(const jobs::JobId& job) const;
+
+    /** @return Numbers of jobs that have not begun, or nothing while they are not known. */
+    std::optional<jobs::PendingCounts> pendingCounts() const;
+
+    /** @brief Ends the term: no order is given any more. */
+    void close();
+
+private:
+    void load();
+    void readRecords(const store::Listing& pool);
+    void readUsed(const store::Listing& pool, const store::Listing& records);
+    void begin(const store::Listing& pool, const store::Listing& records, const std::vector<std::string>& used,
+        store::Revision usedRevision);
+    void addJobs(const store::Listing& pool, const store::Listing& records, bool mayHaveStarted);
+    void watch(store::Revision after);
+    void onKeyEvent(const store::KeyEvent& event);
+    void retryLoad();
+    void apply(const scheduling::Event& event);
+    void carryOut(const scheduling::Order& order);
+    void carryOut(const scheduling::StartTask& order, UpstreamAgent& upstream);
+    void carryOut(const scheduling::StopTask& order, UpstreamAgent& upstream);
+    void carryOut(const scheduling::PaceTask& order, UpstreamAgent& upstream);
+    void onTasks(const scheduling::UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent);
+    void planFlush();
+    void flush();
+    void onFlushed(std::uint64_t batch);
+    void tick();
+    void publishCounts();
+    void useMembers();
+    void openLinks();
+    void closeUnused();
+    void recordUsed(std::vector<std::string> used);
+    void superseded();
+    void replaced(const scheduling::UpstreamId& id);
+    scheduling::Moment now() const;
+    UpstreamEvents upstreamEvents();
+
+    const PoolContext environment;
+    const model::ServiceId service;
+    const ports::Term term;
+    std::optional<scheduling::PoolScheduler> scheduler {};
+    std::shared_ptr<RecordWriter> writer {};
+    std::map<scheduling::UpstreamId, std::shared_ptr<UpstreamAgent>> links {};
+    std::vector<scheduling::UpstreamFacts> members {};
+    /** @brief Upstreams that are recorded as used: tasks may be started there. */
+    std::set<std::string> used {};
+    bool recordingUsed { false };
+    bool loaded { false };
+    bool closed { false };
+    bool flushPlanned { false };
+    std::map<std::uint64_t, std::map<scheduling::UpstreamId, std::uint64_t>> unrecordedEnds {};
+    std::map<scheduling::UpstreamId, std::uint64_t> seenEnds {};
+    jobs::PendingCounts publishedCounts {};
+    bool publishing { false };
+    kernel::Instant lastPublished {};
+    Timer tickTimer;
+    Timer flushTimer;
+};
+
+} // namespace wasabiroad::agent
--- /dev/null
+++ b/src/wasabiroad/agent/timer.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "wasabiroad/kernel/clock.hpp"
+
+#include <functional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace wasabiroad::agent {
+
+/** @brief Calls a function once after a time; a new start replaces the earlier one. */
+class Timer {
+public:
+    explicit Timer(boost::asio::io_context& context)
+        : timer(context)
+    {
+    }
+
+    /** @brief Calls `function` after `delay`, unless the timer is started again, cancelled or destroyed. */
+    void start(kernel::Duration delay, std::function<void()> function);
+
+    void cancel() { this->timer.cancel(); }
+
+private:
+    boost::asio::steady_timer timer;
+};
+
+/** @brief Calls `function` on the context after a time; it keeps what it captures alive. */
+void callLater(boost::asio::io_context& context, kernel::Duration delay, std::function<void()> function);
+
+} // namespace wasabiroad::agent
--- a/src/wasabiroad/daemon/main.cpp
+++ b/src/wasabiroad/daemon/main.cpp
@@ -4,8 +4,10 @@
 #include "wasabiroad/settings/settings.hpp"
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,7 +28,8 @@
     cxxopts::Options options { "wasabiroadd",
         "Daemon of an entry VM: places callers' requests on upstreams." };
     options.add_options()("s,settings", "Settings file (JSON); - reads the standard input",
-        cxxopts::value<std::string>())("set", "Override, as in /callers=127.0.0.1:8080",
+        cxxopts::value<std::string>())("settings-variable",
+        "Environment variable that holds the path of the settings file", cxxopts::value<std::string>())("set", "Override, as in /callers=127.0.0.1:8080",
         cxxopts::value<std::vector<std::string>>())("plugins", "List the plug-ins with their versions")(
         "version", "Print the version")("h,help", "Print this help");
     return options;
@@ -126,6 +129,20 @@
     return ResultCode::Ok;
 }
 
+std::optional<std::string> settingsPath(const cxxopts::ParseResult& arguments)
+{
+    if (arguments.count("settings") != 0) {
+        return arguments["settings"].as<std::string>();
+    }
+    if (arguments.count("settings-variable") != 0) {
+        // The environment is not changed after the start.
+        const auto* const path = std::getenv( // NOLINT(concurrency-mt-unsafe)
+            arguments["settings-variable"].as<std::string>().c_str());
+        return path != nullptr ? std::optional<std::string> { path } : std::nullopt;
+    }
+    return std::nullopt;
+}
+
 ResultCode run(int argc, char** argv)
 {
     auto options = makeOptions();
@@ -141,11 +158,12 @@
     if (arguments.count("plugins") != 0) {
         return listPlugins();
     }
-    if (arguments.count("settings") == 0) {
+    const auto path = settingsPath(arguments);
+    if (!path) {
         std::cerr << "wasabiroadd: --settings is required\n" << helpText(options);
         return ResultCode::InvalidArguments;
     }
-    const auto text = readText(arguments["settings"].as<std::string>());
+    const auto text = readText(*path);
     if (!text) {
         return report({ text.error() });
     }
--- /dev/null
+++ b/src/wasabiroad/http/channel.cpp
@@ -0,0 +1,178 @@
+#include "wasabiroad/http/channel.hpp"
+
+#include "wasabiroad/http/endpoint.hpp"
+
+#include <deque>
+#include <optional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace wasabiroad::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using kernel::ResultCode;
+
+namespace {
+
+/** Longest time for a connection to open; the whole call may have less. */
+constexpr kernel::Duration connectTimeout { 1000 };
+
+constexpr std::uint64_t responseLimit = 4ULL * 1024 * 1024;
+
+/** Calls that may wait on one channel; more fail at once. */
+constexpr std::size_t queueLimit = 512;
+
+struct Call {
+    Request request;
+    kernel::Instant deadline;
+    Channel::Callback callback;
+};
+
+} // namespace
+
+struct Channel::State : std::enable_shared_from_this<Channel::State> {
+    State(asio::io_context& ioContext, asio::ip::tcp::endpoint server)
+        : context(ioContext)
+        , endpoint(std::move(server))
+    {
+    }
+
+    kernel::Duration left(const Call& call) const
+    {
+        return call.deadline - kernel::now(kernel::SteadyClock {});
+    }
+
+    tl::unexpected<kernel::Error> failure(ResultCode code, std::string reason) const
+    {
+        return kernel::fail(code, toText(this->endpoint), std::move(reason));
+    }
+
+    asio::awaitable<bool> connect(const Call& call, std::string& reason)
+    {
+        if (this->stream && this->stream->socket().is_open()) {
+            co_return true;
+        }
+        this->stream.emplace(this->context);
+        this->buffer.clear();
+        this->stream->expires_after(std::min(left(call), connectTimeout).chrono());
+        boost::system::error_code failed;
+        co_await this->stream->async_connect(
+            this->endpoint, asio::redirect_error(asio::use_awaitable, failed));
+        if (failed) {
+            reason = failed.message();
+            this->stream.reset();
+            co_return false;
+        }
+        this->stream->socket().set_option(asio::ip::tcp::no_delay(true), failed);
+        co_return true;
+    }
+
+    asio::awaitable<kernel::Expected<Response>> exchange(Call& call)
+    {
+        if (left(call).milliseconds <= 0) {
+            co_return failure(ResultCode::PlatformUnreachable, "waited too long for the connection");
+        }
+        std::string reason;
+        if (!co_await connect(call, reason)) {
+            co_return failure(ResultCode::PlatformUnreachable, std::move(reason));
+        }
+        this->stream->expires_after(left(call).chrono());
+        boost::system::error_code failed;
+        co_await beast::http::async_write(
+            *this->stream, call.request, asio::redirect_error(asio::use_awaitable, failed));
+        if (!failed) {
+            beast::http::response_parser<beast::http::string_body> parser;
+            parser.body_limit(responseLimit);
+            co_await beast::http::async_read(
+                *this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+            if (!failed) {
+                auto response = parser.release();
+                if (!response.keep_alive()) {
+                    this->stream.reset();
+                }
+                co_return response;
+            }
+        }
+        this->stream.reset();
+        co_return failure(ResultCode::PlatformTimeout, failed.message());
+    }
+
+    asio::awaitable<void> work(std::shared_ptr<State> self)
+    {
+        while (!self->closed && !self->queue.empty()) {
+            Call call = std::move(self->queue.front());
+            self->queue.pop_front();
+            auto result = co_await self->exchange(call);
+            call.callback(std::move(result));
+        }
+        self->working = false;
+        self->fail();
+    }
+
+    void fail()
+    {
+        while (this->closed && !this->queue.empty()) {
+            auto call = std::move(this->queue.front());
+            this->queue.pop_front();
+            call.callback(failure(ResultCode::PlatformUnreachable, "the channel is closed"));
+        }
+    }
+
+    asio::io_context& context;
+    const asio::ip::tcp::endpoint endpoint;
+    std::optional<beast::tcp_stream> stream {};
+    beast::flat_buffer buffer {};
+    std::deque<Call> queue {};
+    bool working { false };
+    bool closed { false };
+};
+
+Channel::Channel(asio::io_context& context, asio::ip::tcp::endpoint endpoint)
+    : state(std::make_shared<State>(context, std::move(endpoint)))
+{
+}
+
+Channel::~Channel()
+{
+    if (this->state) {
+        close();
+    }
+}
+
+void Channel::call(Request request, kernel::Duration timeout, Callback callback)
+{
+    if (this->state->closed || this->state->queue.size() >= queueLimit) {
+        asio::post(this->state->context, [callback = std::move(callback), state = this->state] {
+            callback(state->failure(ResultCode::PlatformUnreachable, "the channel is closed or its queue is full"));
+        });
+        return;
+    }
+    request.keep_alive(true);
+    this->state->queue.push_back(
+        { std::move(request), kernel::now(kernel::SteadyClock {}) + timeout, std::move(callback) });
+    if (!this->state->working) {
+        this->state->working = true;
+        asio::co_spawn(this->state->context, this->state->work(this->state), asio::detached);
+    }
+}
+
+std::size_t Channel::load() const { return this->state->queue.size() + (this->state->working ? 1 : 0); }
+
+void Channel::close()
+{
+    this->state->closed = true;
+    if (this->state->stream) {
+        boost::system::error_code ignored;
+        this->state->stream->socket().close(ignored);
+    }
+}
+
+} // namespace wasabiroad::http
--- a/src/wasabiroad/http/server.cpp
+++ b/src/wasabiroad/http/server.cpp
@@ -22,6 +22,8 @@
     tcp::acceptor acceptor;
     const Handler handler;
     const ServerLimits limits;
+    bool draining { false };
+    std::size_t inFlight { 0 };
     bool closed { false };
 };
 
@@ -42,10 +44,15 @@
             break;
         }
         stream.expires_never();
+        ++state->inFlight;
         auto response = co_await state->handler(parser.release());
+        if (state->draining) {
+            response.keep_alive(false);
+        }
         stream.expires_after(state->limits.writeTimeout.chrono());
         co_await beast::http::async_write(
             stream, response, asio::redirect_error(asio::use_awaitable, failed));
+        --state->inFlight;
         if (failed || !response.keep_alive()) {
             break;
         }
@@ -84,6 +91,10 @@
     return bound;
 }
 
+void Server::drain() { this->state->draining = true; }
+
+std::size_t Server::inFlight() const { return this->state->inFlight; }
+
 void Server::close()
 {
     this->state->closed = true;
--- a/src/wasabiroad/http/server.hpp
+++ b/src/wasabiroad/http/server.hpp
@@ -40,6 +40,12 @@
      */
     kernel::Expected<std::string> listen(const std::string& address);
 
+    /** @brief Asks clients to close their connections: each response is the last one of its connection. */
+    void drain();
+
+    /** @return Requests that were read and are not answered. */
+    std::size_t inFlight() const;
+
     /** @brief Stops accepting connections; open ones end after their current request. */
     void close();
 
--- /dev/null
+++ b/src/wasabiroad/jobs/job.hpp
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "wasabiroad/kernel/clock.hpp"
+#include "wasabiroad/model/identifier.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wasabiroad::jobs {
+
+using JobId = model::Identifier<struct JobTag>;
+using QueueId = model::Identifier<struct QueueTag>;
+
+/** @brief What a VM offers or a task occupies. */
+struct Resources {
+    /** @brief Thousandths of a core. */
+    const std::int64_t cpu { 0 };
+    /** @brief Memory in MiB. */
+    const std::int64_t memory { 0 };
+    const std::int64_t accelerators { 0 };
+
+    friend auto operator<=>(const Resources&, const Resources&) = default;
+};
+
+/** @brief A set of equal tasks of a job. */
+struct Step {
+    /** @brief Number of tasks. */
+    const std::uint32_t count { 1 };
+    /** @brief What one task occupies. */
+    const Resources resources {};
+    /** @brief Estimated run time of a task; declared by the caller and often far off. */
+    const kernel::Duration estimate {};
+    /** @brief Indices of earlier steps whose tasks must all be done first. */
+    const std::vector<std::uint32_t> after {};
+    /** @brief The tasks checkpoint their progress. */
+    const bool savesProgress { false };
+    /** @brief All tasks start together and end together. */
+    const bool gang { false };
+    /** @brief The tasks are slower when they run on more than one rack. */
+    const bool sameRack { false };
+    /** @brief Label that the upstream must have; empty for any. */
+    const std::string label {};
+    /** @brief Rack that holds the data; tasks on other racks are slower. Empty for any. */
+    const std::string dataRack {};
+    /** @brief Most tasks of one occurrence on one upstream; 0 for no limit. */
+    const std::uint32_t maxPerUpstream { 0 };
+    /** @brief Copies of a task may run in parallel. */
+    const bool speculative { false };
+    /** @brief The tasks run until the job is cancelled. */
+    const bool longRunning { false };
+    /** @brief Program of the tasks; tasks of one image behave alike. */
+    const std::string image {};
+    /** @brief Bound of the tail of the response times that a serving task shall keep; 0 for none. */
+    const kernel::Duration tailTarget {};
+    /** @brief The tasks use only capacity that others leave; their cpu is not counted. */
+    const bool filler { false };
+    /** @brief Tasks of a long-running step that the system may take away at once; 0 for no promise. */
+    const std::uint32_t mayMiss { 0 };
+
+    friend bool operator==(const Step&, const Step&) = default;
+};
+
+/** @brief A job as accepted; it never changes. */
+struct Job {
+    const JobId id;
+    const QueueId queue;
+    /** @brief Service whose upstreams run the job. */
+    const model::ServiceId service;
+    /** @brief Text that each task receives. */
+    const std::string payload {};
+    const std::vector<Step> steps {};
+    /** @brief Number of times that the steps run. */
+    const std::uint32_t occurrences { 1 };
+    /** @brief Wall clock at which the first occurrence is due; 0 for at once. */
+    const kernel::Instant firstDue {};
+    const kernel::Duration interval {};
+    /** @brief Wall clock of the entry that accepted the job. */
+    const kernel::Instant accepted {};
+    /** @brief 0 goes first. */
+    const std::uint32_t priority { 0 };
+    /** @brief Failed runs of a task after which the job fails. */
+    const std::uint32_t maxAttempts { 1 };
+    /** @brief The job is in time within `stretch` times its longest chain plus `allowance`. */
+    const double stretch { 1 };
+    const kernel::Duration allowance {};
+
+    friend bool operator==(const Job&, const Job&) = default;
+};
+
+enum class JobState : unsigned char { Pending = 0, Running = 1, Completed = 2, Failed = 3, Cancelled = 4 };
+
+/** @return Whether a job in this state has ended. */
+constexpr bool isFinal(JobState state) { return state >= JobState::Completed; }
+
+/** @return Name of the state as it is written in logs. */
+std::string_view name(JobState state);
+
+/** @brief Position of a task in a job. */
+struct TaskIndex {
+    std::uint32_t occurrence { 0 };
+    std::uint32_t step { 0 };
+    std::uint32_t index { 0 };
+
+    friend auto operator<=>(const TaskIndex&, const TaskIndex&) = default;
+};
+
+/** @brief Identity of a task. */
+struct TaskId {
+    JobId job {};
+    TaskIndex position {};
+
+    friend auto operator<=>(const TaskId&, const TaskId&) = default;
+};
+
+/** @return The task as text for logs. */
+std::string toText(const TaskId& task);
+
+/** @brief Number of a start of a task; later starts of the task have higher numbers. */
+struct Run {
+    std::uint64_t value { 0 };
+
+    friend auto operator<=>(const Run&, const Run&) = default;
+};
+
+/** @brief What is recorded of a task. */
+struct TaskProgress {
+    const TaskIndex position {};
+    const bool done { false };
+    const std::uint32_t failures { 0 };
+    /** @brief Highest run whose failure is counted. */
+    const Run failedRun {};
+    const std::string checkpoint {};
+
+    friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
+};
+
+/** @brief Durable state of a job. */
+struct Record {
+    const JobState state { JobState::Pending };
+    /** @brief Tasks with progress. */
+    const std::vector<TaskProgress> tasks {};
+    /** @brief Wall clock of the final state. */
+    const kernel::Instant finished {};
+
+    friend bool operator==(const Record&, const Record&) = default;
+};
+
+/**
+ * @brief Length of the longest chain of dependent steps.
+ * @return The sum of the estimates along that chain.
+ */
+kernel::Duration longestChain(const std::vector<Step>& steps);
+
+} // namespace wasabiroad::jobs
--- a/src/wasabiroad/kernel/clock.cpp
+++ b/src/wasabiroad/kernel/clock.cpp
@@ -2,6 +2,8 @@
 
 #include "wasabiroad/kernel/overloaded.hpp"
 
+#include <ctime>
+
 namespace wasabiroad::kernel {
 
 namespace {
@@ -12,12 +14,22 @@
     return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count() };
 }
 
+Instant readBootClock()
+{
+    constexpr std::int64_t millisecondsPerSecond = 1000;
+    constexpr std::int64_t nanosecondsPerMillisecond = 1000000;
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return { time.tv_sec * millisecondsPerSecond + time.tv_nsec / nanosecondsPerMillisecond };
+}
+
 } // namespace
 
 Instant now(const Clock& clock)
 {
     return std::visit(Overloaded {
                           [](const SteadyClock&) { return read<std::chrono::steady_clock>(); },
+                          [](const BootClock&) { return readBootClock(); },
                           [](const WallClock&) { return read<std::chrono::system_clock>(); },
                           [](const ManualClock& manual) { return manual.instant; },
                       },
--- a/src/wasabiroad/kernel/clock.hpp
+++ b/src/wasabiroad/kernel/clock.hpp
@@ -54,6 +54,9 @@
 /** @brief Reads the monotonic clock of the machine. */
 struct SteadyClock { };
 
+/** @brief Reads the monotonic clock that also counts the time while the machine is suspended. */
+struct BootClock { };
+
 /** @brief Reads the wall clock of the machine, for values that several VMs compare. */
 struct WallClock { };
 
@@ -62,7 +65,7 @@
     const Instant instant {};
 };
 
-using Clock = std::variant<SteadyClock, WallClock, ManualClock>;
+using Clock = std::variant<SteadyClock, BootClock, WallClock, ManualClock>;
 
 /**
  * @brief Reads a clock.
--- /dev/null
+++ b/src/wasabiroad/ports/fleet.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "wasabiroad/jobs/configuration.hpp"
+#include "wasabiroad/ports/upstreams.hpp"
+#include "wasabiroad/scheduling/event.hpp"
+#include "wasabiroad/store/store.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wasabiroad::ports {
+
+/** @brief A maintenance wave that the operator asks for. */
+struct WaveRequest {
+    const model::WaveId id {};
+    /** @brief Number of the wave on the platform. */
+    const std::uint64_t number { 0 };
+    const std::vector<model::VmId> vms {};
+    /** @brief Time in which all VMs shall have had their maintenance. */
+    const kernel::Duration duration {};
+    /** @brief Most VMs of the wave that are in maintenance at once. */
+    const std::uint32_t parallelism { 1 };
+
+    friend auto operator<=>(const WaveRequest&, const WaveRequest&) = default;
+};
+
+/** @brief What the operator has written. */
+struct OperatorState {
+    /** @brief Absent when it did not change, or there is none yet. */
+    const std::optional<jobs::Configuration> configuration {};
+    const std::vector<WaveRequest> waves {};
+    const store::Revision asOf {};
+
+    friend bool operator==(const OperatorState&, const OperatorState&) = default;
+};
+
+using OperatorOutcome = std::variant<OperatorState, store::HistoryGone, kernel::Error>;
+
+enum class VmCondition : unsigned char { Up, Moving, Maintenance, Down };
+
+/** @brief A VM as the platform sees it. */
+struct VmFacts {
+    const model::VmId vm {};
+    const model::ServiceId pool {};
+    const VmCondition condition { VmCondition::Up };
+    /** @brief The upstream that runs on it, if any. */
+    const scheduling::UpstreamId upstream {};
+
+    friend auto operator<=>(const VmFacts&, const VmFacts&) = default;
+};
+
+enum class VmOrderResult : unsigned char { Done, Fenced, Busy, NotInWave, Rejected, Overloaded, Unknown };
+
+/** @brief Calls to the platform about configuration, upstreams and VMs. Control thread only. */
+struct Fleet {
+    /** @brief Reads all that the operator has written. */
+    const std::function<void(store::Callback<OperatorOutcome>)> readOperator;
+    /** @brief Waits for changes by the operator. */
+    const std::function<void(store::Revision after, kernel::Duration wait, store::Callback<OperatorOutcome>)>
+        watchOperator;
+    const std::function<void(store::Callback<kernel::Expected<std::vector<scheduling::UpstreamFacts>>>)>
+        listUpstreams;
+    const std::function<void(store::Callback<kernel::Expected<std::vector<VmFacts>>>)> listVms;
+    /** @brief Takes a VM down for maintenance; its tasks end at once. */
+    const std::function<void(model::VmId, std::uint64_t wave, Term, store::Callback<VmOrderResult>)> maintain;
+    /** @brief Entry with the state of a wave, as the operator reads it. */
+    const std::function<store::Put(std::uint64_t wave, bool completed)> waveStatus;
+};
+
+} // namespace wasabiroad::ports
--- /dev/null
+++ b/src/wasabiroad/ports/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace wasabiroad::ports {
+
+struct Fleet;
+struct UpstreamLink;
+struct Upstreams;
+
+} // namespace wasabiroad::ports
--- /dev/null
+++ b/src/wasabiroad/ports/upstreams.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "wasabiroad/scheduling/event.hpp"
+#include "wasabiroad/store/store.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace wasabiroad::ports {
+
+/** @brief Term of ownership of a pool; upstreams reject orders of a lower term. */
+struct Term {
+    std::uint64_t value { 0 };
+
+    friend auto operator<=>(const Term&, const Term&) = default;
+};
+
+/** @brief Asks an upstream for its tasks and renews their lease. */
+struct Look {
+    const Term term {};
+    /** @brief Ends up to this number are recorded; the upstream may forget them. */
+    const std::uint64_t acknowledged { 0 };
+    /** @brief New lease of all tasks there; nothing leaves it as it is. */
+    const std::optional<kernel::Duration> lease {};
+    /** @brief The upstream may wait this long for an end of a task. */
+    const kernel::Duration wait {};
+
+    friend auto operator<=>(const Look&, const Look&) = default;
+};
+
+/** @brief The tasks of an upstream. */
+struct Tasks {
+    /** @brief Wall clock of the upstream's start. */
+    const kernel::Instant born {};
+    const std::vector<scheduling::RunningTask> running {};
+    const std::vector<scheduling::EndedTask> ended {};
+
+    friend bool operator==(const Tasks&, const Tasks&) = default;
+};
+
+/** @brief Another owner with a higher term has called the upstream. */
+struct Superseded {
+    friend auto operator<=>(const Superseded&, const Superseded&) = default;
+};
+
+/** @brief The address belongs to another upstream now. */
+struct OtherUpstream {
+    friend auto operator<=>(const OtherUpstream&, const OtherUpstream&) = default;
+};
+
+using LookOutcome = std::variant<Tasks, Superseded, OtherUpstream, kernel::Error>;
+using StartOutcome = std::variant<scheduling::StartResult, Superseded, OtherUpstream>;
+/** @brief True when the upstream has answered. */
+using OrderOutcome = std::variant<bool, Superseded, OtherUpstream>;
+
+/** @brief Connections to one upstream; it closes them when it is destroyed. Control thread only. */
+struct UpstreamLink {
+    const std::function<void(Look, store::Callback<LookOutcome>)> look;
+    const std::function<void(scheduling::StartTask, Term, kernel::Duration lease, store::Callback<StartOutcome>)>
+        start;
+    const std::function<void(scheduling::StopTask, Term, store::Callback<OrderOutcome>)> stop;
+    const std::function<void(scheduling::PaceTask, Term, store::Callback<OrderOutcome>)> pace;
+};
+
+/** @brief Opens links to upstreams. */
+struct Upstreams {
+    const std::function<kernel::Expected<std::shared_ptr<const UpstreamLink>>(const scheduling::UpstreamFacts&)>
+        open;
+};
+
+} // namespace wasabiroad::ports
--- /dev/null
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -0,0 +1,249 @@
+#include "wasabiroad/scheduling/pool_scheduler.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace wasabiroad::scheduling {
+
+using internal::Phase;
+using jobs::TaskId;
+using kernel::Duration;
+
+namespace {
+
+/** Starts of one term; the run number is the term above these bits. */
+constexpr unsigned runBits = 20;
+
+/** Share of the estimated remaining chain that must fit before a job is late; estimates are often too high. */
+constexpr double feasibleShare = 0.5;
+
+/** Estimates of the steps that are not done, along the longest chain of an occurrence. */
+Duration remainingChain(const jobs::Job& job, const std::vector<internal::StepRun>& steps)
+{
+    Duration longest {};
+    std::vector<Duration> ends;
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        Duration start {};
+        for (const auto before : job.steps[step].after) {
+            start = std::max(start, ends.at(before));
+        }
+        const bool done = steps[step].done == steps[step].tasks.size();
+        ends.push_back(start + (done ? Duration {} : job.steps[step].estimate));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace
+
+bool PoolScheduler::isStepReady(
+    const JobRun& run, std::uint32_t occurrence, std::uint32_t step, Moment now) const
+{
+    if (run.job.firstDue.milliseconds > 0
+        && now.wall < run.job.firstDue + run.job.interval * static_cast<std::int64_t>(occurrence)) {
+        return false;
+    }
+    return std::ranges::all_of(run.job.steps[step].after, [&](auto before) {
+        const auto& earlier = run.occurrences[occurrence][before];
+        return earlier.done == earlier.tasks.size();
+    });
+}
+
+std::vector<PoolScheduler::Ready> PoolScheduler::readySteps(Moment now)
+{
+    std::vector<Ready> ready;
+    for (auto& [id, run] : this->jobRuns) {
+        if (jobs::isFinal(run.state)) {
+            continue;
+        }
+        for (std::uint32_t occurrence = 0; occurrence < run.occurrences.size(); ++occurrence) {
+            for (std::uint32_t step = 0; step < run.job.steps.size(); ++step) {
+                const auto& tasks = run.occurrences[occurrence][step].tasks;
+                const bool waiting = std::ranges::any_of(tasks, [&](const Task& task) {
+                    return task.phase == Phase::Waiting && !task.unresolved && task.notBefore <= now.steady;
+                });
+                if (!waiting || !isStepReady(run, occurrence, step, now)) {
+                    continue;
+                }
+                const auto left = remainingChain(run.job, run.occurrences[occurrence]).milliseconds;
+                const auto needed = Duration { static_cast<std::int64_t>(feasibleShare * static_cast<double>(left)) };
+                const auto due = run.due + run.job.interval * static_cast<std::int64_t>(occurrence);
+                ready.push_back({ &run, occurrence, step, now.wall + needed > due });
+            }
+        }
+    }
+    std::ranges::sort(ready, [](const Ready& left, const Ready& right) {
+        const auto key = [](const Ready& item) {
+            const auto& step = item.job->job.steps[item.step];
+            return std::tuple { !step.longRunning, item.late, item.job->job.priority, item.job->due,
+                item.job->job.id, item.occurrence, item.step };
+        };
+        return key(left) < key(right);
+    });
+    return ready;
+}
+
+void PoolScheduler::schedule(Moment now)
+{
+    for (const auto& ready : readySteps(now)) {
+        if (ready.job->job.steps[ready.step].gang) {
+            placeGang(ready, now);
+        } else {
+            place(ready, now);
+        }
+    }
+}
+
+void PoolScheduler::place(const Ready& ready, Moment now)
+{
+    auto& tasks = ready.job->occurrences[ready.occurrence][ready.step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        auto& task = tasks[index];
+        if (task.phase != Phase::Waiting || task.unresolved || task.notBefore > now.steady) {
+            continue;
+        }
+        auto* const upstream = choose(ready, task, now, nullptr);
+        if (upstream == nullptr) {
+            return;
+        }
+        startOn(ready, index, *upstream, { (this->term << runBits) + ++this->starts }, now);
+    }
+}
+
+void PoolScheduler::placeGang(const Ready& ready, Moment now)
+{
+    auto& step = ready.job->occurrences[ready.occurrence][ready.step];
+    const auto& declared = ready.job->job.steps[ready.step];
+    if (!std::ranges::all_of(step.tasks, [&](const Task& task) {
+            return task.phase == Phase::Waiting && !task.unresolved && task.notBefore <= now.steady;
+        })) {
+        return;
+    }
+    std::vector<const model::RackId*> racks;
+    if (declared.sameRack) {
+        for (const auto& [id, upstream] : this->upstreams) {
+            if (upstream.facts) {
+                racks.push_back(&upstream.facts->rack);
+            }
+        }
+    }
+    racks.push_back(nullptr);
+    for (const auto* const rack : racks) {
+        const auto usage = this->upstreams;
+        std::vector<UpstreamId> chosen;
+        for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+            auto* const upstream = choose(ready, step.tasks[index], now, rack);
+            if (upstream == nullptr) {
+                break;
+            }
+            // The room is taken while the rest of the gang is placed.
+            upstream->cpu += declared.resources.cpu;
+            upstream->memory += declared.resources.memory;
+            upstream->accelerators += declared.resources.accelerators;
+            chosen.push_back(upstream->facts->id);
+        }
+        for (auto& [id, upstream] : this->upstreams) {
+            const auto& before = usage.at(id);
+            upstream.cpu = before.cpu;
+            upstream.memory = before.memory;
+            upstream.accelerators = before.accelerators;
+        }
+        if (chosen.size() == step.tasks.size()) {
+            const jobs::Run run { (this->term << runBits) + ++this->starts };
+            for (std::uint32_t index = 0; index < chosen.size(); ++index) {
+                startOn(ready, index, this->upstreams.at(chosen[index]), run, now);
+            }
+            return;
+        }
+    }
+}
+
+void PoolScheduler::startOn(
+    const Ready& ready, std::uint32_t index, Upstream& upstream, jobs::Run run, Moment now)
+{
+    auto& task = ready.job->occurrences[ready.occurrence][ready.step].tasks[index];
+    const auto& step = ready.job->job.steps[ready.step];
+    const TaskId id { ready.job->job.id, { ready.occurrence, ready.step, index } };
+    task.phase = Phase::Starting;
+    task.upstream = upstream.facts->id;
+    task.run = run;
+    task.started = now.steady;
+    task.lastProgress = now.steady;
+    task.percent = 0;
+    task.pace = 100;
+    task.stopAnswered.reset();
+    upstream.tasks.insert(id);
+    upstream.cpu += step.filler ? 0 : step.resources.cpu;
+    upstream.memory += step.resources.memory;
+    upstream.accelerators += step.resources.accelerators;
+    upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.leaseSpan);
+    this->orders.push_back(
+        StartTask { task.upstream, id, run, ready.job->job.payload, task.checkpoint });
+}
+
+bool PoolScheduler::fits(const Upstream& upstream, const jobs::Step& step) const
+{
+    const auto& capacity = upstream.facts->capacity;
+    return (step.filler || upstream.cpu + step.resources.cpu <= capacity.cpu)
+        && upstream.memory + step.resources.memory <= capacity.memory
+        && upstream.accelerators + step.resources.accelerators <= capacity.accelerators;
+}
+
+bool PoolScheduler::usable(
+    const Upstream& upstream, const Ready& ready, const Task&, Moment now) const
+{
+    if (!upstream.facts || !upstream.member || !upstream.listed || upstream.hasForeign || upstream.emptied
+        || upstream.facts->draining || upstream.suspectUntil > now.steady) {
+        return false;
+    }
+    const auto& step = ready.job->job.steps[ready.step];
+    const auto& labels = upstream.facts->labels;
+    if (!step.label.empty() && std::ranges::find(labels, step.label) == labels.end()) {
+        return false;
+    }
+    return fits(upstream, step)
+        && (step.maxPerUpstream == 0 || countOfStep(upstream, ready) < step.maxPerUpstream);
+}
+
+std::uint32_t PoolScheduler::countOfStep(const Upstream& upstream, const Ready& ready) const
+{
+    const TaskId first { ready.job->job.id, { ready.occurrence, ready.step, 0 } };
+    const TaskId last { ready.job->job.id,
+        { ready.occurrence, ready.step, std::numeric_limits<std::uint32_t>::max() } };
+    return static_cast<std::uint32_t>(
+        std::distance(upstream.tasks.lower_bound(first), upstream.tasks.upper_bound(last)));
+}
+
+internal::Upstream* PoolScheduler::choose(
+    const Ready& ready, const Task& task, Moment now, const model::RackId* onlyRack)
+{
+    const auto& step = ready.job->job.steps[ready.step];
+    const bool waitForRack = !step.dataRack.empty() && now.steady - task.readySince < step.estimate;
+    Upstream* best = nullptr;
+    std::tuple<bool, bool, std::uint32_t, double> bestKey {};
+    for (auto& [id, upstream] : this->upstreams) {
+        if (!usable(upstream, ready, task, now)) {
+            continue;
+        }
+        const auto& facts = *upstream.facts;
+        const bool far = !step.dataRack.empty() && facts.rack.text() != step.dataRack;
+        if ((onlyRack != nullptr && facts.rack != *onlyRack) || (far && waitForRack)) {
+            continue;
+        }
+        const auto share = [](std::int64_t used, std::int64_t room) {
+            return room > 0 ? static_cast<double>(used) / static_cast<double>(room) : 0.0;
+        };
+        const auto load = std::max(share(upstream.cpu + step.resources.cpu, facts.capacity.cpu),
+            share(upstream.memory + step.resources.memory, facts.capacity.memory));
+        const std::tuple key { task.failedOn.contains(id), far,
+            step.longRunning ? countOfStep(upstream, ready) : 0U, load };
+        if (best == nullptr || key < bestKey) {
+            best = &upstream;
+            bestKey = key;
+        }
+    }
+    return best;
+}
+
+} // namespace wasabiroad::scheduling
--- /dev/null
+++ b/src/wasabiroad/scheduling/policy.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "wasabiroad/kernel/clock.hpp"
+
+namespace wasabiroad::scheduling {
+
+/** @brief Limits and weights of a pool scheduler. */
+struct Policy {
+    /** @brief Longest time that a task runs on after the last call that could renew its lease, on our clock. */
+    const kernel::Duration leaseSpan { 6500 };
+    /** @brief Tasks that a former owner may have started are lost after this time without a sign of them. */
+    const kernel::Duration takeoverSpan { 11000 };
+    /** @brief Time that an upstream in maintenance drain may take for its tasks before they are stopped. */
+    const kernel::Duration drainPatience { 5000 };
+    /** @brief A task whose progress stands still for this long is stopped and started elsewhere. */
+    const kernel::Duration stallLimit { 3000 };
+    /** @brief A long-running task that is not at work after this time is started elsewhere. */
+    const kernel::Duration startupLimit { 6000 };
+    /** @brief Time for which a suspect upstream gets no new tasks; each further suspicion doubles it. */
+    const kernel::Duration suspicion { 2000 };
+    /** @brief Delay before a task is tried again after a refused start. */
+    const kernel::Duration refusedDelay { 200 };
+    /** @brief Interval of repeated stop orders without an answer. */
+    const kernel::Duration stopRetry { 1000 };
+    /** @brief Interval between two raises of the pace of a filler task. */
+    const kernel::Duration paceRaiseInterval { 1500 };
+
+    friend auto operator<=>(const Policy&, const Policy&) = default;
+};
+
+} // namespace wasabiroad::scheduling
--- /dev/null
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -0,0 +1,700 @@
+#include "wasabiroad/scheduling/pool_scheduler.hpp"
+
+#include "wasabiroad/kernel/overloaded.hpp"
+
+#include <algorithm>
+
+namespace wasabiroad::scheduling {
+
+using internal::Phase;
+using jobs::JobState;
+using jobs::TaskId;
+using kernel::Duration;
+
+namespace {
+
+/** Suspicions double the time without new tasks up to this many times. */
+constexpr std::int64_t maxDoublings = 2;
+
+/** Failed tasks of this many jobs in a row make an upstream suspect: one bad job alone does not. */
+constexpr std::size_t failedJobsLimit = 2;
+
+bool isActive(const internal::Task& task)
+{
+    return task.phase == Phase::Starting || task.phase == Phase::Running || task.phase == Phase::Stopping;
+}
+
+template <typename Visit> void eachTask(internal::JobRun& run, Visit visit)
+{
+    for (std::uint32_t occurrence = 0; occurrence < run.occurrences.size(); ++occurrence) {
+        for (std::uint32_t step = 0; step < run.occurrences[occurrence].size(); ++step) {
+            auto& tasks = run.occurrences[occurrence][step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                visit(TaskId { run.job.id, { occurrence, step, index } }, tasks[index]);
+            }
+        }
+    }
+}
+
+std::uint64_t tasksLeft(const internal::JobRun& run)
+{
+    std::uint64_t left = 0;
+    for (const auto& steps : run.occurrences) {
+        for (const auto& step : steps) {
+            left += step.tasks.size() - step.done;
+        }
+    }
+    return left;
+}
+
+kernel::Instant dueTime(const jobs::Job& job)
+{
+    const auto begin = job.firstDue.milliseconds > 0 ? job.firstDue : job.accepted;
+    const auto stretched = job.stretch * static_cast<double>(jobs::longestChain(job.steps).milliseconds);
+    return begin + Duration { static_cast<std::int64_t>(stretched) } + job.allowance;
+}
+
+} // namespace
+
+PoolScheduler::PoolScheduler(Policy policy, std::uint64_t term, Moment started)
+    : policy(policy)
+    , term(term)
+    , begun(started)
+{
+}
+
+std::vector<Order> PoolScheduler::apply(const Event& event, Moment now)
+{
+    std::visit([&](const auto& happened) { on(happened, now); }, event);
+    if (this->passNeeded && this->active) {
+        this->passNeeded = false;
+        schedule(now);
+    }
+    return std::exchange(this->orders, {});
+}
+
+void PoolScheduler::on(const JobAdded& event, Moment now)
+{
+    if (this->jobRuns.contains(event.job.id) || jobs::isFinal(event.record.state)) {
+        return;
+    }
+    JobRun run { .job = event.job, .state = event.record.state, .due = dueTime(event.job) };
+    run.occurrences.resize(std::max(event.job.occurrences, 1U));
+    for (auto& steps : run.occurrences) {
+        steps.resize(event.job.steps.size());
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            Task task { .unresolved = event.mayHaveStarted, .notBefore = {}, .readySince = now.steady };
+            steps[step].tasks.assign(event.job.steps[step].count, task);
+        }
+    }
+    for (const auto& progress : event.record.tasks) {
+        const auto& at = progress.position;
+        if (at.occurrence >= run.occurrences.size() || at.step >= event.job.steps.size()
+            || at.index >= event.job.steps[at.step].count) {
+            continue;
+        }
+        auto& step = run.occurrences[at.occurrence][at.step];
+        auto& task = step.tasks[at.index];
+        task.failures = progress.failures;
+        task.failedRun = progress.failedRun;
+        task.checkpoint = progress.checkpoint;
+        if (progress.done && task.phase != Phase::Done) {
+            task.phase = Phase::Done;
+            ++step.done;
+        }
+    }
+    this->jobRuns.emplace(event.job.id, std::move(run));
+    this->passNeeded = true;
+}
+
+void PoolScheduler::on(const JobCancelled& event, Moment now)
+{
+    const auto found = this->jobRuns.find(event.job);
+    if (found == this->jobRuns.end() || jobs::isFinal(found->second.state)) {
+        return;
+    }
+    auto& run = found->second;
+    run.state = JobState::Cancelled;
+    run.written = true;
+    this->changed.erase(event.job);
+    eachTask(run, [&](const TaskId& id, Task& task) { stop(id, task, now, "cancelled"); });
+    eraseEnded();
+    this->passNeeded = true;
+}
+
+void PoolScheduler::on(const MembersSeen& event, Moment now)
+{
+    for (auto& [id, upstream] : this->upstreams) {
+        upstream.member = false;
+    }
+    for (const auto& facts : event.members) {
+        auto& upstream = this->upstreams[facts.id];
+        upstream.facts.emplace(facts);
+        upstream.member = true;
+    }
+    std::erase_if(this->upstreams, [](const auto& entry) {
+        return !entry.second.member && entry.second.tasks.empty();
+    });
+    emptyUpstreams(now);
+    this->passNeeded = true;
+}
+
+void PoolScheduler::on(const DrainsChanged& event, Moment now)
+{
+    for (auto& [id, upstream] : this->upstreams) {
+        const bool wanted = std::ranges::find(event.upstreams, id) != event.upstreams.end();
+        if (wanted && !upstream.emptied) {
+            upstream.emptyingSince = now.steady;
+        }
+        upstream.emptied = wanted;
+    }
+    emptyUpstreams(now);
+    this->passNeeded = true;
+}
+
+void PoolScheduler::on(const TasksListed& event, Moment now)
+{
+    auto& upstream = this->upstreams[event.upstream];
+    if (upstream.born != event.born) {
+        if (upstream.born != kernel::Instant {}) {
+            releaseAll(event.upstream, now);
+        }
+        upstream.born = event.born;
+        upstream.lastEnd = 0;
+        upstream.failedJobs.clear();
+    }
+    upstream.listed = true;
+    upstream.hasForeign = false;
+    upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.leaseSpan);
+    for (const auto& end : event.ended) {
+        if (end.number > upstream.lastEnd) {
+            upstream.lastEnd = end.number;
+            applyEnd(event.upstream, end, now);
+        }
+    }
+    for (const auto& running : event.running) {
+        applyRunning(event.upstream, running, now);
+    }
+    releaseAbsent(event, now);
+    controlPace(upstream, now);
+    heardOf(event.upstream);
+    this->passNeeded = true;
+}
+
+void PoolScheduler::applyEnd(const UpstreamId& id, const EndedTask& end, Moment now)
+{
+    const auto [run, task] = find(end.task);
+    if (task == nullptr || task->phase == Phase::Done) {
+        return;
+    }
+    const bool current = isActive(*task) && task->upstream == id && task->run == end.run;
+    const bool wasStopping = current && task->phase == Phase::Stopping;
+    if (!end.checkpoint.empty() && (current || !isActive(*task))) {
+        task->checkpoint = end.checkpoint;
+    }
+    if (current) {
+        detach(end.task, *task);
+        toWaiting(*task, now);
+    }
+    if (jobs::isFinal(run->state)) {
+        eraseEnded();
+        return;
+    }
+    switch (end.kind) {
+    case EndKind::Done:
+        taskDone(*run, end.task, *task, now);
+        break;
+    case EndKind::Failed:
+        if (end.run > task->failedRun && !wasStopping) {
+            task->failedRun = end.run;
+            taskFailed(*run, end.task, *task, id, now);
+        }
+        break;
+    case EndKind::Stopped:
+    case EndKind::Lapsed:
+    case EndKind::PeerEnded:
+    case EndKind::GangIncomplete:
+        break;
+    }
+    // An end of a gang's member stands for all members.
+    const auto& step = stepOf(end.task);
+    if (step.gang && end.kind == EndKind::Done) {
+        auto& tasks = run->occurrences[end.task.position.occurrence][end.task.position.step].tasks;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+            auto& member = tasks[index];
+            const TaskId memberId { end.task.job, { end.task.position.occurrence, end.task.position.step, index } };
+            if (member.phase != Phase::Done && !jobs::isFinal(run->state)) {
+                if (isActive(member)) {
+                    detach(memberId, member);
+                }
+                taskDone(*run, memberId, member, now);
+            }
+        }
+    }
+}
+
+void PoolScheduler::applyRunning(const UpstreamId& id, const RunningTask& running, Moment now)
+{
+    const auto [run, task] = find(running.task);
+    auto& upstream = this->upstreams[id];
+    if (task == nullptr) {
+        upstream.hasForeign = true;
+        stopForeign(id, running.task, running.run, "unknown job");
+        return;
+    }
+    const bool current = isActive(*task) && task->upstream == id && task->run == running.run;
+    if (!current) {
+        if (task->phase != Phase::Waiting || jobs::isFinal(run->state)) {
+            upstream.hasForeign = true;
+            stopForeign(id, running.task, running.run, "not wanted here");
+            return;
+        }
+        // A run of a former owner: it is adopted where it runs.
+        const auto& resources = stepOf(running.task).resources;
+        task->upstream = id;
+        task->run = running.run;
+        task->unresolved = false;
+        task->started = now.steady;
+        task->lastProgress = now.steady;
+        task->percent = running.percent;
+        task->phase = Phase::Running;
+        task->stopAnswered.reset();
+        upstream.tasks.insert(running.task);
+        upstream.cpu += stepOf(running.task).filler ? 0 : resources.cpu;
+        upstream.memory += resources.memory;
+        upstream.accelerators += resources.accelerators;
+    }
+    if (task->phase == Phase::Starting) {
+        task->phase = Phase::Running;
+    }
+    if (running.percent != task->percent) {
+        task->lastProgress = now.steady;
+    }
+    task->percent = running.percent;
+    task->figure = running.figure;
+    if (!running.checkpoint.empty()) {
+        task->checkpoint = running.checkpoint;
+    }
+    if (run->state == JobState::Pending) {
+        run->state = JobState::Running;
+        markChanged(run->job.id, false);
+    }
+}
+
+void PoolScheduler::releaseAbsent(const TasksListed& event, Moment now)
+{
+    std::set<TaskId> present;
+    for (const auto& running : event.running) {
+        present.insert(running.task);
+    }
+    const auto tasks = this->upstreams[event.upstream].tasks;
+    for (const auto& id : tasks) {
+        const auto [run, task] = find(id);
+        if (task != nullptr && task->phase == Phase::Stopping && task->stopAnswered
+            && *task->stopAnswered <= event.sent && !present.contains(id)) {
+            detach(id, *task);
+            toWaiting(*task, now);
+        }
+    }
+    eraseEnded();
+}
+
+void PoolScheduler::on(const StartAnswered& event, Moment now)
+{
+    const auto [run, task] = find(event.task);
+    if (task == nullptr || task->phase != Phase::Starting || task->run != event.run) {
+        return;
+    }
+    switch (event.result) {
+    case StartResult::Started:
+        task->phase = Phase::Running;
+        task->lastProgress = now.steady;
+        if (run->state == JobState::Pending) {
+            run->state = JobState::Running;
+            markChanged(run->job.id, false);
+        }
+        return;
+    case StartResult::Unknown:
+        this->upstreams[event.upstream].suspectUntil = now.steady + this->policy.refusedDelay;
+        stop(event.task, *task, now, "start without an answer");
+        return;
+    case StartResult::NoRoom:
+    case StartResult::Refused:
+    case StartResult::NotSent:
+        suspect(this->upstreams[event.upstream], now);
+        [[fallthrough]];
+    case StartResult::StaleRun:
+        detach(event.task, *task);
+        toWaiting(*task, now);
+        task->notBefore = now.steady + this->policy.refusedDelay;
+        eraseEnded();
+        this->passNeeded = true;
+        return;
+    }
+}
+
+void PoolScheduler::on(const StopAnswered& event, Moment now)
+{
+    const auto [run, task] = find(event.task);
+    if (task != nullptr && task->phase == Phase::Stopping && task->run == event.run && event.answered
+        && !task->stopAnswered) {
+        task->stopAnswered = now.steady;
+    }
+}
+
+void PoolScheduler::on(const UpstreamSilent& event, Moment)
+{
+    auto& upstream = this->upstreams[event.upstream];
+    upstream.listed = false;
+    upstream.leaseEnd = std::max(upstream.leaseEnd, event.lastRenewal + this->policy.leaseSpan);
+}
+
+void PoolScheduler::on(const UpstreamReplaced& event, Moment now)
+{
+    releaseAll(event.upstream, now);
+    this->upstreams.erase(event.upstream);
+    heardOf(event.upstream);
+    this->passNeeded = true;
+}
+
+void PoolScheduler::on(const TermBegun& event, Moment)
+{
+    this->unheard.insert(event.used.begin(), event.used.end());
+    if (this->unheard.empty()) {
+        resolveStarts();
+    }
+}
+
+void PoolScheduler::heardOf(const UpstreamId& id)
+{
+    if (this->unheard.erase(id) != 0 && this->unheard.empty()) {
+        resolveStarts();
+    }
+}
+
+void PoolScheduler::resolveStarts()
+{
+    for (auto& [id, run] : this->jobRuns) {
+        eachTask(run, [](const TaskId&, Task& task) { task.unresolved = false; });
+    }
+    this->passNeeded = true;
+}
+
+void PoolScheduler::on(const Tick&, Moment now)
+{
+    if (!this->unheard.empty() && now.steady - this->begun.steady > this->policy.takeoverSpan) {
+        this->unheard.clear();
+        resolveStarts();
+    }
+    std::vector<UpstreamId> lapsed;
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (!upstream.listed && !upstream.tasks.empty() && now.steady > upstream.leaseEnd) {
+            lapsed.push_back(id);
+        }
+    }
+    for (const auto& id : lapsed) {
+        releaseAll(id, now);
+    }
+    checkStalls(now);
+    emptyUpstreams(now);
+    eraseEnded();
+    this->passNeeded = true;
+}
+
+void PoolScheduler::checkStalls(Moment now)
+{
+    for (auto& [upstreamId, upstream] : this->upstreams) {
+        if (!upstream.listed) {
+            continue;
+        }
+        const auto tasks = upstream.tasks;
+        for (const auto& id : tasks) {
+            const auto [run, task] = find(id);
+            const auto& step = stepOf(id);
+            if (task->phase == Phase::Stopping && !task->stopAnswered
+                && now.steady - task->stopSent > this->policy.stopRetry) {
+                task->stopSent = now.steady;
+                this->orders.push_back(StopTask { task->upstream, id, task->run, "stop without an answer" });
+            }
+            if (task->phase != Phase::Running || step.gang) {
+                continue;
+            }
+            const bool stalled = !step.longRunning && task->pace > 0
+                && now.steady - task->lastProgress > this->policy.stallLimit;
+            const bool notAtWork = step.longRunning && task->percent < 100 && task->pace == 100
+                && now.steady - task->started > this->policy.startupLimit
+                && now.steady - task->lastProgress > this->policy.stallLimit;
+            if (stalled || notAtWork) {
+                task->failedOn.insert(upstreamId);
+                suspect(upstream, now);
+                stop(id, *task, now, "no progress");
+            }
+        }
+    }
+}
+
+void PoolScheduler::emptyUpstreams(Moment now)
+{
+    for (auto& [upstreamId, upstream] : this->upstreams) {
+        const bool draining = upstream.facts && upstream.facts->draining;
+        if (!upstream.emptied && !draining) {
+            continue;
+        }
+        const bool patient = now.steady - upstream.emptyingSince < this->policy.drainPatience;
+        const auto tasks = upstream.tasks;
+        for (const auto& id : tasks) {
+            const auto [run, task] = find(id);
+            if (task->phase != Phase::Running) {
+                continue;
+            }
+            const auto& step = stepOf(id);
+            if (step.longRunning) {
+                if (step.mayMiss == 0 || draining || awayBeside(*run, id) < step.mayMiss) {
+                    stop(id, *task, now, "upstream is emptied");
+                }
+            } else if (upstream.emptied && !patient) {
+                stop(id, *task, now, "upstream is emptied");
+            }
+        }
+    }
+}
+
+std::uint32_t PoolScheduler::awayBeside(const JobRun& run, const TaskId& id) const
+{
+    const auto& tasks = run.occurrences[id.position.occurrence][id.position.step].tasks;
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (index != id.position.index
+            && (tasks[index].phase != Phase::Running || tasks[index].percent < 100
+                || !this->upstreams.at(tasks[index].upstream).listed)) {
+            ++away;
+        }
+    }
+    return away;
+}
+
+void PoolScheduler::taskDone(JobRun& run, const TaskId& id, Task& task, Moment now)
+{
+    if (stepOf(id).longRunning) {
+        return;
+    }
+    if (isActive(task)) {
+        stop(id, task, now, "done elsewhere");
+        detach(id, task);
+    }
+    task.phase = Phase::Done;
+    task.unresolved = false;
+    ++run.occurrences[id.position.occurrence][id.position.step].done;
+    if (const auto upstream = this->upstreams.find(task.upstream); upstream != this->upstreams.end()) {
+        upstream->second.failedJobs.clear();
+        upstream->second.suspicions = 0;
+    }
+    if (tasksLeft(run) == 0) {
+        finish(run, JobState::Completed, now, "all tasks are done");
+    } else {
+        markChanged(run.job.id, false);
+    }
+}
+
+void PoolScheduler::taskFailed(
+    JobRun& run, const TaskId& id, Task& task, const UpstreamId& where, Moment now)
+{
+    ++task.failures;
+    task.failedOn.insert(where);
+    markChanged(run.job.id, false);
+    if (const auto upstream = this->upstreams.find(where); upstream != this->upstreams.end()) {
+        upstream->second.failedJobs.insert(id.job);
+        if (upstream->second.failedJobs.size() >= failedJobsLimit) {
+            suspect(upstream->second, now);
+        }
+    }
+    if (!stepOf(id).longRunning && task.failures >= run.job.maxAttempts) {
+        finish(run, JobState::Failed, now, "a task used up its attempts");
+    }
+}
+
+void PoolScheduler::finish(JobRun& run, JobState state, Moment now, std::string_view reason)
+{
+    run.state = state;
+    run.finished = now.wall;
+    eachTask(run, [&](const TaskId& id, Task& task) { stop(id, task, now, reason); });
+    markChanged(run.job.id, true);
+}
+
+void PoolScheduler::suspect(Upstream& upstream, Moment now)
+{
+    if (upstream.suspectUntil > now.steady) {
+        return;
+    }
+    const auto doublings = std::min(upstream.suspicions, maxDoublings);
+    upstream.suspectUntil = now.steady + this->policy.suspicion * (std::int64_t { 1 } << doublings);
+    ++upstream.suspicions;
+    upstream.failedJobs.clear();
+}
+
+void PoolScheduler::toWaiting(Task& task, Moment now)
+{
+    task.phase = Phase::Waiting;
+    task.percent = 0;
+    task.pace = 100;
+    task.stopAnswered.reset();
+    task.readySince = now.steady;
+    this->passNeeded = true;
+}
+
+void PoolScheduler::detach(const TaskId& id, Task& task)
+{
+    const auto found = this->upstreams.find(task.upstream);
+    if (found != this->upstreams.end() && found->second.tasks.erase(id) != 0) {
+        const auto& step = stepOf(id);
+        found->second.cpu -= step.filler ? 0 : step.resources.cpu;
+        found->second.memory -= step.resources.memory;
+        found->second.accelerators -= step.resources.accelerators;
+    }
+}
+
+void PoolScheduler::stop(const TaskId& id, Task& task, Moment now, std::string_view reason)
+{
+    if (task.phase != Phase::Starting && task.phase != Phase::Running) {
+        return;
+    }
+    task.phase = Phase::Stopping;
+    task.stopAnswered.reset();
+    task.stopSent = now.steady;
+    this->orders.push_back(StopTask { task.upstream, id, task.run, std::string { reason } });
+}
+
+void PoolScheduler::stopForeign(
+    const UpstreamId& upstream, const TaskId& id, jobs::Run run, std::string_view reason)
+{
+    this->orders.push_back(StopTask { upstream, id, run, std::string { reason } });
+}
+
+void PoolScheduler::releaseAll(const UpstreamId& id, Moment now)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end()) {
+        return;
+    }
+    const auto tasks = found->second.tasks;
+    for (const auto& taskId : tasks) {
+        const auto [run, task] = find(taskId);
+        // An unanswered start may still be carried out by a reborn upstream; a stop makes it impossible there.
+        if (task->phase == Phase::Starting) {
+            stopForeign(id, taskId, task->run, "unanswered start on a former life");
+        }
+        detach(taskId, *task);
+        toWaiting(*task, now);
+    }
+    eraseEnded();
+}
+
+void PoolScheduler::eraseEnded()
+{
+    for (auto entry = this->jobRuns.begin(); entry != this->jobRuns.end();) {
+        auto& run = entry->second;
+        bool keep = !jobs::isFinal(run.state) || !run.written;
+        if (!keep) {
+            eachTask(run, [&](const TaskId&, const Task& task) { keep = keep || isActive(task); });
+        }
+        entry = keep ? std::next(entry) : this->jobRuns.erase(entry);
+    }
+}
+
+void PoolScheduler::recordWritten(const jobs::JobId& job)
+{
+    if (const auto found = this->jobRuns.find(job);
+        found != this->jobRuns.end() && jobs::isFinal(found->second.state)) {
+        found->second.written = true;
+        eraseEnded();
+    }
+}
+
+void PoolScheduler::markChanged(const jobs::JobId& job, bool isUrgent)
+{
+    this->changed.insert(job);
+    this->urgent = this->urgent || isUrgent;
+}
+
+std::vector<RecordChange> PoolScheduler::takeChanges()
+{
+    std::vector<RecordChange> changes;
+    for (const auto& id : this->changed) {
+        const auto found = this->jobRuns.find(id);
+        if (found == this->jobRuns.end()) {
+            continue;
+        }
+        auto& run = found->second;
+        std::vector<jobs::TaskProgress> tasks;
+        if (!jobs::isFinal(run.state)) {
+            eachTask(run, [&](const TaskId& task, const Task& state) {
+                if (state.phase == Phase::Done || state.failures > 0 || !state.checkpoint.empty()) {
+                    const bool done = state.phase == Phase::Done;
+                    tasks.push_back({ task.position, done, state.failures, state.failedRun,
+                        done ? std::string {} : state.checkpoint });
+                }
+            });
+        }
+        changes.push_back({ id, { run.state, std::move(tasks), run.finished } });
+    }
+    this->changed.clear();
+    this->urgent = false;
+    return changes;
+}
+
+std::optional<JobState> PoolScheduler::stateOf(const jobs::JobId& job) const
+{
+    const auto found = this->jobRuns.find(job);
+    if (found == this->jobRuns.end()) {
+        return std::nullopt;
+    }
+    const auto& run = found->second;
+    return jobs::isFinal(run.state) && !run.written ? JobState::Running : run.state;
+}
+
+std::map<jobs::QueueId, std::uint64_t> PoolScheduler::pendingCounts() const
+{
+    std::map<jobs::QueueId, std::uint64_t> counts;
+    for (const auto& [id, run] : this->jobRuns) {
+        counts[run.job.queue] += run.state == JobState::Pending && run.job.firstDue.milliseconds == 0 ? 1 : 0;
+    }
+    return counts;
+}
+
+bool PoolScheduler::isEmptied(const UpstreamId& upstream) const
+{
+    const auto found = this->upstreams.find(upstream);
+    return found == this->upstreams.end() || (found->second.emptied && found->second.tasks.empty());
+}
+
+bool PoolScheduler::isUsed(const UpstreamId& upstream) const
+{
+    const auto found = this->upstreams.find(upstream);
+    return found != this->upstreams.end() && !found->second.tasks.empty();
+}
+
+std::uint64_t PoolScheduler::lastEnd(const UpstreamId& upstream) const
+{
+    const auto found = this->upstreams.find(upstream);
+    return found != this->upstreams.end() ? found->second.lastEnd : 0;
+}
+
+std::pair<internal::JobRun*, internal::Task*> PoolScheduler::find(const TaskId& id)
+{
+    const auto found = this->jobRuns.find(id.job);
+    if (found == this->jobRuns.end() || id.position.occurrence >= found->second.occurrences.size()) {
+        return { nullptr, nullptr };
+    }
+    auto& steps = found->second.occurrences[id.position.occurrence];
+    if (id.position.step >= steps.size() || id.position.index >= steps[id.position.step].tasks.size()) {
+        return { nullptr, nullptr };
+    }
+    return { &found->second, &steps[id.position.step].tasks[id.position.index] };
+}
+
+const jobs::Step& PoolScheduler::stepOf(const TaskId& id) const
+{
+    return this->jobRuns.at(id.job).job.steps[id.position.step];
+}
+
+} // namespace wasabiroad::scheduling
--- /dev/null
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "wasabiroad/scheduling/policy.hpp"
+#include "wasabiroad/scheduling/state.hpp"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace wasabiroad::scheduling {
+
+/**
+ * @brief Decides which task of a pool runs where; performs no I/O and reads no clock.
+ *
+ * The owner of the pool feeds it events and carries out the orders that come back. A run counts against its
+ * upstream from the order to start it until the upstream has listed its end, rejected it or can no longer
+ * hold a lease for it.
+ */
+class PoolScheduler {
+public:
+    /**
+     * @param policy Limits and weights.
+     * @param term Term of ownership; runs of a later term have higher numbers.
+     * @param started When the term began.
+     */
+    PoolScheduler(Policy policy, std::uint64_t term, Moment started);
+
+    /**
+     * @brief Applies one event.
+     * @param event What happened.
+     * @param now When.
+     * @return Orders to upstreams.
+     */
+    std::vector<Order> apply(const Event& event, Moment now);
+
+    /** @brief Sets whether tasks may be started; an owner that may have been replaced starts none. */
+    void setActive(bool mayStart) { this->active = mayStart; }
+
+    /** @return Records that changed since the last call. */
+    std::vector<RecordChange> takeChanges();
+
+    /** @return Whether a record waits that ends a job, which a caller may be waiting for. */
+    bool hasUrgentChange() const { return this->urgent; }
+
+    bool hasChange() const { return !this->changed.empty(); }
+
+    /** @return State of a job, or nothing when it is not known here; an end is not shown before it is written. */
+    std::optional<jobs::JobState> stateOf(const jobs::JobId& job) const;
+
+    /** @return Jobs of each queue without times of their own that have not begun. */
+    std::map<jobs::QueueId, std::uint64_t> pendingCounts() const;
+
+    /** @return Whether the upstream runs nothing and gets nothing new. */
+    bool isEmptied(const UpstreamId& upstream) const;
+
+    /** @return Number of the last end that was applied for an upstream. */
+    std::uint64_t lastEnd(const UpstreamId& upstream) const;
+
+    /** @return Whether filler tasks run beside serving tasks, which need frequent looks. */
+    bool needsFrequentLooks(const UpstreamId& upstream) const;
+
+    /** @brief Lets an ended job be forgotten once none of its tasks runs; its record has been written. */
+    void recordWritten(const jobs::JobId& job);
+
+    /** @return Whether the upstream may still run a task. */
+    bool isUsed(const UpstreamId& upstream) const;
+
+    std::size_t jobCount() const { return this->jobRuns.size(); }
+
+private:
+    using JobRun = internal::JobRun;
+    using StepRun = internal::StepRun;
+    using Task = internal::Task;
+    using Upstream = internal::Upstream;
+
+    struct Ready {
+        JobRun* job;
+        std::uint32_t occurrence;
+        std::uint32_t step;
+        bool late;
+    };
+
+    void on(const JobAdded& event, Moment now);
+    void on(const JobCancelled& event, Moment now);
+    void on(const MembersSeen& event, Moment now);
+    void on(const DrainsChanged& event, Moment now);
+    void on(const TasksListed& event, Moment now);
+    void on(const StartAnswered& event, Moment now);
+    void on(const StopAnswered& event, Moment now);
+    void on(const UpstreamSilent& event, Moment now);
+    void on(const UpstreamReplaced& event, Moment now);
+    void on(const TermBegun& event, Moment now);
+    void on(const Tick& event, Moment now);
+
+    void applyEnd(const UpstreamId& id, const EndedTask& end, Moment now);
+    void applyRunning(const UpstreamId& id, const RunningTask& running, Moment now);
+    void releaseAbsent(const TasksListed& event, Moment now);
+    void releaseAll(const UpstreamId& id, Moment now);
+    void resolveStarts();
+    void heardOf(const UpstreamId& id);
+    void eraseEnded();
+    void finish(JobRun& run, jobs::JobState state, Moment now, std::string_view reason);
+    void taskDone(JobRun& run, const jobs::TaskId& id, Task& task, Moment now);
+    void taskFailed(JobRun& run, const jobs::TaskId& id, Task& task, const UpstreamId& where, Moment now);
+    void suspect(Upstream& upstream, Moment now);
+    void toWaiting(Task& task, Moment now);
+    void detach(const jobs::TaskId& id, Task& task);
+    void stop(const jobs::TaskId& id, Task& task, Moment now, std::string_view reason);
+    void stopForeign(const UpstreamId& upstream, const jobs::TaskId& id, jobs::Run run, std::string_view reason);
+    void markChanged(const jobs::JobId& job, bool isUrgent);
+    void checkStalls(Moment now);
+    void emptyUpstreams(Moment now);
+    void controlPace(Upstream& upstream, Moment now);
+
+    void schedule(Moment now);
+    std::vector<Ready> readySteps(Moment now);
+    void place(const Ready& ready, Moment now);
+    void placeGang(const Ready& ready, Moment now);
+    void startOn(const Ready& ready, std::uint32_t index, Upstream& upstream, jobs::Run run, Moment now);
+    Upstream* choose(const Ready& ready, const Task& task, Moment now, const model::RackId* onlyRack);
+    bool fits(const Upstream& upstream, const jobs::Step& step) const;
+    bool usable(const Upstream& upstream, const Ready& ready, const Task& task, Moment now) const;
+    std::uint32_t countOfStep(const Upstream& upstream, const Ready& ready) const;
+    bool isStepReady(const JobRun& run, std::uint32_t occurrence, std::uint32_t step, Moment now) const;
+    std::uint32_t awayBeside(const JobRun& run, const jobs::TaskId& id) const;
+
+    std::pair<JobRun*, Task*> find(const jobs::TaskId& id);
+    const jobs::Step& stepOf(const jobs::TaskId& id) const;
+
+    const Policy policy;
+    const std::uint64_t term;
+    const Moment begun;
+    std::uint64_t starts { 0 };
+    bool active { true };
+    bool passNeeded { false };
+    bool urgent { false };
+    std::set<UpstreamId> unheard {};
+    std::unordered_map<jobs::JobId, JobRun> jobRuns {};
+    std::map<UpstreamId, Upstream> upstreams {};
+    std::set<jobs::JobId> changed {};
+    std::vector<Order> orders {};
+};
+
+} // namespace wasabiroad::scheduling
--- /dev/null
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "wasabiroad/scheduling/event.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace wasabiroad::scheduling::internal {
+
+enum class Phase : unsigned char {
+    Waiting,
+    /** @brief The start was ordered and not answered. */
+    Starting,
+    Running,
+    /** @brief The stop was ordered, or a start has an unknown outcome. */
+    Stopping,
+    Done,
+};
+
+/** @brief Scheduling state of a task. */
+struct Task {
+    Phase phase { Phase::Waiting };
+    /** @brief A former owner may have started it; it waits until that is known. */
+    bool unresolved { false };
+    UpstreamId upstream {};
+    jobs::Run run {};
+    std::string checkpoint {};
+    std::uint32_t failures { 0 };
+    jobs::Run failedRun {};
+    /** @brief Upstreams on which it failed. */
+    std::set<UpstreamId> failedOn {};
+    std::int64_t percent { 0 };
+    std::int64_t figure { 0 };
+    std::int64_t pace { 100 };
+    kernel::Instant paceChanged {};
+    kernel::Instant notBefore {};
+    kernel::Instant lastProgress {};
+    kernel::Instant started {};
+    kernel::Instant readySince {};
+    kernel::Instant stopSent {};
+    std::optional<kernel::Instant> stopAnswered {};
+};
+
+/** @brief Tasks of one step of one occurrence. */
+struct StepRun {
+    std::vector<Task> tasks {};
+    std::uint32_t done { 0 };
+};
+
+/** @brief Scheduling state of a job. */
+struct JobRun {
+    jobs::Job job;
+    jobs::JobState state { jobs::JobState::Pending };
+    /** @brief Steps by occurrence. */
+    std::vector<std::vector<StepRun>> occurrences {};
+    /** @brief Wall clock at which it is late. */
+    kernel::Instant due {};
+    kernel::Instant finished {};
+    /** @brief The record of its final state is in the store. */
+    bool written { false };
+};
+
+/** @brief Scheduling state of an upstream. */
+struct Upstream {
+    std::optional<UpstreamFacts> facts {};
+    bool member { false };
+    /** @brief It has answered to this owner. */
+    bool listed { false };
+    bool emptied { false };
+    kernel::Instant emptyingSince {};
+    kernel::Instant born {};
+    kernel::Instant leaseEnd {};
+    kernel::Instant suspectUntil {};
+    std::int64_t suspicions { 0 };
+    /** @brief Jobs whose tasks failed there since the last task that was done. */
+    std::set<jobs::JobId> failedJobs {};
+    std::int64_t cpu { 0 };
+    std::int64_t memory { 0 };
+    std::int64_t accelerators { 0 };
+    std::set<jobs::TaskId> tasks {};
+    std::uint64_t lastEnd { 0 };
+    /** @brief It runs tasks of jobs that are not known here, so its room is not known. */
+    bool hasForeign { false };
+};
+
+} // namespace wasabiroad::scheduling::internal
--- a/src/wasabiroad/settings/settings.cpp
+++ b/src/wasabiroad/settings/settings.cpp
@@ -149,6 +149,24 @@
         reader.list<PeerEntry>("entries", readPeerEntry) };
 }
 
+std::optional<FleetAccess> readFleet(const boost::json::value* value)
+{
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    const Reader reader { *value };
+    const FleetAccess defaults {};
+    return FleetAccess {
+        .readiness = reader.text("readiness"),
+        .vms = reader.text("vms"),
+        .advice = reader.text("advice"),
+        .taskLease = { reader.integer("task-lease-ms", defaults.taskLease.milliseconds) },
+        .stopGrace = { reader.integer("stop-grace-ms", defaults.stopGrace.milliseconds) },
+        .retention = { reader.integer("retention-ms", defaults.retention.milliseconds) },
+        .orderGap = { reader.integer("order-gap-ms", defaults.orderGap.milliseconds) },
+    };
+}
+
 /** The list of entries may be the same for all daemons, so each skips its own. */
 Peers withoutSelf(const Peers& peers, const model::EntryId& self)
 {
@@ -192,6 +210,7 @@
         .trafficThreads = reader.count("traffic-threads", defaults.trafficThreads),
         .limits = readLimits(reader.find("limits")),
         .peers = peers ? std::optional { withoutSelf(*peers, entry) } : std::nullopt,
+        .fleet = readFleet(reader.find("fleet")),
     };
 }
 
--- a/src/wasabiroad/settings/settings.hpp
+++ b/src/wasabiroad/settings/settings.hpp
@@ -52,6 +52,26 @@
     friend auto operator<=>(const Peers&, const Peers&) = default;
 };
 
+/** @brief A platform that runs tasks on upstreams, and what it guarantees. */
+struct FleetAccess {
+    /** @brief IP address and port for readiness checks of the load balancer. */
+    const std::string readiness;
+    /** @brief IP address and port of the service that moves and maintains VMs. */
+    const std::string vms;
+    /** @brief IP address and port of the service that knows which upstreams may run a step; may be empty. */
+    const std::string advice {};
+    /** @brief Longest lease that an upstream grants to its tasks. */
+    const kernel::Duration taskLease { 6000 };
+    /** @brief Time between SIGTERM and SIGKILL. */
+    const kernel::Duration stopGrace { 6000 };
+    /** @brief Time for which ended jobs stay known to callers. */
+    const kernel::Duration retention { 120000 };
+    /** @brief Two entries must not give orders to one VM within this time. */
+    const kernel::Duration orderGap { 3000 };
+
+    friend auto operator<=>(const FleetAccess&, const FleetAccess&) = default;
+};
+
 /** @brief Settings of one daemon. */
 struct Settings {
     const model::EntryId entry;
@@ -66,6 +86,8 @@
     const Limits limits {};
     /** @brief Absent when the daemon runs alone. */
     const std::optional<Peers> peers {};
+    /** @brief Present when the daemon runs jobs on a fleet. */
+    const std::optional<FleetAccess> fleet {};
 
     friend auto operator<=>(const Settings&, const Settings&) = default;
 };
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Generates the committed protobuf code of the peer messages from schema/peer.proto.
-# usage: tools/generate.sh [FOLDER]   (default: src/wasabiroad/peer/generated)
+# Generates the committed protobuf code of the peer messages and of the records of jobs.
+# usage: tools/generate.sh [FOLDER]   (default: src; the folders below it mirror src)
 set -euo pipefail
 cd "$(dirname "$0")/.."
-folder=${1:-src/wasabiroad/peer/generated}
-protoc --proto_path=schema --cpp_out="$folder" peer.proto
+folder=${1:-src}
+protoc --proto_path=schema --cpp_out="$folder/wasabiroad/peer/generated" peer.proto
+protoc --proto_path=schema --cpp_out="$folder/wasabiroad/jobs/generated" jobs.proto
