--- a/src/wasabiroad/agent/duties.cpp
+++ b/src/wasabiroad/agent/duties.cpp
@@ -65,6 +65,8 @@
 
 bool Duties::mayAct() const { return bootNow() < this->validUntil + actGrace; }
 
+bool Duties::surelyHolds() const { return bootNow() < this->validUntil; }
+
 void Duties::keepLease()
 {
     if (this->stopping) {
--- a/src/wasabiroad/agent/duties.hpp
+++ b/src/wasabiroad/agent/duties.hpp
@@ -49,6 +49,9 @@
     /** @return Whether this daemon may act on its duties: its lease surely lives, or has only just run out. */
     bool mayAct() const;
 
+    /** @return Whether no other daemon can have its duties. */
+    bool surelyHolds() const;
+
     /** @return When the store last answered. */
     kernel::Instant lastContact() const { return this->contact; }
 
--- /dev/null
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "wasabiroad/agent/timer.hpp"
+#include "wasabiroad/ports/fleet.hpp"
+#include "wasabiroad/scheduling/wave_plan.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wasabiroad::agent {
+
+/** @brief What the owner of the fleet duty needs from its daemon. */
+struct FleetContext {
+    boost::asio::io_context& context;
+    const std::shared_ptr<const store::Store> store;
+    const std::shared_ptr<const ports::Fleet> fleet;
+    /** @brief Two daemons must not give orders to one VM within this time. */
+    const kernel::Duration orderGap;
+    /** @brief Whether the daemon surely holds its duties. */
+    const std::function<bool()> holdsDuties;
+};
+
+/**
+ * @brief Carries out maintenance waves for one term.
+ *
+ * A VM whose pool runs jobs is drained first: a key asks the owner of the pool to empty its upstream, another
+ * one says that it is empty. What was done is kept in the store, so the next owner goes on from there.
+ */
+class FleetAgent : public std::enable_shared_from_this<FleetAgent> {
+public:
+    FleetAgent(FleetContext context, ports::Term term);
+
+    void start();
+
+    /** @brief Sets the waves that the operator asks for. */
+    void setWaves(const std::map<std::uint64_t, ports::WaveRequest>& requests);
+
+    /** @brief Sets the pools that run jobs. */
+    void setPoolsWithJobs(std::set<model::ServiceId> pools) { this->poolsWithJobs = std::move(pools); }
+
+    void close();
+
+private:
+    struct Vm {
+        scheduling::WaveStage stage { scheduling::WaveStage::Waiting };
+        /** @brief The upstream that is drained, or that ran before the maintenance. */
+        scheduling::UpstreamId upstream {};
+        model::ServiceId pool {};
+        kernel::Instant since {};
+        bool ordering { false };
+        /** @brief Lists in a row that did not name the VM. */
+        std::uint32_t missing { 0 };
+    };
+
+    struct Wave {
+        ports::WaveRequest request;
+        std::map<model::VmId, Vm> vms {};
+        bool loaded { false };
+        bool loading { false };
+        bool announced { false };
+        bool completed { false };
+        bool writing { false };
+    };
+
+    void tick();
+    bool hasOpenWave() const;
+    void load(std::uint64_t number);
+    void onVms(const std::vector<ports::VmFacts>& facts);
+    void onEmptied(const store::Listing& listing);
+    void updateStages(Wave& wave, const std::map<model::VmId, const ports::VmFacts*>& facts);
+    void advance(Wave& wave, const std::vector<ports::VmFacts>& facts);
+    void requestDrain(Wave& wave, const model::VmId& name, Vm& vm);
+    void maintain(std::uint64_t number, const model::VmId& name);
+    void onMaintained(std::uint64_t number, const model::VmId& name, ports::VmOrderResult result);
+    void recordDone(Wave& wave, const model::VmId& name, const Vm& vm);
+    void writeStatus(Wave& wave, bool completed);
+    void change(std::vector<store::Put> puts, std::vector<std::string> removals,
+        store::Callback<store::ChangeOutcome> callback);
+    bool mayOrder() const;
+
+    const FleetContext environment;
+    const ports::Term term;
+    kernel::Instant begun {};
+    std::map<std::uint64_t, Wave> waves {};
+    std::set<model::ServiceId> poolsWithJobs {};
+    bool listing { false };
+    bool closed { false };
+    Timer timer;
+};
+
+} // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/keys.hpp
+++ b/src/wasabiroad/agent/keys.hpp
@@ -15,6 +15,14 @@
 
     inline std::string owner(const std::string& duty) { return owners + duty; }
 
+    /** Duty of the owner of a pool. */
+    inline const std::string poolDuty { "pool/" };
+
+    /** Duty of the daemon that gives orders to VMs. */
+    inline const std::string fleetDuty { "fleet" };
+
+    inline std::string poolOwner(const model::ServiceId& service) { return owner(poolDuty + service.text()); }
+
     /** Service that a job was accepted for; its creation makes an id unique over all services. */
     inline std::string acceptance(const jobs::JobId& job) { return "accepted/" + job.text(); }
 
@@ -31,6 +39,17 @@
     /** VMs of a pool that are to be emptied for maintenance. */
     inline std::string drainsOf(const model::ServiceId& service) { return pool(service) + "drain/"; }
 
+    inline std::string drain(const model::ServiceId& service, const model::VmId& vm)
+    {
+        return drainsOf(service) + vm.text();
+    }
+
+    /** VMs whose upstream runs nothing and gets nothing new; the value is that upstream. */
+    inline const std::string emptied { "emptied/" };
+
+    /** VMs that have had their maintenance in a wave. */
+    inline std::string waveProgress(std::uint64_t wave) { return "wave/" + std::to_string(wave); }
+
     inline std::string recordsOf(const model::ServiceId& service) { return "record/" + service.text() + "/"; }
 
     inline std::string record(const model::ServiceId& service, const jobs::JobId& job)
--- a/src/wasabiroad/agent/plugin.cpp
+++ b/src/wasabiroad/agent/plugin.cpp
@@ -1,4 +1,5 @@
 #include "wasabiroad/agent/duties.hpp"
+#include "wasabiroad/agent/fleet_agent.hpp"
 #include "wasabiroad/agent/intake.hpp"
 #include "wasabiroad/agent/keys.hpp"
 #include "wasabiroad/agent/pool_agent.hpp"
@@ -160,9 +161,13 @@
         std::visit(kernel::Overloaded {
                        [&](const ports::OperatorState& state) {
                            this->contact = bootNow();
+                           for (const auto& wave : state.waves) {
+                               this->waves.try_emplace(wave.number, wave);
+                           }
                            if (state.configuration) {
                                adopt(*state.configuration);
                            }
+                           informFleetAgent();
                            watchOperator(state.asOf);
                        },
                        [&](const store::HistoryGone&) { readOperator(); },
@@ -184,14 +189,42 @@
                                                       { "queues", configuration.queues.size() } });
         this->configurations->publish(std::make_shared<const jobs::Configuration>(configuration));
         for (const auto& queue : configuration.queues) {
-            this->wanted.insert(queue.service.text());
+            this->wanted.insert(keys::poolDuty + queue.service.text());
+            this->poolsWithJobs.insert(queue.service);
         }
+        this->wanted.insert(keys::fleetDuty);
         this->duties->want(this->wanted);
     }
 
+    void informFleetAgent()
+    {
+        if (this->fleetAgent) {
+            this->fleetAgent->setPoolsWithJobs(this->poolsWithJobs);
+            this->fleetAgent->setWaves(this->waves);
+        }
+    }
+
+    void beginFleetDuty(ports::Term term)
+    {
+        const std::weak_ptr<Duties> keeper = this->duties;
+        this->fleetAgent = std::make_shared<FleetAgent>(
+            FleetContext { this->context, this->store, this->fleet, this->settings->fleet->orderGap,
+                [keeper] {
+                    const auto kept = keeper.lock();
+                    return kept && kept->surelyHolds();
+                } },
+            term);
+        informFleetAgent();
+        this->fleetAgent->start();
+    }
+
     void beginDuty(const std::string& duty, ports::Term term)
     {
-        const model::ServiceId service { duty };
+        if (duty == keys::fleetDuty) {
+            beginFleetDuty(term);
+            return;
+        }
+        const model::ServiceId service { duty.substr(keys::poolDuty.size()) };
         const std::weak_ptr<Duties> keeper = this->duties;
         auto agent = std::make_shared<PoolAgent>(
             PoolContext { this->context, this->store, this->upstreams, this->metrics,
@@ -210,7 +243,12 @@
 
     void endDuty(const std::string& duty)
     {
-        const auto found = this->pools.find(model::ServiceId { duty });
+        if (duty == keys::fleetDuty) {
+            this->fleetAgent->close();
+            this->fleetAgent.reset();
+            return;
+        }
+        const auto found = this->pools.find(model::ServiceId { duty.substr(keys::poolDuty.size()) });
         if (found != this->pools.end()) {
             found->second->close();
             this->pools.erase(found);
@@ -337,7 +375,10 @@
     const std::shared_ptr<Submissions> submissions;
     std::shared_ptr<Duties> duties {};
     std::set<std::string> wanted {};
+    std::set<model::ServiceId> poolsWithJobs {};
+    std::map<std::uint64_t, ports::WaveRequest> waves {};
     std::map<model::ServiceId, std::shared_ptr<PoolAgent>> pools {};
+    std::shared_ptr<FleetAgent> fleetAgent {};
     Timer membersTimer;
     Instant contact {};
 };
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -161,6 +161,9 @@
     }
     const auto prefix = keys::jobsOf(this->service);
     for (const auto& entry : pool.entries) {
+        if (entry.key.starts_with(keys::drainsOf(this->service))) {
+            onDrain(entry.key, entry.value);
+        }
         if (!entry.key.starts_with(prefix)) {
             continue;
         }
@@ -210,6 +213,9 @@
     const auto prefix = keys::jobsOf(this->service);
     std::visit(kernel::Overloaded {
                    [&](const store::Entry& entry) {
+                       if (entry.key.starts_with(keys::drainsOf(this->service))) {
+                           onDrain(entry.key, entry.value);
+                       }
                        if (!entry.key.starts_with(prefix)) {
                            return;
                        }
@@ -228,6 +234,9 @@
                        apply(scheduling::JobAdded { *job });
                    },
                    [&](const store::Removed& removed) {
+                       if (removed.key.starts_with(keys::drainsOf(this->service))) {
+                           onDrain(removed.key, std::nullopt);
+                       }
                        if (!removed.key.starts_with(prefix)) {
                            return;
                        }
@@ -443,6 +452,7 @@
     this->tickTimer.start(tickInterval, [self = shared_from_this()] { self->tick(); });
     apply(scheduling::Tick {});
     closeUnused();
+    announceEmptied();
     publishCounts();
 }
 
@@ -477,44 +487,84 @@
 
 void PoolAgent::useMembers()
 {
-    std::vector<std::string> wanted;
-    bool missing = false;
-    for (const auto& facts : this->members) {
-        wanted.push_back(facts.id.text());
-        missing = missing || !this->used.contains(facts.id.text());
-    }
+    openLinks();
     std::vector<scheduling::UpstreamFacts> usable;
     std::ranges::copy_if(this->members, std::back_inserter(usable),
         [&](const auto& facts) { return this->used.contains(facts.id.text()); });
-    openLinks();
     apply(scheduling::MembersSeen { std::move(usable) });
-    if (missing && !this->recordingUsed) {
-        for (const auto& [id, link] : this->links) {
-            wanted.push_back(id.text());
+    if (const auto wanted = upstreamsInUse(); wanted != this->used && !this->recordingUsed) {
+        recordUsed(wanted);
+    }
+}
+
+std::set<std::string> PoolAgent::upstreamsInUse() const
+{
+    std::set<std::string> ids;
+    for (const auto& [id, link] : this->links) {
+        if (link->isAnswering() || this->scheduler->isUsed(id)) {
+            ids.insert(id.text());
+        }
+    }
+    // A former owner's tasks may run there until their leases have surely ended.
+    for (const auto& id : this->used) {
+        if (this->scheduler->isUnheard(UpstreamId { id }) || this->scheduler->isUsed(UpstreamId { id })) {
+            ids.insert(id);
         }
-        std::ranges::sort(wanted);
-        wanted.erase(std::unique(wanted.begin(), wanted.end()), wanted.end());
-        recordUsed(std::move(wanted));
     }
+    return ids;
 }
 
-void PoolAgent::recordUsed(std::vector<std::string> ids)
+void PoolAgent::recordUsed(const std::set<std::string>& ids)
 {
     this->recordingUsed = true;
-    auto value = jobs::encode(ids);
-    this->writer->put({ keys::usedUpstreams(this->service), std::move(value) },
-        [self = shared_from_this(), ids = std::move(ids)](const store::ChangeOutcome& outcome) {
+    // Nothing is started on an upstream while its removal from the record is on its way.
+    std::erase_if(this->used, [&](const auto& id) { return !ids.contains(id); });
+    this->writer->put(
+        { keys::usedUpstreams(this->service), jobs::encode(std::vector<std::string> { ids.begin(), ids.end() }) },
+        [self = shared_from_this(), ids](const store::ChangeOutcome& outcome) {
             self->recordingUsed = false;
-            if (self->closed) {
-                return;
-            }
-            if (std::holds_alternative<store::Committed>(outcome)) {
-                self->used = { ids.begin(), ids.end() };
+            if (!self->closed && std::holds_alternative<store::Committed>(outcome)) {
+                self->used = ids;
                 self->useMembers();
             }
         });
 }
 
+void PoolAgent::onDrain(const std::string& key, const std::optional<std::string>& upstream)
+{
+    const auto vm = key.substr(keys::drainsOf(this->service).size());
+    if (upstream) {
+        this->drains.insert_or_assign(vm, *upstream);
+    } else {
+        this->drains.erase(vm);
+    }
+    this->announced.erase(vm);
+    std::vector<UpstreamId> ids;
+    for (const auto& [name, id] : this->drains) {
+        ids.emplace_back(id);
+    }
+    kernel::logEvent("drain-changed", { { "vm", vm }, { "upstream", upstream.value_or("") } });
+    apply(scheduling::DrainsChanged { std::move(ids) });
+}
+
+void PoolAgent::announceEmptied()
+{
+    for (const auto& [vm, upstream] : this->drains) {
+        if (this->announced.contains(vm) || !this->scheduler->isEmptied(UpstreamId { upstream })) {
+            continue;
+        }
+        this->announced.insert(vm);
+        this->writer->put({ keys::emptied + vm, upstream },
+            [self = shared_from_this(), vm = vm, upstream = upstream](const store::ChangeOutcome& outcome) {
+                if (std::holds_alternative<store::Committed>(outcome)) {
+                    kernel::logEvent("vm-emptied", { { "vm", vm }, { "upstream", upstream } });
+                } else {
+                    self->announced.erase(vm);
+                }
+            });
+    }
+}
+
 void PoolAgent::openLinks()
 {
     for (const auto& facts : this->members) {
@@ -526,9 +576,6 @@
             existing->second->close();
             this->links.erase(existing);
         }
-        if (!this->used.contains(facts.id.text())) {
-            continue;
-        }
         const auto link = this->environment.upstreams->open(facts);
         if (!link) {
             kernel::logEvent("upstream-unusable", { { "upstream", facts.id.text() },
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -70,7 +70,10 @@
     void useMembers();
     void openLinks();
     void closeUnused();
-    void recordUsed(std::vector<std::string> used);
+    std::set<std::string> upstreamsInUse() const;
+    void recordUsed(const std::set<std::string>& ids);
+    void onDrain(const std::string& key, const std::optional<std::string>& upstream);
+    void announceEmptied();
     void superseded();
     void replaced(const scheduling::UpstreamId& id);
     scheduling::Moment now() const;
@@ -85,6 +88,10 @@
     std::vector<scheduling::UpstreamFacts> members {};
     /** @brief Upstreams that are recorded as used: tasks may be started there. */
     std::set<std::string> used {};
+    /** @brief Upstreams that are to be emptied, by VM. */
+    std::map<std::string, std::string> drains {};
+    /** @brief VMs whose emptiness is written. */
+    std::set<std::string> announced {};
     bool recordingUsed { false };
     bool loaded { false };
     bool closed { false };
--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -56,7 +56,7 @@
 void RecordWriter::put(store::Put put, store::Callback<store::ChangeOutcome> callback) const
 {
     this->store->change(
-        { { { keys::owner(this->service.text()), { this->term.value } } }, { std::move(put) }, {} },
+        { { { keys::poolOwner(this->service), { this->term.value } } }, { std::move(put) }, {} },
         std::move(callback));
 }
 
@@ -90,7 +90,7 @@
 
 store::Change RecordWriter::makeChange(const std::vector<jobs::JobId>& chosen) const
 {
-    std::vector<store::Condition> conditions { { keys::owner(this->service.text()), { this->term.value } } };
+    std::vector<store::Condition> conditions { { keys::poolOwner(this->service), { this->term.value } } };
     std::vector<store::Put> puts;
     for (const auto& job : chosen) {
         const auto key = keys::record(this->service, job);
@@ -149,7 +149,7 @@
 
 void RecordWriter::onConflict(const store::Conflict& conflict)
 {
-    const auto ownerKey = keys::owner(this->service.text());
+    const auto ownerKey = keys::poolOwner(this->service);
     const auto prefix = keys::recordsOf(this->service);
     const bool owner = std::ranges::any_of(conflict.current, [&](const store::Entry& entry) {
         return entry.key == ownerKey && entry.revision.value == this->term.value;
@@ -192,7 +192,7 @@
         removals.push_back(keys::job(this->service, this->endedJobs[index]));
     }
     this->removing = true;
-    this->store->change({ { { keys::owner(this->service.text()), { this->term.value } } }, {}, removals },
+    this->store->change({ { { keys::poolOwner(this->service), { this->term.value } } }, {}, removals },
         [self = shared_from_this()](const store::ChangeOutcome& outcome) {
             self->removing = false;
             if (std::holds_alternative<store::Committed>(outcome)) {
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -34,6 +34,9 @@
     const scheduling::UpstreamFacts& facts() const { return this->upstream; }
     const ports::UpstreamLink& orders() const { return *this->link; }
 
+    /** @return Whether the last look was answered. */
+    bool isAnswering() const { return this->answering; }
+
     /** @brief Stops looking; later answers are ignored. */
     void close();
 
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -193,8 +193,8 @@
 bool PoolScheduler::usable(
     const Upstream& upstream, const Ready& ready, const Task&, Moment now) const
 {
-    if (!upstream.facts || !upstream.member || !upstream.listed || upstream.hasForeign || upstream.emptied
-        || upstream.facts->draining || upstream.suspectUntil > now.steady) {
+    if (!upstream.facts || !upstream.member || !upstream.listed || upstream.hasForeign
+        || this->drains.contains(upstream.facts->id) || upstream.facts->draining || upstream.suspectUntil > now.steady) {
         return false;
     }
     const auto& step = ready.job->job.steps[ready.step];
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -98,7 +98,8 @@
         task.failures = progress.failures;
         task.failedRun = progress.failedRun;
         task.checkpoint = progress.checkpoint;
-        if (progress.done && task.phase != Phase::Done) {
+        if (progress.done && !task.done) {
+            task.done = true;
             task.phase = Phase::Done;
             ++step.done;
         }
@@ -141,13 +142,12 @@
 
 void PoolScheduler::on(const DrainsChanged& event, Moment now)
 {
-    for (auto& [id, upstream] : this->upstreams) {
-        const bool wanted = std::ranges::find(event.upstreams, id) != event.upstreams.end();
-        if (wanted && !upstream.emptied) {
-            upstream.emptyingSince = now.steady;
-        }
-        upstream.emptied = wanted;
+    std::map<UpstreamId, kernel::Instant> wanted;
+    for (const auto& id : event.upstreams) {
+        const auto known = this->drains.find(id);
+        wanted.emplace(id, known != this->drains.end() ? known->second : now.steady);
     }
+    this->drains = std::move(wanted);
     emptyUpstreams(now);
     this->passNeeded = true;
 }
@@ -184,10 +184,11 @@
 void PoolScheduler::applyEnd(const UpstreamId& id, const EndedTask& end, Moment now)
 {
     const auto [run, task] = find(end.task);
-    if (task == nullptr || task->phase == Phase::Done) {
+    const bool current
+        = task != nullptr && isActive(*task) && task->upstream == id && task->run == end.run;
+    if (task == nullptr || (task->done && !current)) {
         return;
     }
-    const bool current = isActive(*task) && task->upstream == id && task->run == end.run;
     const bool wasStopping = current && task->phase == Phase::Stopping;
     if (!end.checkpoint.empty() && (current || !isActive(*task))) {
         task->checkpoint = end.checkpoint;
@@ -196,7 +197,7 @@
         detach(end.task, *task);
         toWaiting(*task, now);
     }
-    if (jobs::isFinal(run->state)) {
+    if (jobs::isFinal(run->state) || task->done) {
         eraseEnded();
         return;
     }
@@ -223,10 +224,7 @@
         for (std::uint32_t index = 0; index < tasks.size(); ++index) {
             auto& member = tasks[index];
             const TaskId memberId { end.task.job, { end.task.position.occurrence, end.task.position.step, index } };
-            if (member.phase != Phase::Done && !jobs::isFinal(run->state)) {
-                if (isActive(member)) {
-                    detach(memberId, member);
-                }
+            if (!member.done && !jobs::isFinal(run->state)) {
                 taskDone(*run, memberId, member, now);
             }
         }
@@ -437,10 +435,12 @@
 {
     for (auto& [upstreamId, upstream] : this->upstreams) {
         const bool draining = upstream.facts && upstream.facts->draining;
-        if (!upstream.emptied && !draining) {
+        const auto drain = this->drains.find(upstreamId);
+        const bool emptied = drain != this->drains.end();
+        if (!emptied && !draining) {
             continue;
         }
-        const bool patient = now.steady - upstream.emptyingSince < this->policy.drainPatience;
+        const bool patient = emptied && now.steady - drain->second < this->policy.drainPatience;
         const auto tasks = upstream.tasks;
         for (const auto& id : tasks) {
             const auto [run, task] = find(id);
@@ -452,7 +452,7 @@
                 if (step.mayMiss == 0 || draining || awayBeside(*run, id) < step.mayMiss) {
                     stop(id, *task, now, "upstream is emptied");
                 }
-            } else if (upstream.emptied && !patient) {
+            } else if (emptied && !patient) {
                 stop(id, *task, now, "upstream is emptied");
             }
         }
@@ -478,12 +478,13 @@
     if (stepOf(id).longRunning) {
         return;
     }
+    task.done = true;
+    task.unresolved = false;
     if (isActive(task)) {
         stop(id, task, now, "done elsewhere");
-        detach(id, task);
+    } else {
+        task.phase = Phase::Done;
     }
-    task.phase = Phase::Done;
-    task.unresolved = false;
     ++run.occurrences[id.position.occurrence][id.position.step].done;
     if (const auto upstream = this->upstreams.find(task.upstream); upstream != this->upstreams.end()) {
         upstream->second.failedJobs.clear();
@@ -534,7 +535,7 @@
 
 void PoolScheduler::toWaiting(Task& task, Moment now)
 {
-    task.phase = Phase::Waiting;
+    task.phase = task.done ? Phase::Done : Phase::Waiting;
     task.percent = 0;
     task.pace = 100;
     task.stopAnswered.reset();
@@ -628,10 +629,9 @@
         std::vector<jobs::TaskProgress> tasks;
         if (!jobs::isFinal(run.state)) {
             eachTask(run, [&](const TaskId& task, const Task& state) {
-                if (state.phase == Phase::Done || state.failures > 0 || !state.checkpoint.empty()) {
-                    const bool done = state.phase == Phase::Done;
-                    tasks.push_back({ task.position, done, state.failures, state.failedRun,
-                        done ? std::string {} : state.checkpoint });
+                if (state.done || state.failures > 0 || !state.checkpoint.empty()) {
+                    tasks.push_back({ task.position, state.done, state.failures, state.failedRun,
+                        state.done ? std::string {} : state.checkpoint });
                 }
             });
         }
@@ -664,7 +664,8 @@
 bool PoolScheduler::isEmptied(const UpstreamId& upstream) const
 {
     const auto found = this->upstreams.find(upstream);
-    return found == this->upstreams.end() || (found->second.emptied && found->second.tasks.empty());
+    return this->drains.contains(upstream) && !this->unheard.contains(upstream)
+        && (found == this->upstreams.end() || found->second.tasks.empty());
 }
 
 bool PoolScheduler::isUsed(const UpstreamId& upstream) const
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -54,6 +54,9 @@
     /** @return Whether the upstream runs nothing and gets nothing new. */
     bool isEmptied(const UpstreamId& upstream) const;
 
+    /** @return Whether a former owner's tasks may run on the upstream unseen. */
+    bool isUnheard(const UpstreamId& upstream) const { return this->unheard.contains(upstream); }
+
     /** @return Number of the last end that was applied for an upstream. */
     std::uint64_t lastEnd(const UpstreamId& upstream) const;
 
@@ -63,7 +66,7 @@
     /** @brief Lets an ended job be forgotten once none of its tasks runs; its record has been written. */
     void recordWritten(const jobs::JobId& job);
 
-    /** @return Whether the upstream may still run a task. */
+    /** @return Whether the upstream may still run a task that this owner knows of. */
     bool isUsed(const UpstreamId& upstream) const;
 
     std::size_t jobCount() const { return this->jobRuns.size(); }
@@ -136,6 +139,8 @@
     bool passNeeded { false };
     bool urgent { false };
     std::set<UpstreamId> unheard {};
+    /** @brief Upstreams that are to be emptied, since when. */
+    std::map<UpstreamId, kernel::Instant> drains {};
     std::unordered_map<jobs::JobId, JobRun> jobRuns {};
     std::map<UpstreamId, Upstream> upstreams {};
     std::set<jobs::JobId> changed {};
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -21,6 +21,8 @@
 /** @brief Scheduling state of a task. */
 struct Task {
     Phase phase { Phase::Waiting };
+    /** @brief A run has ended as done; another run may still be stopping. */
+    bool done { false };
     /** @brief A former owner may have started it; it waits until that is known. */
     bool unresolved { false };
     UpstreamId upstream {};
@@ -67,8 +69,6 @@
     bool member { false };
     /** @brief It has answered to this owner. */
     bool listed { false };
-    bool emptied { false };
-    kernel::Instant emptyingSince {};
     kernel::Instant born {};
     kernel::Instant leaseEnd {};
     kernel::Instant suspectUntil {};
--- /dev/null
+++ b/src/wasabiroad/scheduling/wave_plan.cpp
@@ -0,0 +1,57 @@
+#include "wasabiroad/scheduling/wave_plan.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace wasabiroad::scheduling {
+
+namespace {
+
+/** One VM in this many of a pool may be out of service for a wave. */
+constexpr std::uint32_t poolPart = 4;
+
+struct PoolUse {
+    std::uint32_t outOfService { 0 };
+    std::uint32_t limit { 0 };
+    bool servesJobs { false };
+};
+
+bool isOutOfService(WaveStage stage)
+{
+    return stage == WaveStage::Draining || stage == WaveStage::InMaintenance;
+}
+
+} // namespace
+
+std::vector<model::VmId> nextOfWave(
+    const std::vector<WaveVm>& vms, const std::vector<PoolSize>& pools, std::uint32_t parallelism)
+{
+    std::map<model::ServiceId, PoolUse> uses;
+    for (const auto& pool : pools) {
+        const auto limit = pool.servesJobs ? std::max(1U, (pool.vms + poolPart - 1) / poolPart) : parallelism;
+        uses[pool.pool] = { 0, limit, pool.servesJobs };
+    }
+    std::uint32_t outOfService = 0;
+    std::vector<const WaveVm*> waiting;
+    for (const auto& vm : vms) {
+        if (isOutOfService(vm.stage)) {
+            ++outOfService;
+            ++uses[vm.pool].outOfService;
+        } else if (vm.stage == WaveStage::Waiting) {
+            waiting.push_back(&vm);
+        }
+    }
+    std::ranges::stable_sort(waiting, {}, [&](const WaveVm* vm) { return uses[vm->pool].servesJobs; });
+    std::vector<model::VmId> chosen;
+    for (const auto* const vm : waiting) {
+        auto& use = uses[vm->pool];
+        if (outOfService < parallelism && use.outOfService < std::max(1U, use.limit)) {
+            ++outOfService;
+            ++use.outOfService;
+            chosen.push_back(vm->vm);
+        }
+    }
+    return chosen;
+}
+
+} // namespace wasabiroad::scheduling
