--- a/src/wasabiroad/agent/duties.cpp
+++ b/src/wasabiroad/agent/duties.cpp
@@ -12,16 +12,16 @@
 namespace {
 
 /** Lifetime of the lease; bounds the time without an owner after a crash. */
-constexpr Duration leaseLifetime { 2500 };
+constexpr Duration leaseLifetime { 2000 };
 
 /** Interval of renewals: three may fail before the lease ends. */
-constexpr Duration renewInterval { 600 };
+constexpr Duration renewInterval { 450 };
 
 /** Time for which an owner acts on after its lease may have ended; a new owner waits for it, see Policy. */
-constexpr Duration actGrace { 1500 };
+constexpr Duration actGrace { 1000 };
 
 /** Wait of a watch; a connection that is silent is noticed after this time and some slack. */
-constexpr Duration watchWait { 3000 };
+constexpr Duration watchWait { 1500 };
 
 constexpr Duration retryInterval { 300 };
 
@@ -214,13 +214,14 @@
     }
     bool vacant = false;
     const auto now = bootNow();
-    const auto delay = delayPerHeldDuty * static_cast<std::int64_t>(this->held.size() + this->taking.size());
     for (const auto& duty : this->wanted) {
         const auto since = this->vacantSince.find(duty);
         if (since == this->vacantSince.end() || this->taking.contains(duty)) {
             continue;
         }
         vacant = true;
+        const auto delay
+            = delayPerHeldDuty * static_cast<std::int64_t>(this->held.size() + this->taking.size());
         if (this->informed && this->lease && now < this->validUntil && now - since->second >= delay) {
             tryTake(duty);
         }
--- a/src/wasabiroad/agent/plugin.cpp
+++ b/src/wasabiroad/agent/plugin.cpp
@@ -232,6 +232,10 @@
                 [keeper] {
                     const auto kept = keeper.lock();
                     return kept && kept->mayAct();
+                },
+                [keeper] {
+                    const auto kept = keeper.lock();
+                    return kept && kept->surelyHolds();
                 } },
             service, term);
         this->pools.insert_or_assign(service, agent);
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -25,12 +25,16 @@
 /** Interval of writing the numbers of waiting jobs, which callers may see up to 2 s late. */
 constexpr Duration countsInterval { 600 };
 
-constexpr Duration watchWait { 3000 };
+/** Wait of a watch; a silent connection hides cancelled jobs for this time and some slack. */
+constexpr Duration watchWait { 1000 };
 constexpr Duration retryInterval { 300 };
 
 /** Upstream clocks may run slow by this part of a hundred; a lease then lasts longer on ours. */
 constexpr std::int64_t clockSlowPercent = 2;
 
+/** Longest lease that is asked for: tasks on a lost upstream start elsewhere once it has ended. */
+constexpr Duration longestTaskLease { 4000 };
+
 /** Added to a lease for delivery of the call that renews it. */
 constexpr Duration leaseSlack { 400 };
 
@@ -39,7 +43,7 @@
     const Duration span { taskLease.milliseconds + taskLease.milliseconds * clockSlowPercent / 100
         + leaseSlack.milliseconds };
     // A former owner may act for the lifetime of its lease and its grace after it was replaced, see Duties.
-    constexpr Duration formerOwner { 4000 };
+    constexpr Duration formerOwner { 3000 };
     return { .leaseSpan = span, .takeoverSpan = span + formerOwner };
 }
 
@@ -47,6 +51,7 @@
 
 PoolAgent::PoolAgent(PoolContext context, model::ServiceId pool, ports::Term ownTerm)
     : environment(std::move(context))
+    , taskLease(std::min(environment.taskLease, longestTaskLease))
     , service(std::move(pool))
     , term(ownTerm)
     , tickTimer(environment.context)
@@ -69,7 +74,7 @@
             }
         };
     };
-    this->scheduler.emplace(makePolicy(this->environment.taskLease), this->term.value, now());
+    this->scheduler.emplace(makePolicy(this->taskLease), this->term.value, now());
     this->writer = std::make_shared<RecordWriter>(this->environment.context, this->environment.store,
         this->service, this->term,
         RecordEvents {
@@ -193,9 +198,7 @@
             }
             std::visit(kernel::Overloaded {
                            [&](const store::KeyEvents& changes) {
-                               for (const auto& event : changes.events) {
-                                   self->onKeyEvent(event);
-                               }
+                               self->onKeyEvents(changes.events);
                                self->watch(std::max(changes.asOf, after));
                            },
                            [&](const store::HistoryGone&) { self->load(); },
@@ -208,6 +211,23 @@
         });
 }
 
+void PoolAgent::onKeyEvents(const std::vector<store::KeyEvent>& events)
+{
+    // Only the last event of a key counts: a job that was cancelled meanwhile must not be started first.
+    std::map<std::string, const store::KeyEvent*> last;
+    const auto keyOf = [](const store::KeyEvent& event) {
+        return std::visit([](const auto& specific) { return specific.key; }, event);
+    };
+    for (const auto& event : events) {
+        last[keyOf(event)] = &event;
+    }
+    for (const auto& event : events) {
+        if (last.at(keyOf(event)) == &event) {
+            onKeyEvent(event);
+        }
+    }
+}
+
 void PoolAgent::onKeyEvent(const store::KeyEvent& event)
 {
     const auto prefix = keys::jobsOf(this->service);
@@ -254,7 +274,7 @@
 
 void PoolAgent::apply(const scheduling::Event& event)
 {
-    this->scheduler->setActive(this->environment.mayAct());
+    this->scheduler->setActive(this->environment.mayStart());
     for (const auto& order : this->scheduler->apply(event, now())) {
         carryOut(order);
     }
@@ -278,7 +298,7 @@
     kernel::logEvent("task-start", { { "task", jobs::toText(order.task) }, { "run", order.run.value },
                                        { "upstream", order.upstream.text() },
                                        { "resumes", order.checkpoint.empty() ? "no" : "yes" } });
-    upstream.orders().start(order, this->term, this->environment.taskLease,
+    upstream.orders().start(order, this->term, this->taskLease,
         [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run](
             const ports::StartOutcome& outcome) {
             if (self->closed) {
@@ -584,7 +604,7 @@
             continue;
         }
         auto agent = std::make_shared<UpstreamAgent>(this->environment.context, *link, facts, this->term,
-            this->environment.taskLease, upstreamEvents());
+            this->taskLease, upstreamEvents());
         this->links.emplace(facts.id, agent);
         agent->start();
     }
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -21,9 +21,12 @@
     const std::shared_ptr<const store::Store> store;
     const std::shared_ptr<const ports::Upstreams> upstreams;
     const std::shared_ptr<metrics::Metrics> metrics;
+    /** @brief Longest lease that upstreams grant. */
     const kernel::Duration taskLease;
-    /** @brief Whether the daemon may act on its duties. */
+    /** @brief Whether the daemon may renew leases of its tasks. */
     const std::function<bool()> mayAct;
+    /** @brief Whether the daemon surely holds its duties, so that nobody else starts the same tasks. */
+    const std::function<bool()> mayStart;
 };
 
 /** @brief Owns the scheduling of one pool for one term: feeds the scheduler and carries out its orders. */
@@ -54,6 +57,7 @@
         store::Revision usedRevision);
     void addJobs(const store::Listing& pool, const store::Listing& records, bool mayHaveStarted);
     void watch(store::Revision after);
+    void onKeyEvents(const std::vector<store::KeyEvent>& events);
     void onKeyEvent(const store::KeyEvent& event);
     void retryLoad();
     void apply(const scheduling::Event& event);
@@ -80,6 +84,7 @@
     UpstreamEvents upstreamEvents();
 
     const PoolContext environment;
+    const kernel::Duration taskLease;
     const model::ServiceId service;
     const ports::Term term;
     std::optional<scheduling::PoolScheduler> scheduler {};
--- a/src/wasabiroad/jobs/job.hpp
+++ b/src/wasabiroad/jobs/job.hpp
@@ -64,10 +64,10 @@
 
 /** @brief A job as accepted; it never changes. */
 struct Job {
-    const JobId id;
-    const QueueId queue;
+    const JobId id {};
+    const QueueId queue {};
     /** @brief Service whose upstreams run the job. */
-    const model::ServiceId service;
+    const model::ServiceId service {};
     /** @brief Text that each task receives. */
     const std::string payload {};
     const std::vector<Step> steps {};
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -234,8 +234,9 @@
         const auto share = [](std::int64_t used, std::int64_t room) {
             return room > 0 ? static_cast<double>(used) / static_cast<double>(room) : 0.0;
         };
-        const auto load = std::max(share(upstream.cpu + step.resources.cpu, facts.capacity.cpu),
-            share(upstream.memory + step.resources.memory, facts.capacity.memory));
+        const auto memoryLoad = share(upstream.memory + step.resources.memory, facts.capacity.memory);
+        const auto cpuLoad = share(upstream.cpu + step.resources.cpu, facts.capacity.cpu);
+        const auto load = step.filler ? memoryLoad : std::max(cpuLoad, memoryLoad);
         const std::tuple key { task.failedOn.contains(id), far,
             step.longRunning ? countOfStep(upstream, ready) : 0U, load };
         if (best == nullptr || key < bestKey) {
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -157,7 +157,7 @@
     auto& upstream = this->upstreams[event.upstream];
     if (upstream.born != event.born) {
         if (upstream.born != kernel::Instant {}) {
-            releaseAll(event.upstream, now);
+            releaseAll(event.upstream, now, true);
         }
         upstream.born = event.born;
         upstream.lastEnd = 0;
@@ -201,6 +201,10 @@
         eraseEnded();
         return;
     }
+    if (run->state == JobState::Pending) {
+        run->state = JobState::Running;
+        markChanged(run->job.id, false);
+    }
     switch (end.kind) {
     case EndKind::Done:
         taskDone(*run, end.task, *task, now);
@@ -349,7 +353,7 @@
 
 void PoolScheduler::on(const UpstreamReplaced& event, Moment now)
 {
-    releaseAll(event.upstream, now);
+    releaseAll(event.upstream, now, false);
     this->upstreams.erase(event.upstream);
     heardOf(event.upstream);
     this->passNeeded = true;
@@ -391,7 +395,7 @@
         }
     }
     for (const auto& id : lapsed) {
-        releaseAll(id, now);
+        releaseAll(id, now, false);
     }
     checkStalls(now);
     emptyUpstreams(now);
@@ -571,7 +575,7 @@
     this->orders.push_back(StopTask { upstream, id, run, std::string { reason } });
 }
 
-void PoolScheduler::releaseAll(const UpstreamId& id, Moment now)
+void PoolScheduler::releaseAll(const UpstreamId& id, Moment now, bool reborn)
 {
     const auto found = this->upstreams.find(id);
     if (found == this->upstreams.end()) {
@@ -580,9 +584,10 @@
     const auto tasks = found->second.tasks;
     for (const auto& taskId : tasks) {
         const auto [run, task] = find(taskId);
-        // An unanswered start may still be carried out by a reborn upstream; a stop makes it impossible there.
-        if (task->phase == Phase::Starting) {
-            stopForeign(id, taskId, task->run, "unanswered start on a former life");
+        if (reborn && (task->phase == Phase::Starting || (task->phase == Phase::Stopping && !task->stopAnswered))) {
+            // The new life may still carry out the start, until it has answered to a stop.
+            stop(taskId, *task, now, "start on a former life without an answer");
+            continue;
         }
         detach(taskId, *task);
         toWaiting(*task, now);
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -99,7 +99,7 @@
     void applyEnd(const UpstreamId& id, const EndedTask& end, Moment now);
     void applyRunning(const UpstreamId& id, const RunningTask& running, Moment now);
     void releaseAbsent(const TasksListed& event, Moment now);
-    void releaseAll(const UpstreamId& id, Moment now);
+    void releaseAll(const UpstreamId& id, Moment now, bool reborn);
     void resolveStarts();
     void heardOf(const UpstreamId& id);
     void eraseEnded();
--- /dev/null
+++ b/test/wasabiroad/jobs/codec.cpp
@@ -0,0 +1,78 @@
+#include "wasabiroad/jobs/codec.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::jobs {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+const Step fullStep { 3, { 500, 256, 1 }, { 900 }, {}, true, true, true, "kind", "r1", 2, true, true, "image",
+    { 50 }, true, 1 };
+const Step dependent { .count = 2, .after = { 0 } };
+
+const std::vector<Job> jobRows {
+    { .id = JobId { "a" }, .steps = { Step {} } },
+    { JobId { "5c0e7a21d94b36f8" }, QueueId { "q" }, model::ServiceId { "s" }, std::string { "\0\xff text", 7 },
+        { fullStep, dependent }, 4, { 1000 }, { 50 }, { 77 }, 1, 4, 1.6, { 600 } },
+};
+
+/** Guards against a job that is read back from the store other than it was accepted. */
+BOOST_DATA_TEST_CASE(job_survives_the_store, data::xrange(jobRows.size()), index)
+{
+    const auto decoded = decodeJob(encode(jobRows[index]));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((*decoded == jobRows[index]));
+}
+
+const std::vector<Record> recordRows {
+    {},
+    { JobState::Running, { { { 1, 2, 3 }, true }, { { 0, 0, 1 }, false, 2, { 1ULL << 40U }, "checkpoint" } } },
+    { JobState::Failed, {}, { 123456 } },
+};
+
+/** Guards against progress that a new owner reads other than it was written. */
+BOOST_DATA_TEST_CASE(record_survives_the_store, data::xrange(recordRows.size()), index)
+{
+    const auto decoded = decodeRecord(encode(recordRows[index]));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((*decoded == recordRows[index]));
+}
+
+const std::vector<std::string> unreadable { "\xff\xff\xff", "{}", std::string(3, '\0') };
+
+/** Guards against bytes of another writer that are taken as a job. */
+BOOST_DATA_TEST_CASE(unreadable_job_is_none, data::make(unreadable), bytes)
+{
+    BOOST_TEST(!decodeJob(bytes).has_value());
+}
+
+/** Guards against a state that no version of the program knows. */
+BOOST_AUTO_TEST_CASE(unknown_state_is_no_record)
+{
+    // Field 1, varint 9.
+    BOOST_TEST(!decodeRecord("\x08\x09").has_value());
+}
+
+/** Guards against a step that waits for a later one, which would never run. */
+BOOST_AUTO_TEST_CASE(step_that_depends_on_a_later_one_is_no_job)
+{
+    const Job job { .id = JobId { "a" }, .steps = { { .after = { 1 } }, {} } };
+    BOOST_TEST(!decodeJob(encode(job)).has_value());
+}
+
+/** Guards against lists and counts that are lost between owners. */
+BOOST_AUTO_TEST_CASE(lists_and_counts_survive_the_store)
+{
+    const std::vector<std::string> upstreams { "u1", "u2" };
+    BOOST_TEST((decodeUpstreams(encode(upstreams)) == upstreams));
+    const PendingCounts counts { { QueueId { "q" }, 7 }, { QueueId { "r" }, 0 } };
+    BOOST_TEST((decodePendingCounts(encode(counts)) == counts));
+}
+
+} // namespace
+
+} // namespace wasabiroad::jobs
--- /dev/null
+++ b/test/wasabiroad/scheduling/fixture.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "wasabiroad/scheduling/pool_scheduler.hpp"
+
+#include <string>
+#include <vector>
+
+namespace wasabiroad::scheduling::test {
+
+inline const model::ServiceId service { "checks" };
+
+/** @return A moment this many milliseconds after the start of a test. */
+inline Moment at(std::int64_t milliseconds)
+{
+    constexpr std::int64_t wallClockOfStart = 1'800'000'000'000;
+    return { { milliseconds }, { wallClockOfStart + milliseconds } };
+}
+
+inline UpstreamFacts makeUpstream(const std::string& id, std::int64_t cpu = 4000, const std::string& rack = "r1")
+{
+    return { .id = UpstreamId { id }, .service = service, .address = "127.0.0.1:1", .zone = model::ZoneId { "a" },
+        .rack = model::RackId { rack }, .labels = { "kind", rack }, .capacity = { cpu, 8000, 0 },
+        .born = { 1 } };
+}
+
+inline jobs::Step makeStep(std::uint32_t count, std::int64_t cpu = 1000)
+{
+    return { .count = count, .resources = { cpu, 100, 0 }, .estimate = { 500 } };
+}
+
+inline jobs::Job makeJob(const std::string& id, std::vector<jobs::Step> steps, std::uint32_t maxAttempts = 3)
+{
+    return { .id = jobs::JobId { id }, .queue = jobs::QueueId { "queue" }, .service = service,
+        .payload = "payload-" + id, .steps = std::move(steps), .accepted = at(0).wall,
+        .maxAttempts = maxAttempts, .stretch = 2, .allowance = { 1000 } };
+}
+
+/** @brief A scheduler with upstreams that have answered, and the orders that it gave. */
+class Site {
+public:
+    explicit Site(const std::vector<UpstreamFacts>& members, std::uint64_t term = 5)
+        : scheduler(Policy {}, term, at(0))
+    {
+        apply(TermBegun {}, 0);
+        apply(MembersSeen { members }, 0);
+        for (const auto& member : members) {
+            apply(TasksListed { .upstream = member.id, .born = member.born }, 0);
+        }
+    }
+
+    void apply(const Event& event, std::int64_t time)
+    {
+        for (const auto& order : this->scheduler.apply(event, at(time))) {
+            if (const auto* const start = std::get_if<StartTask>(&order)) {
+                this->starts.push_back(*start);
+            } else if (const auto* const stop = std::get_if<StopTask>(&order)) {
+                this->stops.push_back(*stop);
+            } else {
+                this->paces.push_back(std::get<PaceTask>(order));
+            }
+        }
+    }
+
+    /** @brief Lets an upstream answer that it runs what it was told, and that some runs have ended. */
+    void list(const std::string& upstream, std::vector<RunningTask> running, std::vector<EndedTask> ended,
+        std::int64_t time)
+    {
+        apply(TasksListed { UpstreamId { upstream }, { 1 }, { time }, std::move(running), std::move(ended) },
+            time);
+    }
+
+    PoolScheduler scheduler;
+    std::vector<StartTask> starts {};
+    std::vector<StopTask> stops {};
+    std::vector<PaceTask> paces {};
+};
+
+} // namespace wasabiroad::scheduling::test
--- /dev/null
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -0,0 +1,503 @@
+#include "wasabiroad/scheduling/model.hpp"
+
+#include "wasabiroad/scheduling/fixture.hpp"
+
+#include <algorithm>
+
+namespace wasabiroad::scheduling::test {
+
+using jobs::JobState;
+using jobs::TaskId;
+
+namespace {
+
+constexpr std::int64_t step = 20;
+constexpr std::int64_t duration = 20000;
+constexpr std::int64_t tickInterval = 200;
+constexpr std::int64_t lease = 4000;
+/** An upstream's clock may be slow by 2%. */
+constexpr std::int64_t slowLease = lease + lease * 2 / 100;
+constexpr std::int64_t formerOwnerActs = 3000;
+constexpr std::int64_t callTimeout = 800;
+constexpr std::int64_t stopTime = 300;
+constexpr std::int64_t cancelLimit = 3000;
+/** Orders that were on their way when an end was recorded arrive within this time. */
+constexpr std::int64_t recordedGrace = 1000;
+constexpr std::size_t upstreamCount = 3;
+constexpr std::int64_t upstreamCpu = 3000;
+
+const Policy policy { .leaseSpan = { slowLease + 400 }, .takeoverSpan = { slowLease + 400 + formerOwnerActs } };
+
+} // namespace
+
+Model::Model(std::uint64_t seed, Faults modelFaults)
+    : faults(modelFaults)
+    , random(seed)
+{
+    for (std::size_t index = 0; index < upstreamCount; ++index) {
+        this->upstreams.push_back(
+            Upstream { .facts = makeUpstream("u" + std::to_string(index), upstreamCpu) });
+    }
+}
+
+bool Model::chance(unsigned perThousand) { return this->random(1000) < perThousand; }
+
+std::int64_t Model::between(std::int64_t least, std::int64_t most)
+{
+    return least + static_cast<std::int64_t>(this->random(static_cast<std::uint32_t>(most - least + 1)));
+}
+
+Moment Model::moment() const { return test::at(this->now); }
+
+void Model::after(std::int64_t delay, std::function<void()> action)
+{
+    this->due.emplace(this->now + delay, std::move(action));
+}
+
+void Model::runDue()
+{
+    while (!this->due.empty() && this->due.begin()->first <= this->now) {
+        const auto action = std::move(this->due.begin()->second);
+        this->due.erase(this->due.begin());
+        action();
+    }
+}
+
+void Model::fail(const std::string& what)
+{
+    if (!this->broken) {
+        this->broken = std::to_string(this->now) + " ms: " + what;
+    }
+}
+
+std::optional<std::string> Model::run()
+{
+    newOwner();
+    while (this->now < duration && !this->broken) {
+        this->now += step;
+        runDue();
+        moveUpstreams();
+        if (chance(30)) {
+            addJob();
+        }
+        if (chance(4)) {
+            cancelSome();
+        }
+        if (chance(this->faults.ownerChanges)) {
+            newOwner();
+        }
+        for (const auto& owner : this->owners) {
+            if (this->now % tickInterval == 0) {
+                feed(owner, Tick {});
+            }
+            write(owner);
+        }
+        std::erase_if(this->owners, [&](const auto& owner) {
+            return owner->closed || (owner != this->owners.back() && owner->actsUntil < this->now);
+        });
+    }
+    return this->broken;
+}
+
+void Model::addJob()
+{
+    const jobs::JobId id { "job" + std::to_string(this->jobs.size()) };
+    std::vector<jobs::Step> steps { makeStep(static_cast<std::uint32_t>(between(1, 4)), between(500, 1500)) };
+    if (chance(500)) {
+        steps.push_back({ .count = 2, .resources = { 700, 100, 0 }, .estimate = { 400 }, .after = { 0 } });
+    }
+    const auto job = makeJob(id.text(), steps, 4);
+    this->jobs.emplace(id, job);
+    this->records.emplace(id, jobs::Record {});
+    after(between(1, 100), [this, id] {
+        for (const auto& owner : this->owners) {
+            if (!this->cancelled.contains(id)) {
+                feed(owner, JobAdded { this->jobs.at(id) });
+            }
+        }
+    });
+}
+
+void Model::cancelSome()
+{
+    for (auto& [id, record] : this->records) {
+        if (!jobs::isFinal(record.state) && chance(200)) {
+            this->records.erase(id);
+            this->records.emplace(id, jobs::Record { JobState::Cancelled });
+            this->cancelled.emplace(id, this->now);
+            after(between(1, 300), [this, id = id] {
+                for (const auto& owner : this->owners) {
+                    feed(owner, JobCancelled { id });
+                }
+            });
+            return;
+        }
+    }
+}
+
+void Model::newOwner()
+{
+    if (!this->owners.empty()) {
+        this->owners.back()->actsUntil
+            = this->faults.formerOwnersAct ? this->now + between(0, formerOwnerActs) : this->now;
+        this->owners.back()->closed = !this->faults.formerOwnersAct;
+        this->owners.back()->scheduler.setActive(false);
+    }
+    ++this->term;
+    const auto owner = std::make_shared<Owner>(
+        Owner { PoolScheduler { policy, this->term, moment() }, this->term });
+    this->owners.push_back(owner);
+    std::vector<UpstreamId> used;
+    std::vector<UpstreamFacts> members;
+    for (const auto& upstream : this->upstreams) {
+        used.push_back(upstream.facts.id);
+        members.push_back(upstream.facts);
+    }
+    for (const auto& [id, record] : this->records) {
+        if (!jobs::isFinal(record.state)) {
+            feed(owner, JobAdded { this->jobs.at(id), record, true });
+        }
+    }
+    feed(owner, TermBegun { used });
+    feed(owner, MembersSeen { members });
+    for (const auto& id : used) {
+        look(owner, id);
+    }
+}
+
+void Model::feed(const OwnerPointer& owner, const Event& event)
+{
+    if (owner->closed) {
+        return;
+    }
+    for (const auto& order : owner->scheduler.apply(event, moment())) {
+        send(owner, order);
+    }
+}
+
+void Model::send(const OwnerPointer& owner, const Order& order)
+{
+    if (const auto* const start = std::get_if<StartTask>(&order)) {
+        sendStart(owner, *start);
+    } else if (const auto* const stop = std::get_if<StopTask>(&order)) {
+        sendStop(owner, *stop);
+    }
+}
+
+void Model::sendStart(const OwnerPointer& owner, const StartTask& order)
+{
+    const auto until = this->now + slowLease;
+    const auto answer = [this, owner, order](std::int64_t delay, StartResult result) {
+        after(delay, [this, owner, order, result] {
+            feed(owner, StartAnswered { order.upstream, order.task, order.run, result });
+        });
+    };
+    const bool cut = at(order.upstream).cutUntil > this->now;
+    if (cut || chance(this->faults.lostCalls)) {
+        answer(callTimeout, StartResult::Unknown);
+        return;
+    }
+    const bool late = chance(this->faults.lateOrders);
+    const bool lost = late || chance(this->faults.lostAnswers);
+    const auto delay = late ? between(2000, 12000) : between(1, 60);
+    after(delay, [this, owner, order, until, lost, answer] {
+        auto& upstream = at(order.upstream);
+        if (!upstream.up) {
+            lost ? void() : answer(callTimeout, StartResult::Unknown);
+            return;
+        }
+        const auto result = start(upstream, order, owner->term, until);
+        lost ? void() : answer(between(1, 60), result);
+    });
+    if (lost) {
+        answer(callTimeout, StartResult::Unknown);
+    }
+}
+
+void Model::sendStop(const OwnerPointer& owner, const StopTask& order)
+{
+    const auto answer = [this, owner, order](std::int64_t delay, bool answered) {
+        after(delay, [this, owner, order, answered] {
+            feed(owner, StopAnswered { order.upstream, order.task, order.run, answered });
+        });
+    };
+    const bool cut = at(order.upstream).cutUntil > this->now;
+    if (cut || chance(this->faults.lostCalls)) {
+        answer(callTimeout, false);
+        return;
+    }
+    const bool lost = chance(this->faults.lostAnswers);
+    after(between(1, 60), [this, owner, order, lost, answer] {
+        auto& upstream = at(order.upstream);
+        const bool stopped = upstream.up && stop(upstream, order, owner->term);
+        answer(stopped && !lost ? between(1, 60) : callTimeout, stopped && !lost);
+    });
+}
+
+void Model::look(const OwnerPointer& owner, const UpstreamId& id)
+{
+    if (owner->closed) {
+        return;
+    }
+    const auto sent = this->now;
+    const bool renews = !owner->silent.contains(id);
+    if (renews) {
+        owner->lastRenewal[id] = sent;
+    }
+    const auto silent = [this, owner, id] {
+        after(callTimeout, [this, owner, id] {
+            owner->silent.insert(id);
+            feed(owner, UpstreamSilent { id, { owner->lastRenewal[id] } });
+            after(300, [this, owner, id] { look(owner, id); });
+        });
+    };
+    if (at(id).cutUntil > this->now || chance(this->faults.lostCalls)) {
+        silent();
+        return;
+    }
+    after(between(1, 60), [this, owner, id, sent, renews, silent] {
+        auto& upstream = at(id);
+        if (!upstream.up) {
+            silent();
+            return;
+        }
+        if (owner->term < upstream.fence) {
+            owner->closed = true;
+            return;
+        }
+        upstream.fence = owner->term;
+        if (renews) {
+            upstream.leaseEnd = std::max(upstream.leaseEnd, sent + slowLease);
+        }
+        const auto& [life, number] = owner->acknowledged[id];
+        if (life == upstream.born) {
+            checkAcknowledged(upstream, number);
+            upstream.ends.erase(upstream.ends.begin(), upstream.ends.upper_bound(number));
+        }
+        std::vector<RunningTask> running;
+        for (const auto& [task, state] : upstream.running) {
+            running.push_back({ task, state.run, "", state.hangs ? 5 : this->now / step % 97 });
+        }
+        std::vector<EndedTask> ended;
+        for (const auto& [position, end] : upstream.ends) {
+            ended.push_back(end.ended);
+        }
+        const TasksListed listed { id, { upstream.born }, { sent }, running, ended };
+        if (chance(this->faults.lostAnswers)) {
+            silent();
+            return;
+        }
+        after(between(1, 60), [this, owner, id, listed] {
+            owner->silent.erase(id);
+            feed(owner, listed);
+            after(between(50, 400), [this, owner, id] { look(owner, id); });
+        });
+    });
+}
+
+void Model::write(const OwnerPointer& owner)
+{
+    if (owner->closed || (!owner->scheduler.hasChange() && chance(700))) {
+        return;
+    }
+    std::map<UpstreamId, std::pair<std::int64_t, std::uint64_t>> seen;
+    for (const auto& upstream : this->upstreams) {
+        seen[upstream.facts.id] = { upstream.born, owner->scheduler.lastEnd(upstream.facts.id) };
+    }
+    const auto changes = owner->scheduler.takeChanges();
+    if (owner != this->owners.back()) {
+        // The store rejects the writes of a former term.
+        return;
+    }
+    for (const auto& change : changes) {
+        const auto found = this->records.find(change.job);
+        if (found->second.state == JobState::Cancelled) {
+            continue;
+        }
+        if (change.record.state == JobState::Completed) {
+            ++this->endedJobs;
+            const auto& job = this->jobs.at(change.job);
+            for (std::uint32_t number = 0; number < job.steps.size(); ++number) {
+                for (std::uint32_t index = 0; index < job.steps[number].count; ++index) {
+                    this->recordedDone.try_emplace({ change.job, { 0, number, index } }, this->now);
+                    if (!this->done.contains({ change.job, { 0, number, index } })) {
+                        fail("job completed without the end of a task: " + change.job.text());
+                    }
+                }
+            }
+        }
+        this->records.erase(found);
+        this->records.emplace(change.job, change.record);
+        for (const auto& progress : change.record.tasks) {
+            if (progress.done) {
+                this->recordedDone.try_emplace({ change.job, progress.position }, this->now);
+            }
+        }
+        owner->scheduler.recordWritten(change.job);
+    }
+    owner->acknowledged = std::move(seen);
+}
+
+void Model::checkAcknowledged(const Upstream& upstream, std::uint64_t number)
+{
+    for (const auto& [position, end] : upstream.ends) {
+        const auto started = this->lastStart.find(end.ended.task);
+        if (position <= number && end.ended.kind == EndKind::Done && !end.lapsedSince
+            && started->second > end.time) {
+            fail("start after an end that was acknowledged: " + jobs::toText(end.ended.task));
+        }
+    }
+}
+
+Model::Upstream& Model::at(const UpstreamId& id)
+{
+    return *std::ranges::find(this->upstreams, id, [](const Upstream& upstream) { return upstream.facts.id; });
+}
+
+StartResult Model::start(
+    Upstream& upstream, const StartTask& order, std::uint64_t ofTerm, std::int64_t until)
+{
+    if (ofTerm < upstream.fence) {
+        return StartResult::Refused;
+    }
+    upstream.fence = ofTerm;
+    const auto running = upstream.running.find(order.task);
+    if (running != upstream.running.end()) {
+        return running->second.run == order.run ? StartResult::Started : StartResult::StaleRun;
+    }
+    const auto closed = upstream.closedRuns.find(order.task);
+    if (closed != upstream.closedRuns.end() && order.run <= closed->second) {
+        return StartResult::StaleRun;
+    }
+    if (until <= this->now) {
+        return StartResult::Refused;
+    }
+    checkStart(upstream, order);
+    upstream.leaseEnd = std::max(upstream.leaseEnd, until);
+    this->lastStart[order.task] = this->now;
+    upstream.running[order.task]
+        = { order.run, this->now + between(200, 1500), chance(60), chance(5) };
+    ++this->starts;
+    return StartResult::Started;
+}
+
+void Model::checkStart(const Upstream& upstream, const StartTask& order)
+{
+    const auto& job = this->jobs.at(order.task.job);
+    const auto& declared = job.steps[order.task.position.step];
+    const auto name = jobs::toText(order.task);
+    std::int64_t cpu = declared.resources.cpu;
+    for (const auto& [task, running] : upstream.running) {
+        cpu += this->jobs.at(task.job).steps[task.position.step].resources.cpu;
+    }
+    if (cpu > upstream.facts.capacity.cpu) {
+        fail("capacity exceeded by " + name);
+    }
+    for (const auto& other : this->upstreams) {
+        if (&other != &upstream && other.up && other.running.contains(order.task)) {
+            fail("two runs of " + name);
+        }
+    }
+    const auto& record = this->records.at(order.task.job);
+    const auto recorded = this->recordedDone.find(order.task);
+    if (recorded != this->recordedDone.end() && this->now > recorded->second + recordedGrace) {
+        fail("start after a recorded end of " + name);
+    }
+    for (const auto before : declared.after) {
+        for (std::uint32_t index = 0; index < job.steps[before].count; ++index) {
+            if (!this->done.contains({ order.task.job, { 0, before, index } })) {
+                fail("start before an earlier step of " + name);
+            }
+        }
+    }
+    for (const auto& progress : record.tasks) {
+        if (progress.position == order.task.position && progress.failures >= job.maxAttempts) {
+            fail("too many attempts of " + name);
+        }
+    }
+    const auto stopped = this->cancelled.find(order.task.job);
+    if (this->faults.lateOrders == 0 && stopped != this->cancelled.end()
+        && this->now > stopped->second + cancelLimit) {
+        fail("start after the cancellation of " + name);
+    }
+}
+
+bool Model::stop(Upstream& upstream, const StopTask& order, std::uint64_t ofTerm)
+{
+    if (ofTerm < upstream.fence) {
+        return false;
+    }
+    upstream.fence = ofTerm;
+    auto& closed = upstream.closedRuns[order.task];
+    const auto running = upstream.running.find(order.task);
+    if (running != upstream.running.end() && running->second.run == order.run) {
+        upstream.stopping.try_emplace(order.task, this->now + between(10, stopTime));
+    }
+    closed = std::max(closed, order.run);
+    return true;
+}
+
+void Model::end(Upstream& upstream, const TaskId& task, EndKind kind)
+{
+    const auto running = upstream.running.at(task);
+    upstream.running.erase(task);
+    upstream.stopping.erase(task);
+    auto& closed = upstream.closedRuns[task];
+    closed = std::max(closed, running.run);
+    const auto number = upstream.nextEnd++;
+    upstream.ends.emplace(number, End { { number, task, running.run, kind, "" }, this->now });
+    if (kind == EndKind::Done) {
+        this->done.insert(task);
+    }
+}
+
+void Model::moveUpstreams()
+{
+    for (auto& upstream : this->upstreams) {
+        if (!upstream.up) {
+            if (upstream.upAgain <= this->now) {
+                upstream.up = true;
+                upstream.born = this->now;
+            }
+            continue;
+        }
+        if (chance(this->faults.crashes)) {
+            crash(upstream);
+            continue;
+        }
+        if (chance(this->faults.cuts)) {
+            upstream.cutUntil = this->now + between(1000, 7000);
+        }
+        if (upstream.leaseEnd <= this->now) {
+            for (auto& [number, end] : upstream.ends) {
+                end.lapsedSince = true;
+            }
+        }
+        const auto running = upstream.running;
+        for (const auto& [task, state] : running) {
+            const auto stopping = upstream.stopping.find(task);
+            if (upstream.leaseEnd <= this->now) {
+                end(upstream, task, EndKind::Lapsed);
+            } else if (stopping != upstream.stopping.end() && stopping->second <= this->now) {
+                end(upstream, task, EndKind::Stopped);
+            } else if (state.ends <= this->now && !state.hangs) {
+                end(upstream, task, state.fails ? EndKind::Failed : EndKind::Done);
+            }
+        }
+    }
+}
+
+void Model::crash(Upstream& upstream)
+{
+    upstream.up = false;
+    upstream.upAgain = this->now + between(500, 6000);
+    upstream.fence = 0;
+    upstream.running.clear();
+    upstream.stopping.clear();
+    upstream.closedRuns.clear();
+    upstream.ends.clear();
+    upstream.nextEnd = 1;
+    upstream.leaseEnd = 0;
+}
+
+} // namespace wasabiroad::scheduling::test
--- /dev/null
+++ b/test/wasabiroad/scheduling/model.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "wasabiroad/scheduling/pool_scheduler.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <pcg_random.hpp>
+
+namespace wasabiroad::scheduling::test {
+
+/** @brief Which faults a run of the model has; probabilities in parts of a thousand. */
+struct Faults {
+    const char* title { "" };
+    /** @brief Calls that do not arrive. */
+    const unsigned lostCalls { 0 };
+    /** @brief Calls that are carried out and not answered. */
+    const unsigned lostAnswers { 0 };
+    /** @brief Orders that are not answered and carried out seconds later. */
+    const unsigned lateOrders { 0 };
+    /** @brief Crashes of an upstream, for each step of the model. */
+    const unsigned crashes { 0 };
+    /** @brief Changes of the owner, for each step. */
+    const unsigned ownerChanges { 0 };
+    /** @brief A replaced owner renews leases for a while; it starts nothing. */
+    const bool formerOwnersAct { false };
+    /** @brief Cuts of an upstream from its owner, for each step. */
+    const unsigned cuts { 0 };
+
+    friend std::ostream& operator<<(std::ostream& out, const Faults& faults) { return out << faults.title; }
+};
+
+/**
+ * @brief Runs schedulers against upstreams and a store in virtual time and checks the promises at each start.
+ *
+ * The upstreams keep leases, fences, run numbers and ends as the platform's do. Time passes in steps; calls take
+ * random times, so orders and answers overtake each other.
+ */
+class Model {
+public:
+    Model(std::uint64_t seed, Faults faults);
+
+    /** @return The first broken promise, or nothing. */
+    std::optional<std::string> run();
+
+    std::uint64_t startCount() const { return this->starts; }
+    std::uint64_t doneJobs() const { return this->endedJobs; }
+
+private:
+    struct Running {
+        jobs::Run run {};
+        std::int64_t ends { 0 };
+        bool fails { false };
+        bool hangs { false };
+    };
+
+    struct End {
+        EndedTask ended {};
+        std::int64_t time { 0 };
+        /** @brief The lease of the upstream ended after it. */
+        bool lapsedSince { false };
+    };
+
+    struct Upstream {
+        UpstreamFacts facts;
+        std::int64_t born { 1 };
+        bool up { true };
+        std::int64_t upAgain { 0 };
+        std::int64_t cutUntil { 0 };
+        std::uint64_t fence { 0 };
+        std::int64_t leaseEnd { 0 };
+        std::map<jobs::TaskId, Running> running {};
+        /** @brief Stops that are under way: the task still takes its room. */
+        std::map<jobs::TaskId, std::int64_t> stopping {};
+        std::map<jobs::TaskId, jobs::Run> closedRuns {};
+        std::map<std::uint64_t, End> ends {};
+        std::uint64_t nextEnd { 1 };
+    };
+
+    struct Owner {
+        PoolScheduler scheduler;
+        std::uint64_t term { 0 };
+        std::int64_t actsUntil { 0 };
+        bool closed { false };
+        /** @brief Ends that are recorded, by upstream and life. */
+        std::map<UpstreamId, std::pair<std::int64_t, std::uint64_t>> acknowledged {};
+        std::map<UpstreamId, std::int64_t> lastRenewal {};
+        std::set<UpstreamId> silent {};
+    };
+
+    using OwnerPointer = std::shared_ptr<Owner>;
+
+    bool chance(unsigned perThousand);
+    std::int64_t between(std::int64_t least, std::int64_t most);
+    Moment moment() const;
+    void after(std::int64_t delay, std::function<void()> action);
+    void runDue();
+    void fail(const std::string& what);
+
+    void addJob();
+    void cancelSome();
+    void newOwner();
+    void feed(const OwnerPointer& owner, const Event& event);
+    void send(const OwnerPointer& owner, const Order& order);
+    void sendStart(const OwnerPointer& owner, const StartTask& order);
+    void sendStop(const OwnerPointer& owner, const StopTask& order);
+    void look(const OwnerPointer& owner, const UpstreamId& id);
+    void write(const OwnerPointer& owner);
+
+    Upstream& at(const UpstreamId& id);
+    StartResult start(Upstream& upstream, const StartTask& order, std::uint64_t term, std::int64_t until);
+    void checkStart(const Upstream& upstream, const StartTask& order);
+    bool stop(Upstream& upstream, const StopTask& order, std::uint64_t term);
+    void checkAcknowledged(const Upstream& upstream, std::uint64_t number);
+    void end(Upstream& upstream, const jobs::TaskId& task, EndKind kind);
+    void moveUpstreams();
+    void crash(Upstream& upstream);
+
+    const Faults faults;
+    pcg32 random;
+    std::int64_t now { 0 };
+    std::multimap<std::int64_t, std::function<void()>> due {};
+    std::vector<Upstream> upstreams {};
+    std::vector<OwnerPointer> owners {};
+    std::uint64_t term { 1 };
+    std::map<jobs::JobId, jobs::Job> jobs {};
+    /** @brief What the store holds. */
+    std::map<jobs::JobId, jobs::Record> records {};
+    /** @brief Tasks with an end `done` that was listed. */
+    std::set<jobs::TaskId> done {};
+    std::map<jobs::TaskId, std::int64_t> lastStart {};
+    /** @brief When the store first held the end of a task. */
+    std::map<jobs::TaskId, std::int64_t> recordedDone {};
+    std::map<jobs::TaskId, std::uint32_t> failures {};
+    std::map<jobs::JobId, std::int64_t> cancelled {};
+    std::optional<std::string> broken {};
+    std::uint64_t starts { 0 };
+    std::uint64_t endedJobs { 0 };
+};
+
+} // namespace wasabiroad::scheduling::test
--- /dev/null
+++ b/test/wasabiroad/scheduling/pace.cpp
@@ -0,0 +1,53 @@
+#include "wasabiroad/scheduling/fixture.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::scheduling::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/** Tails of a serving task with a target of 100 ms, and the last pace of the filler beside it. */
+struct PaceRow {
+    const char* title;
+    const std::vector<std::int64_t> tails;
+    const std::int64_t pace;
+
+    friend std::ostream& operator<<(std::ostream& out, const PaceRow& row) { return out << row.title; }
+};
+
+const std::vector<PaceRow> rows {
+    { "well below the target", { 30, 40, 50 }, 100 },
+    { "near the target", { 85 }, 50 },
+    { "near the target for long", { 85, 85, 85, 85, 85 }, 0 },
+    { "over the target", { 120 }, 0 },
+    { "between the bounds nothing changes", { 85, 70, 70, 70 }, 50 },
+    { "recovers in steps", { 120, 40, 40, 40 }, 60 },
+};
+
+/** Guards against fillers that keep a serving task over its target. */
+BOOST_DATA_TEST_CASE(filler_yields_to_the_serving_task, data::make(rows), row)
+{
+    Site site { { makeUpstream("u1") } };
+    const jobs::Step serving { .count = 1, .resources = { 1000, 100, 0 }, .longRunning = true, .tailTarget = { 100 } };
+    const jobs::Step filler { .count = 1, .resources = { 1000, 100, 0 }, .longRunning = true, .filler = true };
+    site.apply(JobAdded { makeJob("j", { serving, filler }) }, 10);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
+    std::int64_t time = 1000;
+    for (const auto tail : row.tails) {
+        site.list("u1",
+            { { site.starts[0].task, site.starts[0].run, "", 100, tail },
+                { site.starts[1].task, site.starts[1].run, "", 100, 500 } },
+            {}, time);
+        time += 1600;
+    }
+    BOOST_TEST((site.paces.empty() ? 100 : site.paces.back().percent) == row.pace);
+    BOOST_TEST(site.scheduler.needsFrequentLooks(UpstreamId { "u1" }));
+}
+
+} // namespace
+
+} // namespace wasabiroad::scheduling::test
--- /dev/null
+++ b/test/wasabiroad/scheduling/placement.cpp
@@ -0,0 +1,126 @@
+#include "wasabiroad/scheduling/fixture.hpp"
+
+#include <set>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::scheduling::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/** A step, and on how many of two upstreams with 4 cores its tasks start. */
+struct PlacementRow {
+    const char* title;
+    const jobs::Step step;
+    const std::size_t starts;
+    const std::size_t upstreams;
+
+    friend std::ostream& operator<<(std::ostream& out, const PlacementRow& row) { return out << row.title; }
+};
+
+const std::vector<PlacementRow> rows {
+    { "spread over both", makeStep(2), 2, 2 },
+    { "as many as fit", makeStep(20), 8, 2 },
+    { "cpu of fillers is not counted", { .count = 20, .resources = { 1000, 100, 0 }, .filler = true }, 20, 2 },
+    { "memory of fillers is", { .count = 20, .resources = { 1000, 4000, 0 }, .filler = true }, 4, 2 },
+    { "limit on one upstream", { .count = 6, .resources = { 100, 100, 0 }, .maxPerUpstream = 2 }, 4, 2 },
+    { "label of one upstream", { .count = 2, .resources = { 100, 100, 0 }, .label = "r2" }, 2, 1 },
+    { "label that nobody has", { .count = 2, .resources = { 100, 100, 0 }, .label = "x" }, 0, 0 },
+    { "rack of the data", { .count = 2, .resources = { 100, 100, 0 }, .estimate = { 500 }, .dataRack = "r2" }, 2, 1 },
+    { "gang that fits", { .count = 8, .resources = { 1000, 100, 0 }, .gang = true }, 8, 2 },
+    { "gang that does not fit", { .count = 9, .resources = { 1000, 100, 0 }, .gang = true }, 0, 0 },
+    { "gang on one rack", { .count = 4, .resources = { 1000, 100, 0 }, .gang = true, .sameRack = true }, 4, 1 },
+    { "accelerators that nobody has", { .count = 1, .resources = { 100, 100, 1 } }, 0, 0 },
+};
+
+/** Guards against starts that break a limit, and against steps that wait though they fit. */
+BOOST_DATA_TEST_CASE(tasks_start_where_they_may, data::make(rows), row)
+{
+    Site site { { makeUpstream("u1", 4000, "r1"), makeUpstream("u2", 4000, "r2") } };
+    site.apply(JobAdded { makeJob("j", { row.step }) }, 10);
+    BOOST_TEST(site.starts.size() == row.starts);
+    std::set<UpstreamId> used;
+    std::set<jobs::Run> runs;
+    for (const auto& start : site.starts) {
+        used.insert(start.upstream);
+        runs.insert(start.run);
+    }
+    BOOST_TEST(used.size() == row.upstreams);
+    BOOST_TEST(runs.size() == (row.step.gang && row.starts > 0 ? 1 : row.starts));
+}
+
+/** States of an upstream in which it must not get tasks. */
+struct UnusableRow {
+    const char* title;
+    const std::vector<Event> events;
+
+    friend std::ostream& operator<<(std::ostream& out, const UnusableRow& row) { return out << row.title; }
+};
+
+UpstreamFacts draining()
+{
+    const auto facts = makeUpstream("u1");
+    return { facts.id, facts.service, facts.address, facts.zone, facts.rack, facts.labels, facts.capacity, true,
+        facts.born };
+}
+
+const std::vector<UnusableRow> unusableRows {
+    { "silent", { UpstreamSilent { UpstreamId { "u1" }, {} } } },
+    { "leaving", { MembersSeen { { draining() } } } },
+    { "not a member", { MembersSeen {} } },
+    { "to be emptied", { DrainsChanged { { UpstreamId { "u1" } } } } },
+    { "to be emptied before it is a member",
+        { MembersSeen {}, DrainsChanged { { UpstreamId { "u1" } } }, MembersSeen { { makeUpstream("u1") } },
+            TasksListed { .upstream = UpstreamId { "u1" }, .born = { 1 } } } },
+    { "runs a job that nobody knows",
+        { TasksListed { .upstream = UpstreamId { "u1" }, .born = { 1 },
+            .running = { { { jobs::JobId { "foreign" }, {} }, { 1 } } } } } },
+    { "replaced by another", { UpstreamReplaced { UpstreamId { "u1" } } } },
+};
+
+/** Guards against starts on upstreams that leave, are cut off or whose room is not known. */
+BOOST_DATA_TEST_CASE(upstream_gets_no_tasks, data::make(unusableRows), row)
+{
+    Site site { { makeUpstream("u1") } };
+    for (const auto& event : row.events) {
+        site.apply(event, 5);
+    }
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    BOOST_TEST(site.starts.empty());
+}
+
+/** Guards against a job that can still be in time waiting behind one that cannot. */
+BOOST_AUTO_TEST_CASE(late_job_waits_behind_one_in_time)
+{
+    Site site { { makeUpstream("u1", 1000) } };
+    site.apply(JobAdded { makeJob("busy", { makeStep(1) }) }, 0);
+    const auto first = site.starts.front();
+    site.apply(JobAdded { makeJob("a-late", { makeStep(1) }) }, 10);
+    const auto late = makeJob("b-new", { makeStep(1) });
+    const jobs::Job fresh { .id = late.id, .queue = late.queue, .service = service, .steps = late.steps,
+        .accepted = at(9000).wall, .maxAttempts = 3, .stretch = 2, .allowance = { 1000 } };
+    site.apply(JobAdded { fresh }, 9000);
+    site.list("u1", {}, { { 1, first.task, first.run, EndKind::Done, "" } }, 9100);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
+    BOOST_TEST(site.starts[1].task.job.text() == "b-new");
+}
+
+/** Guards against jobs that are started by an owner that may have been replaced. */
+BOOST_AUTO_TEST_CASE(inactive_owner_starts_nothing)
+{
+    Site site { { makeUpstream("u1") } };
+    site.scheduler.setActive(false);
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    BOOST_TEST(site.starts.empty());
+    site.scheduler.setActive(true);
+    site.apply(Tick {}, 20);
+    BOOST_TEST(site.starts.size() == 1);
+}
+
+} // namespace
+
+} // namespace wasabiroad::scheduling::test
--- /dev/null
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -0,0 +1,335 @@
+#include "wasabiroad/scheduling/fixture.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::scheduling::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+using jobs::JobState;
+
+/** What an upstream answers to a start, and when a second upstream may get the task. */
+struct StartRow {
+    const StartResult result;
+    /** @brief Starts that were ordered after the answer and one tick. */
+    const std::size_t startsAfterAnswer;
+    const std::size_t stopsAfterAnswer;
+
+    friend std::ostream& operator<<(std::ostream& out, const StartRow& row) { return out << name(row.result); }
+};
+
+const std::vector<StartRow> startRows {
+    { StartResult::Started, 1, 0 },
+    { StartResult::NoRoom, 2, 0 },
+    { StartResult::Refused, 2, 0 },
+    { StartResult::NotSent, 2, 0 },
+    { StartResult::StaleRun, 2, 0 },
+    { StartResult::Unknown, 1, 1 },
+};
+
+/** Guards against a second run of a task whose first start may still be carried out. */
+BOOST_DATA_TEST_CASE(start_goes_elsewhere_only_when_it_cannot_happen_here, data::make(startRows), row)
+{
+    Site site { { makeUpstream("u1"), makeUpstream("u2") } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 1);
+    const auto first = site.starts.front();
+    site.apply(StartAnswered { first.upstream, first.task, first.run, row.result }, 20);
+    site.apply(Tick {}, 600);
+    BOOST_TEST(site.starts.size() == row.startsAfterAnswer);
+    BOOST_TEST(site.stops.size() == row.stopsAfterAnswer);
+    if (row.startsAfterAnswer == 2) {
+        BOOST_TEST((site.starts[1].run > first.run));
+    }
+}
+
+/** Guards against a second run after a start without an answer, in the order in which its fate becomes known. */
+BOOST_AUTO_TEST_CASE(unanswered_start_is_settled_by_a_stop_and_a_later_list)
+{
+    Site site { { makeUpstream("u1") } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = site.starts.front();
+    site.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 900);
+    site.list("u1", {}, {}, 950);
+    BOOST_TEST(site.starts.size() == 1);
+    site.apply(StopAnswered { first.upstream, first.task, first.run, true }, 1000);
+    // A list that was asked for before the stop was answered proves nothing.
+    site.apply(TasksListed { first.upstream, { 1 }, { 990 }, {}, {} }, 1010);
+    BOOST_TEST(site.starts.size() == 1);
+    site.list("u1", {}, {}, 1300);
+    BOOST_TEST(site.starts.size() == 2);
+}
+
+/** Guards against room that is given out while a run that is no longer needed is still stopping. */
+BOOST_AUTO_TEST_CASE(stopping_run_of_a_finished_task_still_takes_its_room)
+{
+    Site site { { makeUpstream("u1", 1000), makeUpstream("u2", 1000) } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1, 1000) }) }, 10);
+    const auto first = site.starts.front();
+    site.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Started }, 20);
+    site.apply(UpstreamSilent { first.upstream, { 20 } }, 30);
+    site.apply(Tick {}, 20 + Policy {}.leaseSpan.milliseconds + 1000);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
+    const auto second = site.starts.back();
+    BOOST_TEST((second.upstream != first.upstream));
+    site.apply(JobAdded { makeJob("k", { makeStep(2, 1000) }) }, 8000);
+    site.list(first.upstream.text(), {}, { { 1, first.task, first.run, EndKind::Done, "" } }, 8100);
+    BOOST_TEST(site.stops.size() == 1);
+    // One task of the other job fits on the upstream that is free again, none beside the run that stops.
+    BOOST_TEST(site.starts.size() == 3);
+    site.list(second.upstream.text(), {}, { { 1, second.task, second.run, EndKind::Stopped, "" } }, 8300);
+    BOOST_TEST(site.starts.size() == 4);
+}
+
+/** How a run ends, and what is known of the task afterwards. */
+struct EndRow {
+    const EndKind kind;
+    const JobState state;
+    const std::size_t starts;
+    const std::uint32_t failures;
+
+    friend std::ostream& operator<<(std::ostream& out, const EndRow& row) { return out << name(row.kind); }
+};
+
+const std::vector<EndRow> endRows {
+    { EndKind::Done, JobState::Completed, 1, 0 },
+    { EndKind::Failed, JobState::Running, 2, 1 },
+    { EndKind::Stopped, JobState::Running, 2, 0 },
+    { EndKind::Lapsed, JobState::Running, 2, 0 },
+    { EndKind::PeerEnded, JobState::Running, 2, 0 },
+    { EndKind::GangIncomplete, JobState::Running, 2, 0 },
+};
+
+/** Guards against attempts that are counted for ends that are nobody's fault. */
+BOOST_DATA_TEST_CASE(end_decides_what_follows, data::make(endRows), row)
+{
+    Site site { { makeUpstream("u1"), makeUpstream("u2") } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = site.starts.front();
+    site.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Started }, 20);
+    site.list(first.upstream.text(), {}, { { 1, first.task, first.run, row.kind, "" } }, 500);
+    // The same end is listed again until it is acknowledged.
+    site.list(first.upstream.text(), {}, { { 1, first.task, first.run, row.kind, "" } }, 520);
+    BOOST_TEST(site.starts.size() == row.starts);
+    const auto changes = site.scheduler.takeChanges();
+    BOOST_REQUIRE_EQUAL(changes.size(), 1);
+    BOOST_TEST((changes.front().record.state == row.state));
+    const auto& tasks = changes.front().record.tasks;
+    BOOST_TEST((tasks.empty() ? 0U : tasks.front().failures) == row.failures);
+}
+
+/** Guards against an end that is shown to callers before it is in the store. */
+BOOST_AUTO_TEST_CASE(end_is_shown_once_it_is_written)
+{
+    Site site { { makeUpstream("u1") } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = site.starts.front();
+    site.list("u1", {}, { { 1, first.task, first.run, EndKind::Done, "" } }, 500);
+    BOOST_TEST(site.scheduler.hasUrgentChange());
+    BOOST_TEST((site.scheduler.stateOf(jobs::JobId { "j" }) == JobState::Running));
+    site.scheduler.recordWritten(jobs::JobId { "j" });
+    BOOST_TEST(!site.scheduler.stateOf(jobs::JobId { "j" }).has_value());
+}
+
+/** Guards against more attempts than the operator allows, also when the owner changes in between. */
+BOOST_DATA_TEST_CASE(attempts_are_bounded_over_owners, data::make({ 1U, 2U, 4U }), attempts)
+{
+    jobs::Record record {};
+    std::optional<jobs::Record> current { record };
+    for (std::uint32_t attempt = 1; attempt <= attempts; ++attempt) {
+        Site site { { makeUpstream("u1"), makeUpstream("u2") }, 5 + attempt };
+        site.apply(JobAdded { makeJob("j", { makeStep(1) }, attempts), *current }, 10);
+        BOOST_REQUIRE_EQUAL(site.starts.size(), 1);
+        const auto start = site.starts.front();
+        site.list(start.upstream.text(), {}, { { 1, start.task, start.run, EndKind::Failed, "" } }, 500);
+        const auto changes = site.scheduler.takeChanges();
+        BOOST_REQUIRE_EQUAL(changes.size(), 1);
+        current.emplace(changes.front().record);
+        BOOST_TEST(site.starts.size() == (attempt < attempts ? 2 : 1));
+        BOOST_TEST((current->state == (attempt < attempts ? JobState::Running : JobState::Failed)));
+    }
+}
+
+/** Guards against a failure that two owners count, since its end was not acknowledged in between. */
+BOOST_AUTO_TEST_CASE(failure_that_a_former_owner_recorded_counts_once)
+{
+    Site site { { makeUpstream("u1") }, 9 };
+    const jobs::Run run { 77 };
+    const jobs::TaskId task { jobs::JobId { "j" }, {} };
+    const jobs::Record record { JobState::Running, { { {}, false, 1, run, "" } } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }, 2), record }, 10);
+    site.list("u1", {}, { { 1, task, run, EndKind::Failed, "" } }, 20);
+    BOOST_TEST((site.scheduler.stateOf(task.job) == JobState::Running));
+}
+
+/** What a new owner hears of the upstreams that a former owner used. */
+struct TakeoverRow {
+    const char* title;
+    const bool listsTask;
+    const bool secondAnswers;
+    const std::int64_t time;
+    const std::size_t starts;
+
+    friend std::ostream& operator<<(std::ostream& out, const TakeoverRow& row) { return out << row.title; }
+};
+
+const std::vector<TakeoverRow> takeoverRows {
+    { "running task is adopted", true, true, 100, 0 },
+    { "task that nobody runs is started", false, true, 100, 1 },
+    { "task waits while an upstream is unheard", false, false, 100, 0 },
+    { "task is started once the leases there have ended", false, false, 12000, 1 },
+};
+
+/** Guards against a second run of a task that a former owner started. */
+BOOST_DATA_TEST_CASE(new_owner_starts_only_what_nobody_runs, data::make(takeoverRows), row)
+{
+    PoolScheduler scheduler { Policy {}, 9, at(0) };
+    const jobs::TaskId task { jobs::JobId { "j" }, {} };
+    std::size_t starts = 0;
+    const auto apply = [&](const Event& event, std::int64_t time) {
+        for (const auto& order : scheduler.apply(event, at(time))) {
+            starts += std::holds_alternative<StartTask>(order) ? 1 : 0;
+        }
+    };
+    apply(JobAdded { makeJob("j", { makeStep(1) }), { JobState::Running }, true }, 0);
+    apply(TermBegun { { UpstreamId { "u1" }, UpstreamId { "u2" } } }, 0);
+    apply(MembersSeen { { makeUpstream("u1"), makeUpstream("u2") } }, 1);
+    std::vector<RunningTask> running;
+    if (row.listsTask) {
+        running.push_back({ task, { 3 }, "", 10 });
+    }
+    apply(TasksListed { UpstreamId { "u1" }, { 1 }, { 2 }, running, {} }, 5);
+    if (row.secondAnswers) {
+        apply(TasksListed { UpstreamId { "u2" }, { 1 }, { 2 }, {}, {} }, 6);
+    }
+    apply(Tick {}, row.time);
+    BOOST_TEST(starts == row.starts);
+}
+
+/** Guards against tasks of a cancelled job that run on or are started. */
+BOOST_AUTO_TEST_CASE(cancelled_job_is_stopped_and_forgotten)
+{
+    Site site { { makeUpstream("u1", 1000) } };
+    site.apply(JobAdded { makeJob("j", { makeStep(2) }) }, 10);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 1);
+    const auto first = site.starts.front();
+    site.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Started }, 20);
+    site.apply(JobCancelled { first.task.job }, 100);
+    BOOST_TEST(site.stops.size() == 1);
+    site.list("u1", {}, { { 1, first.task, first.run, EndKind::Stopped, "" } }, 400);
+    BOOST_TEST(site.starts.size() == 1);
+    BOOST_TEST(site.scheduler.jobCount() == 0);
+    BOOST_TEST(site.scheduler.takeChanges().empty());
+}
+
+/** Guards against a step that starts before the steps that it depends on are done. */
+BOOST_AUTO_TEST_CASE(step_waits_for_all_tasks_of_earlier_steps)
+{
+    Site site { { makeUpstream("u1") } };
+    const jobs::Step second { .count = 1, .resources = { 1000, 100, 0 }, .estimate = { 500 }, .after = { 0 } };
+    site.apply(JobAdded { makeJob("j", { makeStep(2), second }) }, 10);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
+    site.list("u1", { { site.starts[1].task, site.starts[1].run, "", 50 } },
+        { { 1, site.starts[0].task, site.starts[0].run, EndKind::Done, "" } }, 500);
+    BOOST_TEST(site.starts.size() == 2);
+    site.list("u1", {}, { { 2, site.starts[1].task, site.starts[1].run, EndKind::Done, "" } }, 600);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 3);
+    BOOST_TEST(site.starts[2].task.position.step == 1);
+}
+
+/** Guards against an occurrence that starts before it is due. */
+BOOST_AUTO_TEST_CASE(occurrence_waits_for_its_time)
+{
+    Site site { { makeUpstream("u1") } };
+    const jobs::Job job { .id = jobs::JobId { "j" }, .service = service, .steps = { makeStep(1) },
+        .occurrences = 2, .firstDue = at(1000).wall, .interval = { 500 }, .accepted = at(0).wall };
+    site.apply(JobAdded { job }, 10);
+    site.apply(Tick {}, 999);
+    BOOST_TEST(site.starts.empty());
+    site.apply(Tick {}, 1000);
+    BOOST_TEST(site.starts.size() == 1);
+    site.apply(Tick {}, 1499);
+    BOOST_TEST(site.starts.size() == 1);
+    site.apply(Tick {}, 1500);
+    BOOST_TEST(site.starts.size() == 2);
+}
+
+/** Guards against tasks that are lost with an upstream that starts again under its id. */
+BOOST_AUTO_TEST_CASE(reborn_upstream_has_lost_its_tasks)
+{
+    Site site { { makeUpstream("u1") } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = site.starts.front();
+    site.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Started }, 20);
+    site.apply(TasksListed { first.upstream, { 2 }, { 500 }, {}, {} }, 500);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
+    BOOST_TEST((site.starts[1].run > first.run));
+}
+
+/** Guards against a start that a former life did not answer and the next life carries out. */
+BOOST_AUTO_TEST_CASE(unanswered_start_is_stopped_on_the_next_life)
+{
+    Site site { { makeUpstream("u1") } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = site.starts.front();
+    site.apply(TasksListed { first.upstream, { 2 }, { 500 }, {}, {} }, 500);
+    BOOST_TEST(site.stops.size() == 1);
+    BOOST_TEST(site.starts.size() == 1);
+    site.apply(StopAnswered { first.upstream, first.task, first.run, true }, 600);
+    site.apply(TasksListed { first.upstream, { 2 }, { 700 }, {}, {} }, 710);
+    BOOST_TEST(site.starts.size() == 2);
+}
+
+/** Steps that must not lose more tasks at once than their callers allow. */
+struct MayMissRow {
+    const std::uint32_t mayMiss;
+    const std::size_t stops;
+
+    friend std::ostream& operator<<(std::ostream& out, const MayMissRow& row) { return out << row.mayMiss; }
+};
+
+const std::vector<MayMissRow> mayMissRows { { 1, 1 }, { 2, 2 }, { 3, 2 } };
+
+/** Guards against a drain that takes away more serving tasks at once than the step allows. */
+BOOST_DATA_TEST_CASE(drain_keeps_to_the_tasks_that_may_be_missed, data::make(mayMissRows), row)
+{
+    Site site { { makeUpstream("u1", 2000), makeUpstream("u2", 2000) } };
+    const jobs::Step step { .count = 4, .resources = { 1000, 100, 0 }, .longRunning = true, .mayMiss = row.mayMiss };
+    site.apply(JobAdded { makeJob("j", { step }) }, 10);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 4);
+    for (const auto* const id : { "u1", "u2" }) {
+        std::vector<RunningTask> running;
+        for (const auto& start : site.starts) {
+            if (start.upstream.text() == id) {
+                running.push_back({ start.task, start.run, "", 100 });
+            }
+        }
+        site.list(id, running, {}, 1000);
+    }
+    site.apply(DrainsChanged { { UpstreamId { "u1" } } }, 1100);
+    BOOST_TEST(site.stops.size() == row.stops);
+    BOOST_TEST(!site.scheduler.isEmptied(UpstreamId { "u1" }));
+}
+
+/** Guards against a task that hangs on an upstream which looks healthy. */
+BOOST_AUTO_TEST_CASE(task_without_progress_is_started_elsewhere)
+{
+    Site site { { makeUpstream("u1"), makeUpstream("u2") } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = site.starts.front();
+    for (std::int64_t time = 500; time <= 4000; time += 500) {
+        site.list(first.upstream.text(), { { first.task, first.run, "", 7 } }, {}, time);
+        site.apply(Tick {}, time);
+    }
+    BOOST_TEST(site.stops.size() == 1);
+    site.list(first.upstream.text(), {}, { { 1, first.task, first.run, EndKind::Stopped, "" } }, 4300);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
+    BOOST_TEST((site.starts[1].upstream != first.upstream));
+}
+
+} // namespace
+
+} // namespace wasabiroad::scheduling::test
