--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -118,6 +118,7 @@
         return;
     }
     if (this->loaded) {
+        cancelMissing(pool);
         addJobs(pool, records, false);
         watch(pool.asOf);
         return;
@@ -189,6 +190,27 @@
     }
 }
 
+void PoolAgent::cancelMissing(const store::Listing& pool)
+{
+    std::set<std::string> present;
+    for (const auto& entry : pool.entries) {
+        present.insert(entry.key);
+    }
+    for (const auto& job : this->scheduler->openJobs()) {
+        if (!present.contains(keys::job(this->service, job))) {
+            kernel::logEvent("job-cancelled", { { "job", job.text() }, { "revision", pool.asOf.value } });
+            apply(scheduling::JobCancelled { job });
+        }
+    }
+    const auto known = this->drains;
+    for (const auto& [vm, upstream] : known) {
+        const auto key = keys::drain(this->service, model::VmId { vm });
+        if (!present.contains(key)) {
+            onDrain(key, std::nullopt);
+        }
+    }
+}
+
 void PoolAgent::watch(store::Revision after)
 {
     this->environment.store->watch(keys::pool(this->service), after, watchWait,
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -56,6 +56,8 @@
     void begin(const store::Listing& pool, const store::Listing& records, const std::vector<std::string>& used,
         store::Revision usedRevision);
     void addJobs(const store::Listing& pool, const store::Listing& records, bool mayHaveStarted);
+    /** Ends what a list shows to be gone, after a watch has lost the history. */
+    void cancelMissing(const store::Listing& pool);
     void watch(store::Revision after);
     void onKeyEvents(const std::vector<store::KeyEvent>& events);
     void onKeyEvent(const store::KeyEvent& event);
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -657,6 +657,17 @@
     return jobs::isFinal(run.state) && !run.written ? JobState::Running : run.state;
 }
 
+std::vector<jobs::JobId> PoolScheduler::openJobs() const
+{
+    std::vector<jobs::JobId> open;
+    for (const auto& [id, run] : this->jobRuns) {
+        if (!jobs::isFinal(run.state)) {
+            open.push_back(id);
+        }
+    }
+    return open;
+}
+
 std::map<jobs::QueueId, std::uint64_t> PoolScheduler::pendingCounts() const
 {
     std::map<jobs::QueueId, std::uint64_t> counts;
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -48,6 +48,9 @@
     /** @return State of a job, or nothing when it is not known here; an end is not shown before it is written. */
     std::optional<jobs::JobState> stateOf(const jobs::JobId& job) const;
 
+    /** @return Jobs that have not ended. */
+    std::vector<jobs::JobId> openJobs() const;
+
     /** @return Jobs of each queue without times of their own that have not begun. */
     std::map<jobs::QueueId, std::uint64_t> pendingCounts() const;
 
