--- /dev/null
+++ b/src/wasabiroad/agent/agent.cpp
@@ -0,0 +1,390 @@
+#include "wasabiroad/agent/agent.hpp"
+
+#include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/jobs/codec.hpp"
+#include "wasabiroad/kernel/log.hpp"
+#include "wasabiroad/kernel/overloaded.hpp"
+
+namespace wasabiroad::agent {
+
+using kernel::Duration;
+using kernel::Instant;
+
+namespace {
+
+/** Wait of the watch for configurations; a silent connection is noticed within the time to apply one. */
+constexpr Duration operatorWait { 1000 };
+
+constexpr Duration retryInterval { 200 };
+
+/** Interval of reading the list of upstreams; a leaving one gets no new tasks after at most 2 s. */
+constexpr Duration membersInterval { 700 };
+
+/** An entry without an answer of the store for this long sends callers elsewhere. */
+constexpr Duration contactLimit { 2500 };
+
+/** Attempts to cancel a job whose record changes at the same time. */
+constexpr int cancelAttempts = 6;
+
+Instant bootNow() { return kernel::now(kernel::BootClock {}); }
+
+} // namespace
+
+Agent::Agent(AgentContext agentEnvironment)
+    : environment(std::move(agentEnvironment))
+    , submissions(std::make_shared<Submissions>(environment.context, environment.store))
+    , membersTimer(environment.context)
+{
+}
+
+void Agent::start()
+{
+    const std::weak_ptr<Agent> weak = weak_from_this();
+    this->duties = std::make_shared<Duties>(this->environment.context, this->environment.store, this->environment.entry,
+        this->environment.incarnation,
+        DutyHandlers {
+            [weak](const std::string& duty, ports::Term term) {
+                if (const auto self = weak.lock()) {
+                    self->beginDuty(duty, term);
+                }
+            },
+            [weak](const std::string& duty) {
+                if (const auto self = weak.lock()) {
+                    self->endDuty(duty);
+                }
+            },
+        });
+    this->duties->start();
+    readOperator();
+}
+
+void Agent::stop(std::function<void()> done) { this->duties->release(std::move(done)); }
+
+void Agent::abandon()
+{
+    this->abandoned = true;
+    this->duties->abandon();
+    this->membersTimer.cancel();
+    for (const auto& [service, agent] : this->pools) {
+        agent->close();
+    }
+    if (this->fleetAgent) {
+        this->fleetAgent->close();
+    }
+}
+
+bool Agent::isReady() const
+{
+    return this->environment.configurations->current() != nullptr && bootNow() - this->contact < contactLimit;
+}
+
+void Agent::submit(jobs::Job job, Duration deadline, store::Callback<SubmitOutcome> callback)
+{
+    this->submissions->submit(std::move(job), deadline, std::move(callback));
+}
+
+void Agent::state(const model::ServiceId& service, const jobs::JobId& job, store::Callback<StateOutcome> callback)
+{
+    for (const auto& [pool, agent] : this->pools) {
+        if (const auto known = agent->stateOf(job); known && this->duties->mayAct()) {
+            callback(*known);
+            return;
+        }
+    }
+    readState(service, job, true, std::move(callback));
+}
+
+void Agent::cancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+    store::Callback<StateOutcome> callback)
+{
+    this->environment.store->read(keys::record(service, job),
+        [self = shared_from_this(), service, job, attempts, callback = std::move(callback)](
+            const kernel::Expected<std::optional<store::Entry>>& entry) {
+            if (!entry) {
+                self->retryCancel(service, job, attempts, callback);
+            } else if (!*entry) {
+                self->cancelElsewhere(service, job, attempts, callback);
+            } else {
+                self->cancelRecord(service, job, attempts, **entry, callback);
+            }
+        });
+}
+
+void Agent::pending(const model::ServiceId& service, const jobs::QueueId& queue,
+    store::Callback<std::optional<std::uint64_t>> callback)
+{
+    const auto countOf = [queue](const jobs::PendingCounts& counts) {
+        const auto found = counts.find(queue);
+        return found != counts.end() ? found->second : 0;
+    };
+    const auto own = this->pools.find(service);
+    if (own != this->pools.end() && this->duties->mayAct()) {
+        if (const auto counts = own->second->pendingCounts()) {
+            callback(countOf(*counts));
+            return;
+        }
+    }
+    this->environment.store->read(keys::pendingCounts(service),
+        [countOf, callback = std::move(callback)](
+            const kernel::Expected<std::optional<store::Entry>>& entry) {
+            if (!entry) {
+                callback(std::nullopt);
+                return;
+            }
+            const auto counts = *entry ? jobs::decodePendingCounts((*entry)->value) : std::nullopt;
+            callback(counts ? countOf(*counts) : 0);
+        });
+}
+
+void Agent::readOperator()
+{
+    this->environment.fleet->readOperator(
+        [self = shared_from_this()](const ports::OperatorOutcome& outcome) { self->onOperator(outcome); });
+}
+
+void Agent::watchOperator(store::Revision after)
+{
+    this->environment.fleet->watchOperator(after, operatorWait, [self = shared_from_this(), after](
+                                                        const ports::OperatorOutcome& outcome) {
+        if (std::holds_alternative<kernel::Error>(outcome)) {
+            callLater(self->environment.context, retryInterval, [self, after] { self->watchOperator(after); });
+            return;
+        }
+        self->onOperator(outcome);
+    });
+}
+
+void Agent::onOperator(const ports::OperatorOutcome& outcome)
+{
+    if (this->abandoned) {
+        return;
+    }
+    std::visit(kernel::Overloaded {
+                   [&](const ports::OperatorState& state) {
+                       this->contact = bootNow();
+                       for (const auto& wave : state.waves) {
+                           this->waves.try_emplace(wave.number, wave);
+                       }
+                       if (state.configuration) {
+                           adopt(*state.configuration);
+                       }
+                       informFleetAgent();
+                       watchOperator(state.asOf);
+                   },
+                   [&](const store::HistoryGone&) { readOperator(); },
+                   [&](const kernel::Error&) {
+                       callLater(this->environment.context, retryInterval,
+                           [self = shared_from_this()] { self->readOperator(); });
+                   },
+               },
+        outcome);
+}
+
+void Agent::adopt(const jobs::Configuration& configuration)
+{
+    const auto& current = this->environment.configurations->current();
+    if (current && current->generation >= configuration.generation) {
+        return;
+    }
+    kernel::logEvent("configuration-adopted", { { "generation", configuration.generation.value },
+                                                  { "queues", configuration.queues.size() } });
+    this->environment.configurations->publish(std::make_shared<const jobs::Configuration>(configuration));
+    for (const auto& queue : configuration.queues) {
+        this->wanted.insert(keys::poolDuty + queue.service.text());
+        this->poolsWithJobs.insert(queue.service);
+    }
+    this->wanted.insert(keys::fleetDuty);
+    this->duties->want(this->wanted);
+}
+
+void Agent::informFleetAgent()
+{
+    if (this->fleetAgent) {
+        this->fleetAgent->setPoolsWithJobs(this->poolsWithJobs);
+        this->fleetAgent->setWaves(this->waves);
+    }
+}
+
+void Agent::beginFleetDuty(ports::Term term)
+{
+    const std::weak_ptr<Duties> keeper = this->duties;
+    this->fleetAgent = std::make_shared<FleetAgent>(
+        FleetContext { this->environment.context, this->environment.store, this->environment.fleet, this->environment.access.orderGap,
+            [keeper] {
+                const auto kept = keeper.lock();
+                return kept && kept->surelyHolds();
+            } },
+        term);
+    informFleetAgent();
+    this->fleetAgent->start();
+}
+
+void Agent::beginDuty(const std::string& duty, ports::Term term)
+{
+    if (duty == keys::fleetDuty) {
+        beginFleetDuty(term);
+        return;
+    }
+    const model::ServiceId service { duty.substr(keys::poolDuty.size()) };
+    const std::weak_ptr<Duties> keeper = this->duties;
+    auto agent = std::make_shared<PoolAgent>(
+        PoolContext { this->environment.context, this->environment.store, this->environment.upstreams, this->environment.metrics,
+            this->environment.access.taskLease,
+            [keeper] {
+                const auto kept = keeper.lock();
+                return kept && kept->mayAct();
+            },
+            [keeper] {
+                const auto kept = keeper.lock();
+                return kept && kept->surelyHolds();
+            } },
+        service, term);
+    this->pools.insert_or_assign(service, agent);
+    agent->start();
+    if (this->pools.size() == 1) {
+        readMembers();
+    }
+}
+
+void Agent::endDuty(const std::string& duty)
+{
+    if (duty == keys::fleetDuty) {
+        this->fleetAgent->close();
+        this->fleetAgent.reset();
+        return;
+    }
+    const auto found = this->pools.find(model::ServiceId { duty.substr(keys::poolDuty.size()) });
+    if (found != this->pools.end()) {
+        found->second->close();
+        this->pools.erase(found);
+    }
+}
+
+void Agent::readMembers()
+{
+    if (this->pools.empty() || this->abandoned) {
+        return;
+    }
+    this->membersTimer.start(membersInterval, [self = shared_from_this()] { self->readMembers(); });
+    this->environment.fleet->listUpstreams(
+        [self = shared_from_this()](const kernel::Expected<std::vector<scheduling::UpstreamFacts>>& members) {
+            if (!members) {
+                return;
+            }
+            self->contact = bootNow();
+            const auto pools = self->pools;
+            for (const auto& [service, agent] : pools) {
+                agent->setMembers(*members);
+            }
+        });
+}
+
+void Agent::readState(const model::ServiceId& service, const jobs::JobId& job, bool mayBeElsewhere,
+    store::Callback<StateOutcome> callback)
+{
+    this->environment.store->read(keys::record(service, job),
+        [self = shared_from_this(), service, job, mayBeElsewhere, callback = std::move(callback)](
+            const kernel::Expected<std::optional<store::Entry>>& entry) {
+            if (!entry) {
+                callback(Unavailable {});
+                return;
+            }
+            if (!*entry) {
+                if (mayBeElsewhere) {
+                    self->readElsewhere(service, job, callback);
+                } else {
+                    callback(NoSuchJob {});
+                }
+                return;
+            }
+            const auto record = jobs::decodeRecord((*entry)->value);
+            callback(record ? StateOutcome { record->state } : StateOutcome { Unavailable {} });
+        });
+}
+
+void Agent::readElsewhere(
+    const model::ServiceId& service, const jobs::JobId& job, const store::Callback<StateOutcome>& callback)
+{
+    this->environment.store->read(keys::acceptance(job),
+        [self = shared_from_this(), service, job, callback](
+            const kernel::Expected<std::optional<store::Entry>>& entry) {
+            if (!entry) {
+                callback(Unavailable {});
+            } else if (!*entry || (*entry)->value == service.text()) {
+                callback(NoSuchJob {});
+            } else {
+                self->readState(model::ServiceId { (*entry)->value }, job, false, callback);
+            }
+        });
+}
+
+void Agent::cancelElsewhere(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+    const store::Callback<StateOutcome>& callback)
+{
+    this->environment.store->read(keys::acceptance(job),
+        [self = shared_from_this(), service, job, attempts, callback](
+            const kernel::Expected<std::optional<store::Entry>>& entry) {
+            if (!entry) {
+                self->retryCancel(service, job, attempts, callback);
+            } else if (!*entry || (*entry)->value == service.text()) {
+                callback(NoSuchJob {});
+            } else {
+                self->cancel(model::ServiceId { (*entry)->value }, job, attempts - 1, callback);
+            }
+        });
+}
+
+void Agent::retryCancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+    const store::Callback<StateOutcome>& callback)
+{
+    if (attempts <= 1) {
+        callback(Unavailable {});
+        return;
+    }
+    callLater(this->environment.context, retryInterval, [self = shared_from_this(), service, job, attempts, callback] {
+        self->cancel(service, job, attempts - 1, callback);
+    });
+}
+
+void Agent::cancelRecord(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+    const store::Entry& entry, const store::Callback<StateOutcome>& callback)
+{
+    const auto record = jobs::decodeRecord(entry.value);
+    if (record && jobs::isFinal(record->state)) {
+        callback(record->state);
+        return;
+    }
+    const jobs::Record cancelled { jobs::JobState::Cancelled, {}, kernel::now(kernel::WallClock {}) };
+    this->environment.store->change({ { { entry.key, entry.revision } }, { { entry.key, jobs::encode(cancelled) } },
+                            { keys::job(service, job) } },
+        [self = shared_from_this(), service, job, attempts, callback](const store::ChangeOutcome& outcome) {
+            if (std::holds_alternative<store::Committed>(outcome)) {
+                kernel::logEvent("job-cancel-stored", { { "job", job.text() } });
+                callback(jobs::JobState::Cancelled);
+            } else if (std::holds_alternative<store::Conflict>(outcome) && attempts > 1) {
+                self->cancel(service, job, attempts - 1, callback);
+            } else {
+                self->retryCancel(service, job, attempts, callback);
+            }
+        });
+}
+
+Intake Agent::makeIntake()
+{
+    const auto self = shared_from_this();
+    return {
+        .submit = [self](jobs::Job job, Duration deadline,
+                      auto callback) { self->submit(std::move(job), deadline, std::move(callback)); },
+        .state = [self](const model::ServiceId& service, const jobs::JobId& job,
+                     auto callback) { self->state(service, job, std::move(callback)); },
+        .cancel =
+            [self](const model::ServiceId& service, const jobs::JobId& job, auto callback) {
+                self->cancel(service, job, cancelAttempts, std::move(callback));
+            },
+        .pending = [self](const model::ServiceId& service, const jobs::QueueId& queue,
+                       auto callback) { self->pending(service, queue, std::move(callback)); },
+        .ready = [self] { return self->isReady(); },
+    };
+}
+
+} // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/duties.cpp
+++ b/src/wasabiroad/agent/duties.cpp
@@ -287,6 +287,13 @@
     tryVacant();
 }
 
+void Duties::abandon()
+{
+    this->stopping = true;
+    this->leaseTimer.cancel();
+    this->retryTimer.cancel();
+}
+
 void Duties::release(std::function<void()> done)
 {
     this->stopping = true;
--- a/src/wasabiroad/agent/duties.hpp
+++ b/src/wasabiroad/agent/duties.hpp
@@ -46,6 +46,9 @@
     /** @brief Ends all duties and the lease, then calls back. */
     void release(std::function<void()> done);
 
+    /** @brief Ends all work at once and gives up nothing, as a crash would. */
+    void abandon();
+
     /** @return Whether this daemon may act on its duties: its lease surely lives, or has only just run out. */
     bool mayAct() const;
 
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -426,6 +426,9 @@
         }
     }
     apply(scheduling::TasksListed { id, tasks.born, sent, tasks.running, tasks.ended });
+    if (!this->used.contains(id.text()) && !this->recordingUsed) {
+        useMembers();
+    }
     const auto last = this->scheduler->lastEnd(id);
     if (last != this->seenEnds[id] || !tasks.ended.empty()) {
         this->seenEnds[id] = last;
@@ -641,9 +644,11 @@
             ++link;
             continue;
         }
+        const auto id = link->first;
         link->second->close();
-        this->seenEnds.erase(link->first);
+        this->seenEnds.erase(id);
         link = this->links.erase(link);
+        apply(scheduling::UpstreamSilent { id });
     }
 }
 
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -134,7 +134,7 @@
         upstream.member = true;
     }
     std::erase_if(this->upstreams, [](const auto& entry) {
-        return !entry.second.member && entry.second.tasks.empty();
+        return !entry.second.member && !entry.second.listed && entry.second.tasks.empty();
     });
     emptyUpstreams(now);
     this->passNeeded = true;
--- /dev/null
+++ b/src/wasabiroad/standin/key_value.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "wasabiroad/store/store.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+namespace wasabiroad::standin {
+
+/** @brief What is wrong between one daemon and the store; tests change it while they run. */
+struct StoreFaults {
+    /** @brief Calls get no answer and are not carried out. */
+    bool silent { false };
+    /** @brief Calls are refused. */
+    bool busy { false };
+    /** @brief Changes are carried out and not answered. */
+    bool losesAnswers { false };
+    /** @brief Watches get no answer. */
+    bool silentWatches { false };
+};
+
+/** @brief A key-value store in memory with conditions, leases, watches and a history that can be dropped. */
+class KeyValue {
+public:
+    explicit KeyValue(boost::asio::io_context& context);
+
+    /** @return Calls over a connection with these faults. */
+    store::Store connect(std::shared_ptr<StoreFaults> faults);
+
+    /** @brief Writes a key as the operator does. */
+    void put(const std::string& key, const std::string& value);
+
+    /** @return The entry of a key, or nothing. */
+    std::optional<store::Entry> find(const std::string& key) const;
+
+    /** @return All entries under a prefix. */
+    store::Listing list(const std::string& prefix) const;
+
+    /** @brief Forgets all changes; watches that ask for them are told so. */
+    void dropHistory();
+
+    /** @brief Ends all leases, as after an outage. */
+    void endLeases();
+
+    /** @return Changes that were made. */
+    std::uint64_t changeCount() const { return this->changes; }
+
+private:
+    struct Item {
+        std::string value {};
+        std::uint64_t revision { 0 };
+        std::uint64_t created { 0 };
+        std::uint64_t lease { 0 };
+    };
+
+    struct Watch {
+        std::string prefix;
+        std::uint64_t after { 0 };
+        std::shared_ptr<StoreFaults> faults;
+        store::Callback<store::WatchOutcome> callback;
+        std::uint64_t number { 0 };
+    };
+
+    void later(kernel::Duration delay, std::function<void()> action);
+    store::Entry entryOf(const std::string& key, const Item& item) const;
+    store::ChangeOutcome apply(const store::Change& change);
+    void remove(const std::string& key, std::uint64_t revision);
+    void record(store::KeyEvent event);
+    void answerWatches();
+    store::WatchOutcome eventsAfter(const std::string& prefix, std::uint64_t after) const;
+    void endLease(std::uint64_t lease);
+    void expireLeases();
+    void watch(std::string prefix, store::Revision after, kernel::Duration wait,
+        const std::shared_ptr<StoreFaults>& faults, store::Callback<store::WatchOutcome> callback);
+
+    boost::asio::io_context& context;
+    std::map<std::string, Item> items {};
+    std::uint64_t revision { 1 };
+    std::uint64_t historyFrom { 0 };
+    std::deque<std::pair<std::uint64_t, store::KeyEvent>> history {};
+    std::map<std::uint64_t, std::pair<kernel::Duration, kernel::Instant>> leases {};
+    std::list<Watch> watches {};
+    std::uint64_t numbers { 0 };
+    std::uint64_t changes { 0 };
+};
+
+} // namespace wasabiroad::standin
--- /dev/null
+++ b/src/wasabiroad/standin/workers.cpp
@@ -0,0 +1,320 @@
+#include "wasabiroad/standin/workers.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace wasabiroad::standin {
+
+using kernel::Duration;
+using kernel::Instant;
+using scheduling::EndKind;
+using scheduling::StartResult;
+using scheduling::UpstreamId;
+
+namespace {
+
+constexpr Duration latency { 2 };
+constexpr Duration silence { 300 };
+constexpr Duration stopTime { 30 };
+constexpr Duration maintenanceTime { 400 };
+constexpr Duration endInterval { 10 };
+
+Instant now() { return kernel::now(kernel::SteadyClock {}); }
+
+Duration runTime(const std::string& payload)
+{
+    std::int64_t milliseconds = 0;
+    std::from_chars(payload.data(), payload.data() + payload.size(), milliseconds);
+    return { milliseconds };
+}
+
+} // namespace
+
+Workers::Workers(boost::asio::io_context& ioContext)
+    : context(ioContext)
+{
+}
+
+void Workers::later(Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(this->context, delay.chrono());
+    timer->async_wait([timer, action = std::move(action)](boost::system::error_code) { action(); });
+}
+
+void Workers::add(const std::string& name, const model::ServiceId& service, std::int64_t cpu)
+{
+    const auto life = ++this->lives;
+    this->workers.push_back({ .name = name, .service = service, .cpu = cpu,
+        .id = UpstreamId { name + "-" + std::to_string(life) }, .born = static_cast<std::int64_t>(life) });
+}
+
+std::vector<scheduling::UpstreamFacts> Workers::members() const
+{
+    std::vector<scheduling::UpstreamFacts> facts;
+    for (const auto& worker : this->workers) {
+        if (worker.up) {
+            facts.push_back({ .id = worker.id, .service = worker.service, .address = "127.0.0.1:1",
+                .zone = model::ZoneId { "a" }, .rack = model::RackId { "r1" },
+                .capacity = { worker.cpu, 65536, 0 }, .born = { worker.born } });
+        }
+    }
+    return facts;
+}
+
+std::vector<ports::VmFacts> Workers::vms() const
+{
+    std::vector<ports::VmFacts> facts;
+    for (const auto& worker : this->workers) {
+        facts.push_back({ model::VmId { worker.name }, worker.service,
+            worker.up ? ports::VmCondition::Up : ports::VmCondition::Maintenance,
+            worker.up ? worker.id : UpstreamId {} });
+    }
+    return facts;
+}
+
+Workers::Worker* Workers::find(const UpstreamId& id)
+{
+    const auto found = std::ranges::find(this->workers, id, &Worker::id);
+    return found != this->workers.end() && found->up ? &*found : nullptr;
+}
+
+void Workers::lose(Worker& worker)
+{
+    worker.running.clear();
+    worker.closedRuns.clear();
+    worker.ends.clear();
+    worker.nextEnd = 1;
+    worker.fence = 0;
+    worker.leaseEnd = {};
+    worker.born = static_cast<std::int64_t>(++this->lives);
+}
+
+void Workers::crash(const std::string& name)
+{
+    lose(*std::ranges::find(this->workers, name, &Worker::name));
+}
+
+ports::VmOrderResult Workers::maintain(const model::VmId& vm, std::uint64_t term)
+{
+    auto& worker = *std::ranges::find(this->workers, vm.text(), &Worker::name);
+    if (term < worker.vmFence) {
+        return ports::VmOrderResult::Fenced;
+    }
+    worker.vmFence = term;
+    if (this->maintainedVms.contains(vm)) {
+        return ports::VmOrderResult::Done;
+    }
+    if (!worker.running.empty()) {
+        this->faults.push_back("maintenance ended tasks on " + worker.name);
+    }
+    this->maintainedVms.insert(vm);
+    worker.up = false;
+    lose(worker);
+    const auto down = std::ranges::count_if(this->workers, [](const auto& other) { return !other.up; });
+    this->downAtMost = std::max(this->downAtMost, static_cast<std::size_t>(down));
+    later(maintenanceTime, [this, vm] {
+        auto& back = *std::ranges::find(this->workers, vm.text(), &Worker::name);
+        back.up = true;
+        back.id = UpstreamId { back.name + "-" + std::to_string(++this->lives) };
+    });
+    return ports::VmOrderResult::Done;
+}
+
+void Workers::end(Worker& worker, const jobs::TaskId& task, EndKind kind)
+{
+    const auto run = worker.running.at(task).run;
+    worker.running.erase(task);
+    auto& closed = worker.closedRuns[task];
+    closed = std::max(closed, run);
+    const auto number = worker.nextEnd++;
+    worker.ends.emplace(number, scheduling::EndedTask { number, task, run, kind, "" });
+    if (kind == EndKind::Done) {
+        this->done[task] = { worker.name, now() };
+    }
+}
+
+bool Workers::isDone(const jobs::TaskId& task) const
+{
+    const auto found = this->done.find(task);
+    if (found == this->done.end()) {
+        return false;
+    }
+    // An end that was not taken note of before the lease ended may be lost with it.
+    const auto& [name, ended] = found->second;
+    const auto worker = std::ranges::find(this->workers, name, &Worker::name);
+    return worker->leaseEnd > now() && worker->lapsed < ended;
+}
+
+void Workers::advance(Worker& worker)
+{
+    if (worker.leaseEnd <= now()) {
+        worker.lapsed = now();
+    }
+    const auto running = worker.running;
+    for (const auto& [task, state] : running) {
+        if (worker.leaseEnd <= now()) {
+            end(worker, task, EndKind::Lapsed);
+        } else if (state.stops && *state.stops <= now()) {
+            end(worker, task, EndKind::Stopped);
+        } else if (state.ends <= now()) {
+            end(worker, task, EndKind::Done);
+        }
+    }
+}
+
+ports::LookOutcome Workers::look(const UpstreamId& id, const ports::Look& look)
+{
+    auto* const worker = find(id);
+    if (worker == nullptr) {
+        return kernel::Error { kernel::ResultCode::PlatformTimeout, id.text(), "no answer" };
+    }
+    advance(*worker);
+    if (look.term.value < worker->fence) {
+        return ports::Superseded {};
+    }
+    worker->fence = look.term.value;
+    if (look.lease) {
+        worker->leaseEnd = std::max(worker->leaseEnd, now() + *look.lease);
+    }
+    worker->ends.erase(worker->ends.begin(), worker->ends.upper_bound(look.acknowledged));
+    std::vector<scheduling::RunningTask> running;
+    for (const auto& [task, state] : worker->running) {
+        running.push_back({ task, state.run, "", 50 });
+    }
+    std::vector<scheduling::EndedTask> ended;
+    for (const auto& [number, end] : worker->ends) {
+        ended.push_back(end);
+    }
+    return ports::Tasks { { worker->born }, std::move(running), std::move(ended) };
+}
+
+ports::StartOutcome Workers::start(const scheduling::StartTask& order, ports::Term term, Duration lease)
+{
+    auto* const worker = find(order.upstream);
+    if (worker == nullptr) {
+        return StartResult::Unknown;
+    }
+    advance(*worker);
+    if (term.value < worker->fence) {
+        return ports::Superseded {};
+    }
+    worker->fence = term.value;
+    if (worker->running.contains(order.task)) {
+        return worker->running.at(order.task).run == order.run ? StartResult::Started : StartResult::StaleRun;
+    }
+    const auto closed = worker->closedRuns.find(order.task);
+    if (closed != worker->closedRuns.end() && order.run <= closed->second) {
+        return StartResult::StaleRun;
+    }
+    for (auto& other : this->workers) {
+        advance(other);
+        if (&other != worker && other.running.contains(order.task)) {
+            this->faults.push_back("two runs of " + jobs::toText(order.task));
+        }
+    }
+    if (isDone(order.task)) {
+        this->faults.push_back("start after the end of " + jobs::toText(order.task));
+    }
+    worker->leaseEnd = std::max(worker->leaseEnd, now() + lease);
+    worker->running[order.task] = { order.run, now() + runTime(order.payload) };
+    ++this->starts[order.task.job];
+    return StartResult::Started;
+}
+
+ports::OrderOutcome Workers::stop(const scheduling::StopTask& order, ports::Term term)
+{
+    auto* const worker = find(order.upstream);
+    if (worker == nullptr) {
+        return false;
+    }
+    advance(*worker);
+    if (term.value < worker->fence) {
+        return ports::Superseded {};
+    }
+    auto& closed = worker->closedRuns[order.task];
+    closed = std::max(closed, order.run);
+    const auto running = worker->running.find(order.task);
+    if (running != worker->running.end() && running->second.run == order.run) {
+        running->second.stops = now() + stopTime;
+    }
+    return true;
+}
+
+void Workers::waitForEnd(const UpstreamId& id, const ports::Look& wanted, Instant until,
+    store::Callback<ports::LookOutcome> callback)
+{
+    auto outcome = look(id, wanted);
+    const auto* const tasks = std::get_if<ports::Tasks>(&outcome);
+    if (tasks == nullptr || !tasks->ended.empty() || now() >= until) {
+        callback(std::move(outcome));
+        return;
+    }
+    later(endInterval, [this, id, wanted, until, callback = std::move(callback)] {
+        waitForEnd(id, wanted, until, callback);
+    });
+}
+
+ports::Upstreams Workers::connect(std::shared_ptr<WorkerFaults> workerFaults)
+{
+    return { .open = [this, workerFaults](const scheduling::UpstreamFacts& facts)
+                 -> kernel::Expected<std::shared_ptr<const ports::UpstreamLink>> {
+        const auto isCut = [workerFaults](const UpstreamId& id) { return workerFaults->cut.contains(id); };
+        return std::make_shared<const ports::UpstreamLink>(ports::UpstreamLink {
+            .look =
+                [this, isCut, id = facts.id](
+                    const ports::Look& wanted, const store::Callback<ports::LookOutcome>& callback) {
+                    if (isCut(id)) {
+                        later(silence, [callback] {
+                            callback(kernel::Error { kernel::ResultCode::PlatformTimeout, "upstream", "cut" });
+                        });
+                        return;
+                    }
+                    later(latency, [this, id, wanted, callback] {
+                        waitForEnd(id, wanted, now() + wanted.wait, callback);
+                    });
+                },
+            .start =
+                [this, isCut](const scheduling::StartTask& order, ports::Term term, Duration lease,
+                    const store::Callback<ports::StartOutcome>& callback) {
+                    if (isCut(order.upstream)) {
+                        later(silence, [callback] { callback(StartResult::Unknown); });
+                        return;
+                    }
+                    later(latency, [this, order, term, lease, callback] { callback(start(order, term, lease)); });
+                },
+            .stop =
+                [this, isCut](const scheduling::StopTask& order, ports::Term term,
+                    const store::Callback<ports::OrderOutcome>& callback) {
+                    if (isCut(order.upstream)) {
+                        later(silence, [callback] { callback(false); });
+                        return;
+                    }
+                    later(latency, [this, order, term, callback] { callback(stop(order, term)); });
+                },
+            .pace =
+                [this](const scheduling::PaceTask&, ports::Term,
+                    const store::Callback<ports::OrderOutcome>& callback) {
+                    later(latency, [callback] { callback(true); });
+                },
+        });
+    } };
+}
+
+std::size_t Workers::startsOf(const jobs::JobId& job) const
+{
+    const auto found = this->starts.find(job);
+    return found != this->starts.end() ? found->second : 0;
+}
+
+std::size_t Workers::runningCount() const
+{
+    std::size_t count = 0;
+    for (const auto& worker : this->workers) {
+        count += worker.running.size();
+    }
+    return count;
+}
+
+} // namespace wasabiroad::standin
--- /dev/null
+++ b/src/wasabiroad/standin/workers.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "wasabiroad/ports/fleet.hpp"
+#include "wasabiroad/ports/upstreams.hpp"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+namespace wasabiroad::standin {
+
+/** @brief What is wrong between one daemon and the upstreams; tests change it while they run. */
+struct WorkerFaults {
+    /** @brief Upstreams that do not answer this daemon. */
+    std::set<scheduling::UpstreamId> cut {};
+};
+
+/**
+ * @brief Upstreams in memory that run tasks under leases, and the VMs under them.
+ *
+ * They keep fences, run numbers, ends and leases as the platform's do, and note each broken promise. The payload
+ * of a task is the time that it runs, in ms.
+ */
+class Workers {
+public:
+    explicit Workers(boost::asio::io_context& context);
+
+    /** @brief Adds an upstream on a VM of the same number. */
+    void add(const std::string& name, const model::ServiceId& service, std::int64_t cpu);
+
+    /** @return Calls of a daemon with these faults. */
+    ports::Upstreams connect(std::shared_ptr<WorkerFaults> faults);
+
+    /** @return The upstreams that are up. */
+    std::vector<scheduling::UpstreamFacts> members() const;
+
+    /** @return The VMs. */
+    std::vector<ports::VmFacts> vms() const;
+
+    /** @brief Takes a VM down; a new upstream comes up on it after a while. */
+    ports::VmOrderResult maintain(const model::VmId& vm, std::uint64_t term);
+
+    /** @brief Lets an upstream lose all that it runs and start again. */
+    void crash(const std::string& name);
+
+    /** @return Promises that were broken, in order. */
+    const std::vector<std::string>& broken() const { return this->faults; }
+
+    /** @return Starts of tasks of a job. */
+    std::size_t startsOf(const jobs::JobId& job) const;
+
+    /** @return Tasks that run now. */
+    std::size_t runningCount() const;
+
+    /** @return Most VMs that were down for maintenance at once. */
+    std::size_t mostDown() const { return this->downAtMost; }
+
+    /** @return VMs that have had maintenance. */
+    const std::set<model::VmId>& maintained() const { return this->maintainedVms; }
+
+private:
+    struct Running {
+        jobs::Run run {};
+        kernel::Instant ends {};
+        std::int64_t cpu { 0 };
+        std::optional<kernel::Instant> stops {};
+    };
+
+    struct Worker {
+        std::string name;
+        model::ServiceId service;
+        std::int64_t cpu { 0 };
+        scheduling::UpstreamId id {};
+        std::int64_t born { 0 };
+        bool up { true };
+        std::uint64_t fence { 0 };
+        std::uint64_t vmFence { 0 };
+        kernel::Instant leaseEnd {};
+        /** @brief When its lease was last found to have ended. */
+        kernel::Instant lapsed {};
+        std::map<jobs::TaskId, Running> running {};
+        std::map<jobs::TaskId, jobs::Run> closedRuns {};
+        std::map<std::uint64_t, scheduling::EndedTask> ends {};
+        std::uint64_t nextEnd { 1 };
+    };
+
+    Worker* find(const scheduling::UpstreamId& id);
+    void advance(Worker& worker);
+    bool isDone(const jobs::TaskId& task) const;
+    void lose(Worker& worker);
+    void end(Worker& worker, const jobs::TaskId& task, scheduling::EndKind kind);
+    ports::LookOutcome look(const scheduling::UpstreamId& id, const ports::Look& look);
+    ports::StartOutcome start(const scheduling::StartTask& order, ports::Term term, kernel::Duration lease);
+    ports::OrderOutcome stop(const scheduling::StopTask& order, ports::Term term);
+    void later(kernel::Duration delay, std::function<void()> action);
+    void waitForEnd(const scheduling::UpstreamId& id, const ports::Look& look, kernel::Instant until,
+        store::Callback<ports::LookOutcome> callback);
+
+    boost::asio::io_context& context;
+    std::list<Worker> workers {};
+    std::vector<std::string> faults {};
+    std::map<jobs::JobId, std::size_t> starts {};
+    /** @brief Tasks that were done, where and when. */
+    std::map<jobs::TaskId, std::pair<std::string, kernel::Instant>> done {};
+    std::set<model::VmId> maintainedVms {};
+    std::size_t downAtMost { 0 };
+    std::uint64_t lives { 0 };
+};
+
+} // namespace wasabiroad::standin
--- /dev/null
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -0,0 +1,155 @@
+#include "wasabiroad/agent/site.hpp"
+
+#include "wasabiroad/agent/keys.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace wasabiroad::agent::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+using jobs::JobState;
+
+/** Number of daemons, and which of them takes the job and is asked for it. */
+struct PathRow {
+    const std::size_t daemons;
+    const std::size_t submittedAt;
+    const std::size_t askedAt;
+
+    friend std::ostream& operator<<(std::ostream& out, const PathRow& row)
+    {
+        return out << row.daemons << " daemons, " << row.submittedAt << " asked at " << row.askedAt;
+    }
+};
+
+const std::vector<PathRow> paths { { 1, 0, 0 }, { 3, 0, 1 }, { 3, 2, 0 } };
+
+/** Guards against a job that does not run, or whose state only one daemon knows. */
+BOOST_DATA_TEST_CASE(job_runs_and_every_daemon_knows, data::make(paths), row)
+{
+    Site site { row.daemons };
+    BOOST_REQUIRE(site.hasOwner());
+    BOOST_TEST((site.submit(makeJob("a"), row.submittedAt) == SubmitOutcome { Accepted {} }));
+    BOOST_TEST(site.reaches("a", JobState::Completed, row.askedAt));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+    BOOST_TEST(site.workers.broken().empty());
+    BOOST_TEST((site.state("unknown", row.askedAt) == StateOutcome { NoSuchJob {} }));
+}
+
+/** Guards against a job that runs twice since its id reaches two daemons, at once or later. */
+BOOST_DATA_TEST_CASE(same_id_is_one_job, data::make({ 0, 300 }), delay)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    std::vector<SubmitOutcome> outcomes;
+    const auto submit = [&](std::size_t daemon) {
+        site.daemons[daemon]->intake.submit(makeJob("a"), { 3000 },
+            [&](const SubmitOutcome& outcome) { outcomes.push_back(outcome); });
+    };
+    submit(0);
+    site.runFor(delay);
+    submit(1);
+    submit(1);
+    BOOST_REQUIRE(site.runUntil([&] { return outcomes.size() == 3; }));
+    for (const auto& outcome : outcomes) {
+        BOOST_TEST((outcome == SubmitOutcome { Accepted {} }));
+    }
+    BOOST_TEST(site.reaches("a", JobState::Completed));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+}
+
+/** What the owner learns of a cancellation, and how. */
+struct CancelRow {
+    const char* title;
+    const bool watchesAreSilent;
+    const bool historyIsDropped;
+    const std::size_t starts;
+
+    friend std::ostream& operator<<(std::ostream& out, const CancelRow& row) { return out << row.title; }
+};
+
+const std::vector<CancelRow> cancels {
+    { "job is seen first", false, false, 2 },
+    { "job and cancellation come together after a silence", true, false, 0 },
+    { "history was dropped meanwhile", true, true, 0 },
+};
+
+/** Guards against tasks of a cancelled job that are started, or run on. */
+BOOST_DATA_TEST_CASE(cancelled_job_ends, data::make(cancels), row)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    const auto owner = *site.owner();
+    const auto other = 1 - owner;
+    site.daemons[owner]->storeFaults->silentWatches = row.watchesAreSilent;
+    BOOST_TEST((site.submit(makeJob("a", 20000), other) == SubmitOutcome { Accepted {} }));
+    if (!row.watchesAreSilent) {
+        BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
+    }
+    BOOST_TEST((site.cancel("a", other) == StateOutcome { JobState::Cancelled }));
+    if (row.historyIsDropped) {
+        site.store.dropHistory();
+    }
+    site.daemons[owner]->storeFaults->silentWatches = false;
+    BOOST_TEST(site.runUntil([&] { return site.workers.runningCount() == 0; }));
+    site.submit(makeJob("b"), other);
+    BOOST_TEST(site.reaches("b", JobState::Completed));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == row.starts);
+    BOOST_TEST((site.state("a", owner) == StateOutcome { JobState::Cancelled }));
+}
+
+/** Guards against an open job that a daemon takes for cancelled, or forgets, after the history was dropped. */
+BOOST_AUTO_TEST_CASE(jobs_survive_a_dropped_history)
+{
+    Site site { 1 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(200);
+    site.submit(makeJob("a", 400));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
+    site.daemons[0]->storeFaults->silentWatches = true;
+    site.submit(makeJob("b"));
+    site.store.dropHistory();
+    site.daemons[0]->storeFaults->silentWatches = false;
+    BOOST_TEST(site.reaches("a", JobState::Completed));
+    BOOST_TEST(site.reaches("b", JobState::Completed));
+    BOOST_TEST(site.workers.broken().empty());
+}
+
+/** Guards against a completed job whose tasks run again after its description is read once more. */
+BOOST_AUTO_TEST_CASE(ended_jobs_are_not_started_again_after_a_dropped_history)
+{
+    Site site { 1 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.submit(makeJob("a"));
+    BOOST_REQUIRE(site.reaches("a", JobState::Completed));
+    site.store.dropHistory();
+    site.runFor(1500);
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+    BOOST_TEST((site.state("a") == StateOutcome { JobState::Completed }));
+}
+
+/** Guards against counts of waiting jobs that only the owner knows. */
+BOOST_AUTO_TEST_CASE(every_daemon_counts_the_jobs_that_wait)
+{
+    Site site { 2, 1 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.submit(makeJob("long", 2500, 4));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 4; }));
+    site.submit(makeJob("waits", 50, 1));
+    for (const auto& daemon : site.daemons) {
+        std::optional<std::uint64_t> count;
+        BOOST_TEST(site.runUntil([&] {
+            daemon->intake.pending(
+                service, queue, [&](const std::optional<std::uint64_t>& counted) { count = counted; });
+            site.runFor(20);
+            return count == 1;
+        }));
+    }
+}
+
+} // namespace
+
+} // namespace wasabiroad::agent::test
--- /dev/null
+++ b/test/wasabiroad/agent/site.hpp
@@ -0,0 +1,225 @@
+#pragma once
+
+#include "wasabiroad/agent/agent.hpp"
+#include "wasabiroad/jobs/codec.hpp"
+#include "wasabiroad/standin/key_value.hpp"
+#include "wasabiroad/standin/workers.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::agent::test {
+
+inline const model::ServiceId service { "checks" };
+inline const model::ServiceId spare { "spare" };
+inline const jobs::QueueId queue { "queue" };
+
+/** Longest wait for a condition; it only ends a test that fails. */
+inline constexpr kernel::Duration patience { 30000 };
+
+/** @return A job whose tasks run for a time. */
+inline jobs::Job makeJob(const std::string& id, std::int64_t runMs = 50, std::uint32_t count = 2)
+{
+    const jobs::Step step { .count = count, .resources = { 1000, 100, 0 }, .estimate = { runMs } };
+    return { .id = jobs::JobId { id }, .queue = queue, .service = service, .payload = std::to_string(runMs),
+        .steps = { step }, .accepted = kernel::now(kernel::WallClock {}), .maxAttempts = 3, .stretch = 2,
+        .allowance = { 1000 } };
+}
+
+/** @brief Daemons of a site with in-memory stand-ins, all on one context. */
+class Site {
+public:
+    /** @brief One daemon and its faults. */
+    struct Daemon {
+        std::shared_ptr<standin::StoreFaults> storeFaults { std::make_shared<standin::StoreFaults>() };
+        std::shared_ptr<standin::WorkerFaults> workerFaults { std::make_shared<standin::WorkerFaults>() };
+        std::shared_ptr<Agent> agent {};
+        Intake intake;
+    };
+
+    explicit Site(std::size_t daemons, std::size_t upstreams = 4)
+        : store(context)
+        , workers(context)
+    {
+        for (std::size_t index = 0; index < upstreams; ++index) {
+            this->workers.add("vm" + std::to_string(index), service, 4000);
+        }
+        for (std::size_t index = 0; index < daemons; ++index) {
+            addDaemon();
+        }
+    }
+
+    ~Site()
+    {
+        for (const auto& daemon : this->daemons) {
+            daemon->agent->abandon();
+        }
+        this->context.run_for(std::chrono::milliseconds { 20 });
+        this->context.stop();
+    }
+
+    Site(const Site&) = delete;
+    Site& operator=(const Site&) = delete;
+
+    Daemon& addDaemon()
+    {
+        const auto number = this->daemons.size();
+        auto daemon = std::make_unique<Daemon>();
+        const settings::FleetAccess access { .readiness = {}, .vms = {}, .advice = {}, .orderGap = { 100 } };
+        auto agent = std::make_shared<Agent>(AgentContext {
+            .context = this->context,
+            .entry = model::EntryId { "entry-" + std::to_string(number) },
+            .access = access,
+            .store = std::make_shared<const store::Store>(this->store.connect(daemon->storeFaults)),
+            .fleet = std::make_shared<const ports::Fleet>(makeFleet(daemon->storeFaults)),
+            .upstreams
+            = std::make_shared<const ports::Upstreams>(this->workers.connect(daemon->workerFaults)),
+            .metrics = std::make_shared<metrics::Metrics>(),
+            .configurations = std::make_shared<kernel::Publisher<jobs::Configuration>>(),
+            .incarnation = number + 1,
+        });
+        daemon->agent = agent;
+        auto started = std::make_unique<Daemon>(
+            Daemon { daemon->storeFaults, daemon->workerFaults, agent, agent->makeIntake() });
+        agent->start();
+        this->daemons.push_back(std::move(started));
+        return *this->daemons.back();
+    }
+
+    /** @brief Runs until a condition holds. @return Whether it held in time. */
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const auto end = kernel::now(kernel::SteadyClock {}) + patience;
+        while (!condition() && kernel::now(kernel::SteadyClock {}) < end) {
+            this->context.run_for(std::chrono::milliseconds { 5 });
+        }
+        return condition();
+    }
+
+    void runFor(std::int64_t milliseconds)
+    {
+        this->context.run_for(std::chrono::milliseconds { milliseconds });
+    }
+
+    /** @brief Submits a job and runs until there is an outcome. */
+    SubmitOutcome submit(const jobs::Job& job, std::size_t daemon = 0)
+    {
+        std::optional<SubmitOutcome> result;
+        this->daemons[daemon]->intake.submit(
+            job, { 3000 }, [&](const SubmitOutcome& outcome) { result.emplace(outcome); });
+        BOOST_REQUIRE(runUntil([&] { return result.has_value(); }));
+        return *result;
+    }
+
+    /** @brief Asks for a state and runs until there is an answer. */
+    StateOutcome state(const std::string& job, std::size_t daemon = 0)
+    {
+        std::optional<StateOutcome> result;
+        this->daemons[daemon]->intake.state(
+            service, jobs::JobId { job }, [&](const StateOutcome& outcome) { result.emplace(outcome); });
+        BOOST_REQUIRE(runUntil([&] { return result.has_value(); }));
+        return *result;
+    }
+
+    StateOutcome cancel(const std::string& job, std::size_t daemon = 0)
+    {
+        std::optional<StateOutcome> result;
+        this->daemons[daemon]->intake.cancel(
+            service, jobs::JobId { job }, [&](const StateOutcome& outcome) { result.emplace(outcome); });
+        BOOST_REQUIRE(runUntil([&] { return result.has_value(); }));
+        return *result;
+    }
+
+    /** @brief Runs until a job has a state. */
+    bool reaches(const std::string& job, jobs::JobState wanted, std::size_t daemon = 0)
+    {
+        const auto end = kernel::now(kernel::SteadyClock {}) + patience;
+        while (kernel::now(kernel::SteadyClock {}) < end) {
+            if (state(job, daemon) == StateOutcome { wanted }) {
+                return true;
+            }
+            runFor(20);
+        }
+        return false;
+    }
+
+    /** @return The daemon that owns the pool, or nothing. */
+    std::optional<std::size_t> owner() const
+    {
+        const auto entry = this->store.find("owner/pool/" + service.text());
+        if (!entry) {
+            return std::nullopt;
+        }
+        const auto name = entry->value.substr(0, entry->value.find('#'));
+        return static_cast<std::size_t>(std::stoul(name.substr(name.find('-') + 1)));
+    }
+
+    bool hasOwner()
+    {
+        return runUntil([&] { return owner().has_value(); });
+    }
+
+    boost::asio::io_context context { 1 };
+    standin::KeyValue store;
+    standin::Workers workers;
+    std::vector<std::unique_ptr<Daemon>> daemons {};
+    std::vector<ports::WaveRequest> waves {};
+
+private:
+    ports::Fleet makeFleet(const std::shared_ptr<standin::StoreFaults>& faults)
+    {
+        const auto operatorState = [this](store::Revision asOf) {
+            const jobs::Queue route { .id = queue, .host = "h", .prefix = "/q/", .service = service };
+            return ports::OperatorState {
+                jobs::Configuration { { 1 }, { route }, { { service, false }, { spare, true } } }, this->waves, asOf
+            };
+        };
+        const auto answer = [this](auto callback, auto result) {
+            auto timer = std::make_shared<boost::asio::steady_timer>(
+                this->context, std::chrono::milliseconds { 10 });
+            timer->async_wait([timer, callback, result](boost::system::error_code) { callback(result); });
+        };
+        const kernel::Error away { kernel::ResultCode::PlatformTimeout, "store", "no answer" };
+        return {
+            .readOperator =
+                [=](const store::Callback<ports::OperatorOutcome>& callback) {
+                    answer(callback, faults->silent ? ports::OperatorOutcome { away } : operatorState({ 1 }));
+                },
+            .watchOperator =
+                [=](store::Revision after, kernel::Duration,
+                    const store::Callback<ports::OperatorOutcome>& callback) {
+                    answer(callback, faults->silent ? ports::OperatorOutcome { away } : operatorState(after));
+                },
+            .listUpstreams =
+                [=, this](const store::Callback<kernel::Expected<std::vector<scheduling::UpstreamFacts>>>&
+                        callback) {
+                    if (faults->silent) {
+                        answer(callback,
+                            kernel::Expected<std::vector<scheduling::UpstreamFacts>> { tl::unexpected(away) });
+                    } else {
+                        answer(callback,
+                            kernel::Expected<std::vector<scheduling::UpstreamFacts>> { this->workers.members() });
+                    }
+                },
+            .listVms =
+                [=, this](const store::Callback<kernel::Expected<std::vector<ports::VmFacts>>>& callback) {
+                    answer(callback, kernel::Expected<std::vector<ports::VmFacts>> { this->workers.vms() });
+                },
+            .maintain =
+                [=, this](const model::VmId& vm, std::uint64_t, ports::Term term,
+                    const store::Callback<ports::VmOrderResult>& callback) {
+                    answer(callback, this->workers.maintain(vm, term.value));
+                },
+            .waveStatus =
+                [](std::uint64_t wave, bool completed) {
+                    return store::Put { "status/" + std::to_string(wave), completed ? "completed" : "running" };
+                },
+        };
+    }
+};
+
+} // namespace wasabiroad::agent::test
--- /dev/null
+++ b/test/wasabiroad/agent/submissions.cpp
@@ -0,0 +1,70 @@
+#include "wasabiroad/agent/site.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace wasabiroad::agent::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+std::string nameOf(const SubmitOutcome& outcome)
+{
+    constexpr std::array<const char*, 3> names { "accepted", "rejected", "undecided" };
+    return names.at(outcome.index());
+}
+
+/** What is wrong with the store while a job is submitted, and what its caller is told. */
+struct Row {
+    const char* title;
+    const standin::StoreFaults faults;
+    const char* outcome;
+    const bool stored;
+
+    friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
+};
+
+const std::vector<Row> rows {
+    { "nothing", {}, "accepted", true },
+    { "the store refuses", { .busy = true }, "rejected", false },
+    { "the store is silent", { .silent = true }, "undecided", false },
+    { "answers are lost", { .losesAnswers = true }, "undecided", true },
+};
+
+/** Guards against "rejected" for a job that is stored, and "accepted" for one that is not. */
+BOOST_DATA_TEST_CASE(caller_is_told_what_is_known, data::make(rows), row)
+{
+    Site site { 1 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(100);
+    *site.daemons[0]->storeFaults = row.faults;
+    BOOST_TEST(nameOf(site.submit(makeJob("a"))) == row.outcome);
+    BOOST_TEST(site.store.find("accepted/a").has_value() == row.stored);
+    *site.daemons[0]->storeFaults = {};
+    // The caller sends the same id again: it stays one job.
+    site.runFor(500);
+    BOOST_TEST(nameOf(site.submit(makeJob("a"))) == "accepted");
+    BOOST_TEST(site.reaches("a", jobs::JobState::Completed));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+}
+
+/** Guards against callers that wait for a store that is known to be away. */
+BOOST_AUTO_TEST_CASE(callers_are_rejected_at_once_while_the_store_is_away)
+{
+    Site site { 1 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.daemons[0]->storeFaults->busy = true;
+    site.submit(makeJob("a"));
+    std::optional<SubmitOutcome> outcome;
+    site.daemons[0]->intake.submit(
+        makeJob("b"), { 3000 }, [&](const SubmitOutcome& result) { outcome.emplace(result); });
+    BOOST_REQUIRE(outcome.has_value());
+    const auto* const rejected = std::get_if<Rejected>(&*outcome);
+    BOOST_REQUIRE(rejected != nullptr);
+    BOOST_TEST(rejected->retryAfter.milliseconds > 0);
+}
+
+} // namespace
+
+} // namespace wasabiroad::agent::test
--- /dev/null
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -0,0 +1,88 @@
+#include "wasabiroad/agent/site.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace wasabiroad::agent::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+using jobs::JobState;
+
+/** How a daemon loses the pool. */
+struct Row {
+    const char* title;
+    const std::function<void(Site&, std::size_t)> loss;
+
+    friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
+};
+
+const std::vector<Row> rows {
+    { "it crashes", [](Site& site, std::size_t owner) { site.daemons[owner]->agent->abandon(); } },
+    { "it stops", [](Site& site, std::size_t owner) { site.daemons[owner]->agent->stop([] {}); } },
+    { "it is cut off from the store",
+        [](Site& site, std::size_t owner) { site.daemons[owner]->storeFaults->silent = true; } },
+    { "the store ends its lease", [](Site& site, std::size_t) { site.store.endLeases(); } },
+    { "it is cut off from the store and the next owner from an upstream",
+        [](Site& site, std::size_t owner) {
+            site.daemons[owner]->storeFaults->silent = true;
+            site.daemons[1 - owner]->workerFaults->cut.insert(site.workers.members().front().id);
+        } },
+};
+
+/** Guards against tasks that are lost, or run twice, when the owner of a pool changes. */
+BOOST_DATA_TEST_CASE(jobs_go_on_under_the_next_owner, data::make(rows), row)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    const auto owner = *site.owner();
+    const auto other = 1 - owner;
+    const auto before = site.store.find("owner/pool/checks")->revision;
+    site.submit(makeJob("long", 3000, 8), other);
+    site.submit(makeJob("short", 50, 4), other);
+    BOOST_REQUIRE(site.reaches("short", JobState::Completed, other));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 8; }));
+    row.loss(site, owner);
+    BOOST_REQUIRE(site.runUntil([&] {
+        const auto entry = site.store.find("owner/pool/checks");
+        return entry && entry->revision > before;
+    }));
+    BOOST_TEST((site.submit(makeJob("later", 50), other) == SubmitOutcome { Accepted {} }));
+    BOOST_TEST(site.reaches("later", JobState::Completed, other));
+    BOOST_TEST(site.reaches("long", JobState::Completed, other));
+    BOOST_TEST(site.workers.broken().empty());
+    for (const auto& fault : site.workers.broken()) {
+        BOOST_TEST_MESSAGE(fault);
+    }
+}
+
+/** Guards against one daemon that takes all duties of a site. */
+BOOST_AUTO_TEST_CASE(duties_are_spread_over_daemons)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.runUntil([&] {
+        return site.store.find("owner/pool/checks").has_value() && site.store.find("owner/fleet").has_value();
+    }));
+    BOOST_TEST(site.store.find("owner/pool/checks")->value != site.store.find("owner/fleet")->value);
+}
+
+/** Guards against tasks that stay lost with an upstream that crashed. */
+BOOST_AUTO_TEST_CASE(tasks_of_a_crashed_upstream_run_again)
+{
+    Site site { 1, 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    // Both upstreams have joined, so that the tasks are spread.
+    site.runFor(500);
+    site.submit(makeJob("a", 1000, 4));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 4; }));
+    site.workers.crash("vm0");
+    BOOST_TEST(site.reaches("a", JobState::Completed));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 6);
+    BOOST_TEST(site.workers.broken().empty());
+}
+
+} // namespace
+
+} // namespace wasabiroad::agent::test
