--- /dev/null
+++ b/test/platform/documents.cpp
@@ -0,0 +1,117 @@
+#include "platform/documents.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::platform {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/** Guards against a configuration that is read other than the operator wrote it. */
+BOOST_AUTO_TEST_CASE(configuration_is_decoded)
+{
+    const auto decoded = decodeConfiguration(
+        R"({"version":7,"routes":[{"name":"r-a","host":"h.example","prefix":"/k/","kind":"non_idempotent",
+        "timeoutMs":3000,"sloMs":600,"priority":1,"service":"s1","maxAttempts":4,"stretch":1.6},{"name":5}],
+        "services":[{"name":"s1","maxConns":64},{"name":"s2","spare":true}],"limits":{"maxBodyBytes":1000}})");
+    const jobs::Configuration expected { { 7 },
+        { { jobs::QueueId { "r-a" }, "h.example", "/k/", model::ServiceId { "s1" }, 1, 4, 1.6, { 600 },
+            { 3000 } } },
+        { { model::ServiceId { "s1" }, false }, { model::ServiceId { "s2" }, true } }, 1000 };
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((*decoded == expected));
+}
+
+const std::vector<std::string> noConfigurations { "", "[]", "{}", R"({"version":"7","routes":[]})",
+    R"({"version":7})", R"({"version":-1,"routes":[]})", "\xff\xfe" };
+
+/** Guards against a document of another writer that replaces the configuration in force. */
+BOOST_DATA_TEST_CASE(other_document_is_no_configuration, data::make(noConfigurations), text)
+{
+    BOOST_TEST(!decodeConfiguration(text).has_value());
+}
+
+/** An entry of an upstream, and whether tasks may be sent there. */
+struct UpstreamRow {
+    const char* title;
+    const char* text;
+    const bool usable;
+
+    friend std::ostream& operator<<(std::ostream& out, const UpstreamRow& row) { return out << row.title; }
+};
+
+const std::vector<UpstreamRow> upstreamRows {
+    { "ready", R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":1},"seq":4})",
+        true },
+    { "draining",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"draining","capacity":{},"labels":["k","r"]})",
+        true },
+    { "unknown state", R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"odd","capacity":{}})", false },
+    { "no service", R"({"address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{}})", false },
+    { "address of another type", R"({"service":"s","address":7,"zone":"a","state":"ready","capacity":{}})", false },
+    { "no capacity", R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready"})", false },
+    { "capacity of another type",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":5})", false },
+    { "list", "[1,2]", false },
+    { "nothing", "", false },
+    { "unreadable bytes", "\x01\xff\xfe{", false },
+};
+
+/** Guards against entries of other writers that crash the daemon or get tasks. */
+BOOST_DATA_TEST_CASE(only_whole_entries_name_an_upstream, data::make(upstreamRows), row)
+{
+    BOOST_TEST(decodeUpstream("i-1", row.text).has_value() == row.usable);
+}
+
+/** Guards against fields of an upstream that end up in another place. */
+BOOST_AUTO_TEST_CASE(upstream_is_decoded)
+{
+    const auto facts = decodeUpstream("i-7f",
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"hall-a","version":"v1","slots":8,"state":"draining",
+        "coldRemainingMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":1},"labels":["a","r1-3"],"clockMs":4,
+        "seq":4,"born":1790075856762})");
+    BOOST_REQUIRE(facts.has_value());
+    const scheduling::UpstreamFacts expected { scheduling::UpstreamId { "i-7f" }, model::ServiceId { "s" },
+        "10.0.0.9:8080", model::ZoneId { "hall-a" }, model::RackId { "r1-3" }, { "a", "r1-3" },
+        { 16000, 32768, 1 }, true, { 1790075856762 } };
+    BOOST_TEST((*facts == expected));
+}
+
+/** Guards against a wave whose bounds are lost. */
+BOOST_AUTO_TEST_CASE(wave_is_decoded)
+{
+    const auto wave = decodeWave(R"({"wave":3,"machines":["m-1","m-2"],"durationS":20.5,"maxCount":2})");
+    const ports::WaveRequest expected { model::WaveId { "3" }, 3, { model::VmId { "m-1" }, model::VmId { "m-2" } },
+        { 20500 }, 2 };
+    BOOST_REQUIRE(wave.has_value());
+    BOOST_TEST((*wave == expected));
+    BOOST_TEST(!decodeWave("{}").has_value());
+    BOOST_TEST(encodeWaveStatus(true) == R"({"state":"completed"})");
+    BOOST_TEST(encodeWaveStatus(false) == R"({"state":"running"})");
+}
+
+/** Guards against VMs that are taken for up, and against pages that are left out. */
+BOOST_AUTO_TEST_CASE(page_of_vms_is_decoded)
+{
+    const auto page = decodeVms(
+        R"({"machines":[{"machine":"m-1","pool":"s","state":"up","id":"i-1"},{"machine":"m-2","pool":"s",
+        "state":"upkeep"},{"machine":"m-3","pool":"s","state":"moving"},{"pool":"s"}],"nextToken":"t"})");
+    BOOST_REQUIRE(page.has_value());
+    const model::ServiceId pool { "s" };
+    const std::vector<ports::VmFacts> expected {
+        { model::VmId { "m-1" }, pool, ports::VmCondition::Up, scheduling::UpstreamId { "i-1" } },
+        { model::VmId { "m-2" }, pool, ports::VmCondition::Maintenance, {} },
+        { model::VmId { "m-3" }, pool, ports::VmCondition::Moving, {} },
+    };
+    BOOST_TEST((page->vms == expected));
+    BOOST_TEST(page->next == "t");
+    BOOST_TEST(decodeVms(R"({"machines":[],"nextToken":null})")->next.empty());
+    BOOST_TEST(!decodeVms("{}").has_value());
+}
+
+} // namespace
+
+} // namespace wasabiroad::platform
--- /dev/null
+++ b/test/platform/orders.cpp
@@ -0,0 +1,114 @@
+#include "platform/orders.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::platform {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+using scheduling::EndKind;
+
+const jobs::TaskId task { jobs::JobId { "5c0e7a21d94b36f8" }, { 0, 1, 17 } };
+
+/** Names of tasks, and whether they are any. */
+struct TaskRow {
+    const char* name;
+    const bool valid;
+
+    friend std::ostream& operator<<(std::ostream& out, const TaskRow& row) { return out << row.name; }
+};
+
+const std::vector<TaskRow> taskRows { { "5c0e7a21d94b36f8.0.1.17", true }, { "5c0e.0.1", false },
+    { "5c0e.0.1.2.3", false }, { "5c0e.a.1.2", false }, { ".0.1.2", false }, { "", false },
+    { "5c0e.0.1.", false } };
+
+/** Guards against rows of another writer that are taken for a task. */
+BOOST_DATA_TEST_CASE(task_name_is_read_whole_or_not, data::make(taskRows), row)
+{
+    const auto decoded = decodeTask(row.name);
+    BOOST_TEST(decoded.has_value() == row.valid);
+    BOOST_TEST((!decoded || encodeTask(*decoded) == row.name));
+}
+
+/** Guards against orders that lack their fence, their run or their lease. */
+BOOST_AUTO_TEST_CASE(orders_carry_all_that_upstreams_check)
+{
+    const scheduling::UpstreamId upstream { "i-1" };
+    BOOST_TEST(encodeStart({ upstream, task, { 2 }, "text", "" }, { 7 }, { 486000 })
+        == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"text","untilMs":486000,"fencingToken":7})");
+    BOOST_TEST(encodeStart({ upstream, task, { 2 }, "text", "c" }, { 7 }, { 486000 }).ends_with(
+        R"("fencingToken":7,"checkpoint":"c"})"));
+    BOOST_TEST(encodeStop({ upstream, task, { 2 }, "" }, { 7 })
+        == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"fencingToken":7})");
+    BOOST_TEST(encodePace({ upstream, task, { 2 }, 40 }, { 7 })
+        == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"percent":40,"fencingToken":7})");
+    BOOST_TEST(encodeLook({ { 7 }, 57, {}, {} }, std::nullopt) == R"({"fencingToken":7,"ackedUpto":57})");
+    BOOST_TEST(encodeLook({ { 7 }, 57, {}, { 1000 } }, UpstreamTime { 486000 })
+        == R"({"fencingToken":7,"ackedUpto":57,"untilMs":486000,"waitMs":1000})");
+}
+
+/** Guards against tasks and ends that are lost or mixed up. */
+BOOST_AUTO_TEST_CASE(tasks_are_decoded)
+{
+    const auto tasks = decodeTasks(
+        R"({"clockMs":482113,"born":9,"runningTasks":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,12.7],["odd",1,"",0,0],7],
+        "ended":[[58,"5c0e7a21d94b36f8.0.1.17",1,"lapsed",""],[59,"5c0e7a21d94b36f8.0.1.17",1,"odd",""]]})");
+    const ports::Tasks expected { { 9 }, { { task, { 2 }, "c", 41, 12 } },
+        { { 58, task, { 1 }, EndKind::Lapsed, "" } } };
+    BOOST_REQUIRE(tasks.has_value());
+    BOOST_TEST((*tasks == expected));
+    BOOST_TEST(!decodeTasks("odd").has_value());
+    BOOST_TEST((decodeClock(R"({"clockMs":482113})") == UpstreamTime { 482113 }));
+    BOOST_TEST(!decodeClock("{}").has_value());
+}
+
+struct EndRow {
+    const char* word;
+    const EndKind kind;
+
+    friend std::ostream& operator<<(std::ostream& out, const EndRow& row) { return out << row.word; }
+};
+
+const std::vector<EndRow> endRows { { "done", EndKind::Done }, { "failed", EndKind::Failed },
+    { "stopped", EndKind::Stopped }, { "lapsed", EndKind::Lapsed }, { "broken", EndKind::PeerEnded },
+    { "alone", EndKind::GangIncomplete } };
+
+/** Guards against an end that is counted as another. */
+BOOST_DATA_TEST_CASE(end_is_decoded, data::make(endRows), row)
+{
+    const auto tasks = decodeTasks(
+        R"({"runningTasks":[],"ended":[[1,"5c0e7a21d94b36f8.0.1.17",1,")" + std::string { row.word }
+        + R"(",""]]})");
+    BOOST_REQUIRE_EQUAL(tasks->ended.size(), 1);
+    BOOST_TEST((tasks->ended.front().kind == row.kind));
+}
+
+struct RejectionRow {
+    const char* body;
+    const OrderRejection reason;
+
+    friend std::ostream& operator<<(std::ostream& out, const RejectionRow& row) { return out << row.body; }
+};
+
+const std::vector<RejectionRow> rejections {
+    { R"({"clockMs":1,"reason":"fence"})", OrderRejection::Fence },
+    { R"({"reason":"old"})", OrderRejection::StaleRun },
+    { R"({"reason":"late"})", OrderRejection::LeaseTooLate },
+    { R"({"reason":"room"})", OrderRejection::NoRoom },
+    { R"({"reason":"ticket"})", OrderRejection::Ticket },
+    { R"({"reason":"new"})", OrderRejection::Other },
+    { "", OrderRejection::Other },
+};
+
+/** Guards against a rejection by a fence that is taken for another one. */
+BOOST_DATA_TEST_CASE(rejection_is_decoded, data::make(rejections), row)
+{
+    BOOST_TEST((decodeRejection(row.body) == row.reason));
+}
+
+} // namespace
+
+} // namespace wasabiroad::platform
--- /dev/null
+++ b/test/platform/requests.cpp
@@ -0,0 +1,73 @@
+#include "platform/requests.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::platform {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+const jobs::Queue queue { jobs::QueueId { "q" }, "h", "/p/", model::ServiceId { "s" }, 1, 4, 1.6, { 600 },
+    { 3000 } };
+const jobs::JobId id { "5c0e7a21d94b36f8" };
+
+/** Guards against fields of a step that end up in another place. */
+BOOST_AUTO_TEST_CASE(job_is_decoded)
+{
+    const auto job = decodeJob(id, queue,
+        R"({"spec":"text","runCount":3,"startMs":5000,"intervalMs":100,"steps":[{"count":4,"cpu":500,"memMb":256,
+        "gpu":1,"estimateMs":900,"affinity":"r1-3","maxPerServer":2,"image":"i","targetMs":50,"mayMiss":1,
+        "longRunning":true},{"count":20,"after":[0],"savesProgress":true,"gang":true,"sameRack":true,
+        "requires":"a","speculative":true,"fills":true}]})",
+        { 77 });
+    const jobs::Job expected { .id = id, .queue = queue.id, .service = queue.service, .payload = "text",
+        .steps = { { .count = 4, .resources = { 500, 256, 1 }, .estimate = { 900 }, .dataRack = "r1-3",
+                       .maxPerUpstream = 2, .longRunning = true, .image = "i", .tailTarget = { 50 }, .mayMiss = 1 },
+            { .count = 20, .after = { 0 }, .savesProgress = true, .gang = true, .sameRack = true, .label = "a",
+                .speculative = true, .filler = true } },
+        .occurrences = 3, .firstDue = { 5000 }, .interval = { 100 }, .accepted = { 77 }, .priority = 1,
+        .maxAttempts = 4, .stretch = 1.6, .allowance = { 600 } };
+    BOOST_REQUIRE(job.has_value());
+    BOOST_TEST((*job == expected));
+}
+
+const std::vector<std::string> malformed { "", "[]", R"({"spec":"x"})", R"({"steps":[]})", R"({"steps":[1]})",
+    R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":1,"after":["a"]}]})",
+    R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":1000000}]})",
+    R"({"steps":[{"count":1}],"runCount":100000000})", "\xff" };
+
+/** Guards against bodies that crash the daemon or are stored as a job that never ends. */
+BOOST_DATA_TEST_CASE(malformed_job_is_rejected, data::make(malformed), body)
+{
+    BOOST_TEST(!decodeJob(id, queue, body, {}).has_value());
+}
+
+struct IdRow {
+    const char* text;
+    const bool valid;
+
+    friend std::ostream& operator<<(std::ostream& out, const IdRow& row) { return out << row.text; }
+};
+
+const std::vector<IdRow> ids { { "5c0e7a21d94b36f8", true }, { "5c0e7a21d94b36f", false },
+    { "5C0e7a21d94b36f8", false }, { "5c0e7a21d94b36f8/", false }, { "../../../../../..", false }, { "", false } };
+
+/** Guards against paths that reach other keys of the store. */
+BOOST_DATA_TEST_CASE(job_id_is_16_hexadecimal_digits, data::make(ids), row)
+{
+    BOOST_TEST(isJobId(row.text) == row.valid);
+}
+
+/** Guards against answers that callers cannot read. */
+BOOST_AUTO_TEST_CASE(answers_are_encoded)
+{
+    BOOST_TEST(encodeState(jobs::JobState::Completed) == R"({"state":"completed"})");
+    BOOST_TEST(encodePending(12) == R"({"pendingCount":12})");
+}
+
+} // namespace
+
+} // namespace wasabiroad::platform
