--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -40,8 +40,8 @@
 void Agent::start()
 {
     const std::weak_ptr<Agent> weak = weak_from_this();
-    this->duties = std::make_shared<Duties>(this->environment.context, this->environment.store, this->environment.entry,
-        this->environment.incarnation,
+    this->duties = std::make_shared<Duties>(this->environment.context, this->environment.store,
+        this->environment.entry, this->environment.incarnation,
         DutyHandlers {
             [weak](const std::string& duty, ports::Term term) {
                 if (const auto self = weak.lock()) {
@@ -83,7 +83,8 @@
     this->submissions->submit(std::move(job), deadline, std::move(callback));
 }
 
-void Agent::state(const model::ServiceId& service, const jobs::JobId& job, store::Callback<StateOutcome> callback)
+void Agent::state(
+    const model::ServiceId& service, const jobs::JobId& job, store::Callback<StateOutcome> callback)
 {
     for (const auto& [pool, agent] : this->pools) {
         if (const auto known = agent->stateOf(job); known && this->duties->mayAct()) {
@@ -144,14 +145,15 @@
 
 void Agent::watchOperator(store::Revision after)
 {
-    this->environment.fleet->watchOperator(after, operatorWait, [self = shared_from_this(), after](
-                                                        const ports::OperatorOutcome& outcome) {
-        if (std::holds_alternative<kernel::Error>(outcome)) {
-            callLater(self->environment.context, retryInterval, [self, after] { self->watchOperator(after); });
-            return;
-        }
-        self->onOperator(outcome);
-    });
+    this->environment.fleet->watchOperator(
+        after, operatorWait, [self = shared_from_this(), after](const ports::OperatorOutcome& outcome) {
+            if (std::holds_alternative<kernel::Error>(outcome)) {
+                callLater(
+                    self->environment.context, retryInterval, [self, after] { self->watchOperator(after); });
+                return;
+            }
+            self->onOperator(outcome);
+        });
 }
 
 void Agent::onOperator(const ports::OperatorOutcome& outcome)
@@ -186,8 +188,8 @@
     if (current && current->generation >= configuration.generation) {
         return;
     }
-    kernel::logEvent("configuration-adopted", { { "generation", configuration.generation.value },
-                                                  { "queues", configuration.queues.size() } });
+    kernel::logEvent("configuration-adopted",
+        { { "generation", configuration.generation.value }, { "queues", configuration.queues.size() } });
     this->environment.configurations->publish(std::make_shared<const jobs::Configuration>(configuration));
     for (const auto& queue : configuration.queues) {
         this->wanted.insert(keys::poolDuty + queue.service.text());
@@ -208,13 +210,14 @@
 void Agent::beginFleetDuty(ports::Term term)
 {
     const std::weak_ptr<Duties> keeper = this->duties;
-    this->fleetAgent = std::make_shared<FleetAgent>(
-        FleetContext { this->environment.context, this->environment.store, this->environment.fleet, this->environment.access.orderGap,
-            [keeper] {
-                const auto kept = keeper.lock();
-                return kept && kept->surelyHolds();
-            } },
-        term);
+    this->fleetAgent
+        = std::make_shared<FleetAgent>(FleetContext { this->environment.context, this->environment.store,
+                                           this->environment.fleet, this->environment.access.orderGap,
+                                           [keeper] {
+                                               const auto kept = keeper.lock();
+                                               return kept && kept->surelyHolds();
+                                           } },
+            term);
     informFleetAgent();
     this->fleetAgent->start();
 }
@@ -228,8 +231,8 @@
     const model::ServiceId service { duty.substr(keys::poolDuty.size()) };
     const std::weak_ptr<Duties> keeper = this->duties;
     auto agent = std::make_shared<PoolAgent>(
-        PoolContext { this->environment.context, this->environment.store, this->environment.upstreams, this->environment.metrics,
-            this->environment.access.taskLease,
+        PoolContext { this->environment.context, this->environment.store, this->environment.upstreams,
+            this->environment.metrics, this->environment.access.taskLease,
             [keeper] {
                 const auto kept = keeper.lock();
                 return kept && kept->mayAct();
@@ -341,9 +344,10 @@
         callback(Unavailable {});
         return;
     }
-    callLater(this->environment.context, retryInterval, [self = shared_from_this(), service, job, attempts, callback] {
-        self->cancel(service, job, attempts - 1, callback);
-    });
+    callLater(this->environment.context, retryInterval,
+        [self = shared_from_this(), service, job, attempts, callback] {
+            self->cancel(service, job, attempts - 1, callback);
+        });
 }
 
 void Agent::cancelRecord(const model::ServiceId& service, const jobs::JobId& job, int attempts,
@@ -355,8 +359,9 @@
         return;
     }
     const jobs::Record cancelled { jobs::JobState::Cancelled, {}, kernel::now(kernel::WallClock {}) };
-    this->environment.store->change({ { { entry.key, entry.revision } }, { { entry.key, jobs::encode(cancelled) } },
-                            { keys::job(service, job) } },
+    this->environment.store->change(
+        { { { entry.key, entry.revision } }, { { entry.key, jobs::encode(cancelled) } },
+            { keys::job(service, job) } },
         [self = shared_from_this(), service, job, attempts, callback](const store::ChangeOutcome& outcome) {
             if (std::holds_alternative<store::Committed>(outcome)) {
                 kernel::logEvent("job-cancel-stored", { { "job", job.text() } });
@@ -377,10 +382,8 @@
                       auto callback) { self->submit(std::move(job), deadline, std::move(callback)); },
         .state = [self](const model::ServiceId& service, const jobs::JobId& job,
                      auto callback) { self->state(service, job, std::move(callback)); },
-        .cancel =
-            [self](const model::ServiceId& service, const jobs::JobId& job, auto callback) {
-                self->cancel(service, job, cancelAttempts, std::move(callback));
-            },
+        .cancel = [self](const model::ServiceId& service, const jobs::JobId& job,
+                      auto callback) { self->cancel(service, job, cancelAttempts, std::move(callback)); },
         .pending = [self](const model::ServiceId& service, const jobs::QueueId& queue,
                        auto callback) { self->pending(service, queue, std::move(callback)); },
         .ready = [self] { return self->isReady(); },
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -30,7 +30,8 @@
     const std::uint64_t incarnation;
 };
 
-/** @brief The control state of one daemon: configuration, duties and calls of callers. Control thread only. */
+/** @brief The control state of one daemon: configuration, duties and calls of callers. Control thread only.
+ */
 class Agent : public std::enable_shared_from_this<Agent> {
 public:
     explicit Agent(AgentContext environment);
@@ -54,7 +55,8 @@
     void submit(jobs::Job job, kernel::Duration deadline, store::Callback<SubmitOutcome> callback);
 
     /** @brief Finds the state of a job, here or in the store. */
-    void state(const model::ServiceId& service, const jobs::JobId& job, store::Callback<StateOutcome> callback);
+    void state(
+        const model::ServiceId& service, const jobs::JobId& job, store::Callback<StateOutcome> callback);
 
     /** @brief Cancels a job; its record may change at the same time, so several attempts may be needed. */
     void cancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
@@ -80,8 +82,8 @@
     void readState(const model::ServiceId& service, const jobs::JobId& job, bool mayBeElsewhere,
         store::Callback<StateOutcome> callback);
     /** A queue may have moved to another service since the job was accepted. */
-    void readElsewhere(
-        const model::ServiceId& service, const jobs::JobId& job, const store::Callback<StateOutcome>& callback);
+    void readElsewhere(const model::ServiceId& service, const jobs::JobId& job,
+        const store::Callback<StateOutcome>& callback);
     void cancelElsewhere(const model::ServiceId& service, const jobs::JobId& job, int attempts,
         const store::Callback<StateOutcome>& callback);
     void retryCancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
--- a/src/wasabiroad/agent/duties.cpp
+++ b/src/wasabiroad/agent/duties.cpp
@@ -104,9 +104,9 @@
 void Duties::onRenewed(const kernel::Expected<bool>& alive, Instant sent)
 {
     if (!alive) {
-        kernel::logEvent("lease-not-renewed", { { "code", number(alive.error().code) },
-                                                  { "reason", alive.error().found },
-                                                  { "valid_ms", (this->validUntil - bootNow()).milliseconds } });
+        kernel::logEvent("lease-not-renewed",
+            { { "code", number(alive.error().code) }, { "reason", alive.error().found },
+                { "valid_ms", (this->validUntil - bootNow()).milliseconds } });
         return;
     }
     this->contact = bootNow();
@@ -120,31 +120,32 @@
 
 void Duties::readOwners()
 {
-    this->store->list(keys::owners, [self = shared_from_this()](const kernel::Expected<store::Listing>& listing) {
-        if (self->stopping) {
-            return;
-        }
-        if (!listing) {
-            callLater(self->context, retryInterval, [self] { self->readOwners(); });
-            return;
-        }
-        self->contact = bootNow();
-        self->informed = true;
-        std::set<std::string> present;
-        for (const auto& found : listing->entries) {
-            const auto duty = found.key.substr(keys::owners.size());
-            present.insert(duty);
-            self->onOwner(duty, found.value, found.created);
-        }
-        const auto known = self->owners;
-        for (const auto& [duty, owner] : known) {
-            if (!present.contains(duty)) {
-                self->onVacant(duty);
+    this->store->list(
+        keys::owners, [self = shared_from_this()](const kernel::Expected<store::Listing>& listing) {
+            if (self->stopping) {
+                return;
             }
-        }
-        self->want(self->wanted);
-        self->watchOwners(listing->asOf);
-    });
+            if (!listing) {
+                callLater(self->context, retryInterval, [self] { self->readOwners(); });
+                return;
+            }
+            self->contact = bootNow();
+            self->informed = true;
+            std::set<std::string> present;
+            for (const auto& found : listing->entries) {
+                const auto duty = found.key.substr(keys::owners.size());
+                present.insert(duty);
+                self->onOwner(duty, found.value, found.created);
+            }
+            const auto known = self->owners;
+            for (const auto& [duty, owner] : known) {
+                if (!present.contains(duty)) {
+                    self->onVacant(duty);
+                }
+            }
+            self->want(self->wanted);
+            self->watchOwners(listing->asOf);
+        });
 }
 
 void Duties::watchOwners(store::Revision after)
@@ -241,28 +242,27 @@
             if (self->stopping) {
                 return;
             }
-            std::visit(
-                kernel::Overloaded {
-                    [&](const store::Committed& committed) {
-                        self->contact = bootNow();
-                        if (self->lease == lease) {
-                            self->onOwner(duty, self->self(), committed.revision);
-                        }
-                    },
-                    [&](const store::Conflict& conflict) {
-                        self->contact = bootNow();
-                        for (const auto& found : conflict.current) {
-                            self->onOwner(duty, found.value, found.created);
-                        }
-                    },
-                    [&](const store::LeaseEnded&) {
-                        self->lease.reset();
-                        self->loseAll("lease ended");
-                    },
-                    // The watch shows whether it was taken.
-                    [&](const store::NotDone&) {},
-                    [&](const store::OutcomeUnknown&) {},
-                },
+            std::visit(kernel::Overloaded {
+                           [&](const store::Committed& committed) {
+                               self->contact = bootNow();
+                               if (self->lease == lease) {
+                                   self->onOwner(duty, self->self(), committed.revision);
+                               }
+                           },
+                           [&](const store::Conflict& conflict) {
+                               self->contact = bootNow();
+                               for (const auto& found : conflict.current) {
+                                   self->onOwner(duty, found.value, found.created);
+                               }
+                           },
+                           [&](const store::LeaseEnded&) {
+                               self->lease.reset();
+                               self->loseAll("lease ended");
+                           },
+                           // The watch shows whether it was taken.
+                           [&](const store::NotDone&) {},
+                           [&](const store::OutcomeUnknown&) {},
+                       },
                 outcome);
             self->tryVacant();
         });
@@ -270,8 +270,8 @@
 
 void Duties::lose(const std::string& duty, std::string_view reason)
 {
-    kernel::logEvent("duty-lost",
-        { { "duty", duty }, { "term", this->held.at(duty).value }, { "reason", reason } });
+    kernel::logEvent(
+        "duty-lost", { { "duty", duty }, { "term", this->held.at(duty).value }, { "reason", reason } });
     this->held.erase(duty);
     this->handlers.end(duty);
 }
--- a/src/wasabiroad/agent/duties.hpp
+++ b/src/wasabiroad/agent/duties.hpp
@@ -24,7 +24,8 @@
  * @brief Takes and keeps duties, each owned by one daemon at a time through a leased key in the store.
  *
  * The term of a duty is the revision at which its key was created, so terms rise over owners. A daemon whose
- * lease may have ended keeps its duties, but must not act on them until a renewal shows that it still has them.
+ * lease may have ended keeps its duties, but must not act on them until a renewal shows that it still has
+ * them.
  */
 class Duties : public std::enable_shared_from_this<Duties> {
 public:
@@ -40,7 +41,8 @@
     /** @brief Begins to compete for the duties that are wanted. */
     void start();
 
-    /** @brief Sets the duties to compete for; duties that are no longer wanted are kept until they are lost. */
+    /** @brief Sets the duties to compete for; duties that are no longer wanted are kept until they are lost.
+     */
     void want(const std::set<std::string>& duties);
 
     /** @brief Ends all duties and the lease, then calls back. */
@@ -49,7 +51,8 @@
     /** @brief Ends all work at once and gives up nothing, as a crash would. */
     void abandon();
 
-    /** @return Whether this daemon may act on its duties: its lease surely lives, or has only just run out. */
+    /** @return Whether this daemon may act on its duties: its lease surely lives, or has only just run out.
+     */
     bool mayAct() const;
 
     /** @return Whether no other daemon can have its duties. */
--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -107,8 +107,9 @@
                 wave.vms[vm].stage = isDone ? WaveStage::Done : WaveStage::Waiting;
             }
             wave.loaded = true;
-            kernel::logEvent("wave-loaded", { { "wave", number }, { "vms", wave.vms.size() },
-                                                { "done", done.size() }, { "term", self->term.value } });
+            kernel::logEvent("wave-loaded",
+                { { "wave", number }, { "vms", wave.vms.size() }, { "done", done.size() },
+                    { "term", self->term.value } });
         });
 }
 
@@ -145,8 +146,7 @@
         if (found == facts.end()) {
             if (++vm.missing >= missingLimit && vm.stage != WaveStage::Done
                 && vm.stage != WaveStage::InMaintenance) {
-                kernel::logEvent("wave-vm-gone",
-                    { { "wave", wave.request.number }, { "vm", name.text() } });
+                kernel::logEvent("wave-vm-gone", { { "wave", wave.request.number }, { "vm", name.text() } });
                 vm.stage = WaveStage::Done;
             }
             continue;
@@ -222,8 +222,9 @@
 
 void FleetAgent::requestDrain(Wave& wave, const model::VmId& name, Vm& vm)
 {
-    kernel::logEvent("wave-drain", { { "wave", wave.request.number }, { "vm", name.text() },
-                                       { "pool", vm.pool.text() }, { "upstream", vm.upstream.text() } });
+    kernel::logEvent("wave-drain",
+        { { "wave", wave.request.number }, { "vm", name.text() }, { "pool", vm.pool.text() },
+            { "upstream", vm.upstream.text() } });
     change({ { keys::drain(vm.pool, name), vm.upstream.text() } }, {},
         [self = shared_from_this(), number = wave.request.number, name](const store::ChangeOutcome& outcome) {
             if (!std::holds_alternative<store::Committed>(outcome)) {
@@ -256,11 +257,13 @@
         return;
     }
     vm.ordering = true;
-    kernel::logEvent("vm-maintenance", { { "wave", number }, { "vm", name.text() },
-                                           { "upstream", vm.upstream.text() }, { "term", this->term.value } });
-    this->environment.fleet->maintain(name, number, this->term,
-        [self = shared_from_this(), number, name](
-            ports::VmOrderResult result) { self->onMaintained(number, name, result); });
+    kernel::logEvent("vm-maintenance",
+        { { "wave", number }, { "vm", name.text() }, { "upstream", vm.upstream.text() },
+            { "term", this->term.value } });
+    this->environment.fleet->maintain(
+        name, number, this->term, [self = shared_from_this(), number, name](ports::VmOrderResult result) {
+            self->onMaintained(number, name, result);
+        });
 }
 
 void FleetAgent::onMaintained(std::uint64_t number, const model::VmId& name, ports::VmOrderResult result)
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -98,8 +98,8 @@
     if (this->closed) {
         return;
     }
-    this->environment.store->list(keys::pool(this->service),
-        [self = shared_from_this()](const kernel::Expected<store::Listing>& pool) {
+    this->environment.store->list(
+        keys::pool(this->service), [self = shared_from_this()](const kernel::Expected<store::Listing>& pool) {
             pool ? self->readRecords(*pool) : self->retryLoad();
         });
 }
@@ -177,7 +177,8 @@
         const auto job = jobs::decodeJob(entry.value);
         const auto record = found != recordOf.end() ? jobs::decodeRecord(found->second->value) : std::nullopt;
         if (!job || !record) {
-            kernel::logEvent("job-unreadable", { { "key", entry.key }, { "revision", entry.revision.value } });
+            kernel::logEvent(
+                "job-unreadable", { { "key", entry.key }, { "revision", entry.revision.value } });
             continue;
         }
         if (this->scheduler->stateOf(job->id) || jobs::isFinal(record->state)) {
@@ -185,8 +186,8 @@
         }
         this->writer->setRevision(job->id, found->second->revision);
         // A job that is younger than the term was never seen by a former owner.
-        apply(scheduling::JobAdded {
-            *job, *record, mayHaveStarted && entry.created.value < this->term.value });
+        apply(
+            scheduling::JobAdded { *job, *record, mayHaveStarted && entry.created.value < this->term.value });
     }
 }
 
@@ -317,37 +318,39 @@
 
 void PoolAgent::carryOut(const scheduling::StartTask& order, UpstreamAgent& upstream)
 {
-    kernel::logEvent("task-start", { { "task", jobs::toText(order.task) }, { "run", order.run.value },
-                                       { "upstream", order.upstream.text() },
-                                       { "resumes", order.checkpoint.empty() ? "no" : "yes" } });
+    kernel::logEvent("task-start",
+        { { "task", jobs::toText(order.task) }, { "run", order.run.value },
+            { "upstream", order.upstream.text() }, { "resumes", order.checkpoint.empty() ? "no" : "yes" } });
     upstream.orders().start(order, this->term, this->taskLease,
         [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run](
             const ports::StartOutcome& outcome) {
             if (self->closed) {
                 return;
             }
-            std::visit(kernel::Overloaded {
-                           [&](const scheduling::StartResult& result) {
-                               if (result != scheduling::StartResult::Started) {
-                                   kernel::logEvent("task-not-started",
-                                       { { "task", jobs::toText(task) }, { "run", run.value },
-                                           { "upstream", id.text() }, { "result", scheduling::name(result) } });
-                               }
-                               self->apply(scheduling::StartAnswered { id, task, run, result });
-                           },
-                           [&](const ports::Superseded&) { self->superseded(); },
-                           [&](const ports::OtherUpstream&) { self->replaced(id); },
-                       },
+            std::visit(
+                kernel::Overloaded {
+                    [&](const scheduling::StartResult& result) {
+                        if (result != scheduling::StartResult::Started) {
+                            kernel::logEvent("task-not-started",
+                                { { "task", jobs::toText(task) }, { "run", run.value },
+                                    { "upstream", id.text() }, { "result", scheduling::name(result) } });
+                        }
+                        self->apply(scheduling::StartAnswered { id, task, run, result });
+                    },
+                    [&](const ports::Superseded&) { self->superseded(); },
+                    [&](const ports::OtherUpstream&) { self->replaced(id); },
+                },
                 outcome);
         });
 }
 
 void PoolAgent::carryOut(const scheduling::StopTask& order, UpstreamAgent& upstream)
 {
-    kernel::logEvent("task-stop", { { "task", jobs::toText(order.task) }, { "run", order.run.value },
-                                      { "upstream", order.upstream.text() }, { "reason", order.reason } });
-    upstream.orders().stop(order, this->term,
-        [self = shared_from_this(), order](const ports::OrderOutcome& outcome) {
+    kernel::logEvent("task-stop",
+        { { "task", jobs::toText(order.task) }, { "run", order.run.value },
+            { "upstream", order.upstream.text() }, { "reason", order.reason } });
+    upstream.orders().stop(
+        order, this->term, [self = shared_from_this(), order](const ports::OrderOutcome& outcome) {
             if (self->closed) {
                 return;
             }
@@ -365,8 +368,9 @@
 
 void PoolAgent::carryOut(const scheduling::PaceTask& order, UpstreamAgent& upstream)
 {
-    kernel::logEvent("task-pace", { { "task", jobs::toText(order.task) }, { "run", order.run.value },
-                                      { "upstream", order.upstream.text() }, { "percent", order.percent } });
+    kernel::logEvent("task-pace",
+        { { "task", jobs::toText(order.task) }, { "run", order.run.value },
+            { "upstream", order.upstream.text() }, { "percent", order.percent } });
     upstream.orders().pace(
         order, this->term, [self = shared_from_this(), order](const ports::OrderOutcome& outcome) {
             if (!self->closed && std::holds_alternative<ports::Superseded>(outcome)) {
@@ -564,8 +568,8 @@
     this->recordingUsed = true;
     // Nothing is started on an upstream while its removal from the record is on its way.
     std::erase_if(this->used, [&](const auto& id) { return !ids.contains(id); });
-    this->writer->put(
-        { keys::usedUpstreams(this->service), jobs::encode(std::vector<std::string> { ids.begin(), ids.end() }) },
+    this->writer->put({ keys::usedUpstreams(this->service),
+                          jobs::encode(std::vector<std::string> { ids.begin(), ids.end() }) },
         [self = shared_from_this(), ids](const store::ChangeOutcome& outcome) {
             self->recordingUsed = false;
             if (!self->closed && std::holds_alternative<store::Committed>(outcome)) {
@@ -623,13 +627,13 @@
         }
         const auto link = this->environment.upstreams->open(facts);
         if (!link) {
-            kernel::logEvent("upstream-unusable", { { "upstream", facts.id.text() },
-                                                      { "address", facts.address },
-                                                      { "code", number(link.error().code) } });
+            kernel::logEvent("upstream-unusable",
+                { { "upstream", facts.id.text() }, { "address", facts.address },
+                    { "code", number(link.error().code) } });
             continue;
         }
-        auto agent = std::make_shared<UpstreamAgent>(this->environment.context, *link, facts, this->term,
-            this->taskLease, upstreamEvents());
+        auto agent = std::make_shared<UpstreamAgent>(
+            this->environment.context, *link, facts, this->term, this->taskLease, upstreamEvents());
         this->links.emplace(facts.id, agent);
         agent->start();
     }
@@ -638,8 +642,8 @@
 void PoolAgent::closeUnused()
 {
     for (auto link = this->links.begin(); link != this->links.end();) {
-        const bool member = std::ranges::any_of(
-            this->members, [&](const auto& facts) { return facts.id == link->first; });
+        const bool member
+            = std::ranges::any_of(this->members, [&](const auto& facts) { return facts.id == link->first; });
         if (member || this->scheduler->isUsed(link->first)) {
             ++link;
             continue;
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -53,8 +53,8 @@
     void load();
     void readRecords(const store::Listing& pool);
     void readUsed(const store::Listing& pool, const store::Listing& records);
-    void begin(const store::Listing& pool, const store::Listing& records, const std::vector<std::string>& used,
-        store::Revision usedRevision);
+    void begin(const store::Listing& pool, const store::Listing& records,
+        const std::vector<std::string>& used, store::Revision usedRevision);
     void addJobs(const store::Listing& pool, const store::Listing& records, bool mayHaveStarted);
     /** Ends what a list shows to be gone, after a watch has lost the history. */
     void cancelMissing(const store::Listing& pool);
--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -23,8 +23,9 @@
 
 } // namespace
 
-RecordWriter::RecordWriter(boost::asio::io_context& ioContext, std::shared_ptr<const store::Store> recordStore,
-    model::ServiceId pool, ports::Term ownTerm, RecordEvents recordEvents)
+RecordWriter::RecordWriter(boost::asio::io_context& ioContext,
+    std::shared_ptr<const store::Store> recordStore, model::ServiceId pool, ports::Term ownTerm,
+    RecordEvents recordEvents)
     : context(ioContext)
     , store(std::move(recordStore))
     , service(std::move(pool))
@@ -104,9 +105,9 @@
     const std::vector<jobs::JobId>& chosen, std::uint64_t batch, const store::ChangeOutcome& outcome)
 {
     const auto retry = [this](const kernel::Error& error) {
-        kernel::logEvent("records-not-written", { { "pool", this->service.text() },
-                                                    { "code", number(error.code) }, { "reason", error.found },
-                                                    { "waiting", this->pending.size() } });
+        kernel::logEvent("records-not-written",
+            { { "pool", this->service.text() }, { "code", number(error.code) }, { "reason", error.found },
+                { "waiting", this->pending.size() } });
         this->inFlight = true;
         callLater(this->context, retryInterval, [self = shared_from_this()] {
             self->inFlight = false;
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -67,7 +67,8 @@
 
     void send();
     store::Change makeChange(const std::vector<jobs::JobId>& jobs) const;
-    void onOutcome(const std::vector<jobs::JobId>& jobs, std::uint64_t batch, const store::ChangeOutcome& outcome);
+    void onOutcome(
+        const std::vector<jobs::JobId>& jobs, std::uint64_t batch, const store::ChangeOutcome& outcome);
     void onCommitted(const std::vector<jobs::JobId>& jobs, std::uint64_t batch, store::Revision revision);
     void onConflict(const store::Conflict& conflict);
     void removeEnded();
--- a/src/wasabiroad/agent/submissions.cpp
+++ b/src/wasabiroad/agent/submissions.cpp
@@ -63,10 +63,12 @@
 void Submissions::submit(jobs::Job job, Duration deadline, store::Callback<SubmitOutcome> callback)
 {
     const auto wait = std::min(patience, Duration { deadline.milliseconds / 2 });
-    auto waiting = std::make_shared<Waiting>(Waiting { std::move(job), std::move(callback), bootNow() + wait });
+    auto waiting
+        = std::make_shared<Waiting>(Waiting { std::move(job), std::move(callback), bootNow() + wait });
     const bool away = this->failures >= awayAfter && bootNow() - this->lastFailure < probeInterval;
     if (away || this->queue.size() >= queueLimit) {
-        answer(*waiting, Rejected { away ? ResultCode::PlatformUnreachable : ResultCode::QueueFull, retryAfter });
+        answer(*waiting,
+            Rejected { away ? ResultCode::PlatformUnreachable : ResultCode::QueueFull, retryAfter });
         return;
     }
     this->queue.push_back(std::move(waiting));
--- a/src/wasabiroad/agent/submissions.hpp
+++ b/src/wasabiroad/agent/submissions.hpp
@@ -9,7 +9,8 @@
 
 namespace wasabiroad::agent {
 
-/** @brief Stores submitted jobs, several in one change; each id is stored once, whichever entry receives it. */
+/** @brief Stores submitted jobs, several in one change; each id is stored once, whichever entry receives it.
+ */
 class Submissions : public std::enable_shared_from_this<Submissions> {
 public:
     Submissions(boost::asio::io_context& context, std::shared_ptr<const store::Store> store);
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-UpstreamAgent::UpstreamAgent(boost::asio::io_context& context, std::shared_ptr<const ports::UpstreamLink> upstreamLink,
-    scheduling::UpstreamFacts facts, ports::Term ownTerm, Duration lease, UpstreamEvents upstreamEvents)
+UpstreamAgent::UpstreamAgent(boost::asio::io_context& context,
+    std::shared_ptr<const ports::UpstreamLink> upstreamLink, scheduling::UpstreamFacts facts,
+    ports::Term ownTerm, Duration lease, UpstreamEvents upstreamEvents)
     : link(std::move(upstreamLink))
     , upstream(std::move(facts))
     , term(ownTerm)
@@ -79,10 +80,9 @@
     }
     const bool first = !this->answering;
     if (first) {
-        kernel::logEvent("upstream-reached", { { "upstream", this->upstream.id.text() },
-                                                 { "born", tasks.born.milliseconds },
-                                                 { "running", tasks.running.size() },
-                                                 { "term", this->term.value } });
+        kernel::logEvent("upstream-reached",
+            { { "upstream", this->upstream.id.text() }, { "born", tasks.born.milliseconds },
+                { "running", tasks.running.size() }, { "term", this->term.value } });
     }
     this->answering = true;
     for (const auto& end : tasks.ended) {
@@ -100,8 +100,9 @@
 void UpstreamAgent::onSilence(const kernel::Error& error)
 {
     if (this->answering) {
-        kernel::logEvent("upstream-silent", { { "upstream", this->upstream.id.text() },
-                                                { "code", number(error.code) }, { "reason", error.found } });
+        kernel::logEvent("upstream-silent",
+            { { "upstream", this->upstream.id.text() }, { "code", number(error.code) },
+                { "reason", error.found } });
     }
     this->answering = false;
     this->events.silent(this->upstream.id, this->lastRenewal);
--- a/src/wasabiroad/daemon/main.cpp
+++ b/src/wasabiroad/daemon/main.cpp
@@ -29,9 +29,9 @@
         "Daemon of an entry VM: places callers' requests on upstreams." };
     options.add_options()("s,settings", "Settings file (JSON); - reads the standard input",
         cxxopts::value<std::string>())("settings-variable",
-        "Environment variable that holds the path of the settings file", cxxopts::value<std::string>())("set", "Override, as in /callers=127.0.0.1:8080",
-        cxxopts::value<std::vector<std::string>>())("plugins", "List the plug-ins with their versions")(
-        "version", "Print the version")("h,help", "Print this help");
+        "Environment variable that holds the path of the settings file", cxxopts::value<std::string>())("set",
+        "Override, as in /callers=127.0.0.1:8080", cxxopts::value<std::vector<std::string>>())("plugins",
+        "List the plug-ins with their versions")("version", "Print the version")("h,help", "Print this help");
     return options;
 }
 
--- a/src/wasabiroad/http/channel.cpp
+++ b/src/wasabiroad/http/channel.cpp
@@ -151,7 +151,8 @@
 {
     if (this->state->closed || this->state->queue.size() >= queueLimit) {
         asio::post(this->state->context, [callback = std::move(callback), state = this->state] {
-            callback(state->failure(ResultCode::PlatformUnreachable, "the channel is closed or its queue is full"));
+            callback(state->failure(
+                ResultCode::PlatformUnreachable, "the channel is closed or its queue is full"));
         });
         return;
     }
--- a/src/wasabiroad/ports/upstreams.hpp
+++ b/src/wasabiroad/ports/upstreams.hpp
@@ -58,7 +58,8 @@
 /** @brief Connections to one upstream; it closes them when it is destroyed. Control thread only. */
 struct UpstreamLink {
     const std::function<void(Look, store::Callback<LookOutcome>)> look;
-    const std::function<void(scheduling::StartTask, Term, kernel::Duration lease, store::Callback<StartOutcome>)>
+    const std::function<void(
+        scheduling::StartTask, Term, kernel::Duration lease, store::Callback<StartOutcome>)>
         start;
     const std::function<void(scheduling::StopTask, Term, store::Callback<OrderOutcome>)> stop;
     const std::function<void(scheduling::PaceTask, Term, store::Callback<OrderOutcome>)> pace;
@@ -66,7 +67,8 @@
 
 /** @brief Opens links to upstreams. */
 struct Upstreams {
-    const std::function<kernel::Expected<std::shared_ptr<const UpstreamLink>>(const scheduling::UpstreamFacts&)>
+    const std::function<kernel::Expected<std::shared_ptr<const UpstreamLink>>(
+        const scheduling::UpstreamFacts&)>
         open;
 };
 
--- a/src/wasabiroad/scheduling/pace.cpp
+++ b/src/wasabiroad/scheduling/pace.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/** Share of the target at which fillers are slowed, so that the figure's delay does not let it be exceeded. */
+/** Share of the target at which fillers are slowed, so that the figure's delay does not let it be exceeded.
+ */
 constexpr double slowAt = 0.8;
 
 /** Share of the target below which fillers speed up again. */
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -15,7 +15,8 @@
 /** Starts of one term; the run number is the term above these bits. */
 constexpr unsigned runBits = 20;
 
-/** Share of the estimated remaining chain that must fit before a job is late; estimates are often too high. */
+/** Share of the estimated remaining chain that must fit before a job is late; estimates are often too high.
+ */
 constexpr double feasibleShare = 0.5;
 
 /** Estimates of the steps that are not done, along the longest chain of an occurrence. */
@@ -67,7 +68,8 @@
                     continue;
                 }
                 const auto left = remainingChain(run.job, run.occurrences[occurrence]).milliseconds;
-                const auto needed = Duration { static_cast<std::int64_t>(feasibleShare * static_cast<double>(left)) };
+                const auto needed
+                    = Duration { static_cast<std::int64_t>(feasibleShare * static_cast<double>(left)) };
                 const auto due = run.due + run.job.interval * static_cast<std::int64_t>(occurrence);
                 ready.push_back({ &run, occurrence, step, now.wall + needed > due });
             }
@@ -178,8 +180,7 @@
     upstream.memory += step.resources.memory;
     upstream.accelerators += step.resources.accelerators;
     upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.leaseSpan);
-    this->orders.push_back(
-        StartTask { task.upstream, id, run, ready.job->job.payload, task.checkpoint });
+    this->orders.push_back(StartTask { task.upstream, id, run, ready.job->job.payload, task.checkpoint });
 }
 
 bool PoolScheduler::fits(const Upstream& upstream, const jobs::Step& step) const
@@ -190,11 +191,11 @@
         && upstream.accelerators + step.resources.accelerators <= capacity.accelerators;
 }
 
-bool PoolScheduler::usable(
-    const Upstream& upstream, const Ready& ready, const Task&, Moment now) const
+bool PoolScheduler::usable(const Upstream& upstream, const Ready& ready, const Task&, Moment now) const
 {
     if (!upstream.facts || !upstream.member || !upstream.listed || upstream.hasForeign
-        || this->drains.contains(upstream.facts->id) || upstream.facts->draining || upstream.suspectUntil > now.steady) {
+        || this->drains.contains(upstream.facts->id) || upstream.facts->draining
+        || upstream.suspectUntil > now.steady) {
         return false;
     }
     const auto& step = ready.job->job.steps[ready.step];
--- a/src/wasabiroad/scheduling/policy.hpp
+++ b/src/wasabiroad/scheduling/policy.hpp
@@ -6,7 +6,8 @@
 
 /** @brief Limits and weights of a pool scheduler. */
 struct Policy {
-    /** @brief Longest time that a task runs on after the last call that could renew its lease, on our clock. */
+    /** @brief Longest time that a task runs on after the last call that could renew its lease, on our clock.
+     */
     const kernel::Duration leaseSpan { 6500 };
     /** @brief Tasks that a former owner may have started are lost after this time without a sign of them. */
     const kernel::Duration takeoverSpan { 11000 };
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -184,8 +184,7 @@
 void PoolScheduler::applyEnd(const UpstreamId& id, const EndedTask& end, Moment now)
 {
     const auto [run, task] = find(end.task);
-    const bool current
-        = task != nullptr && isActive(*task) && task->upstream == id && task->run == end.run;
+    const bool current = task != nullptr && isActive(*task) && task->upstream == id && task->run == end.run;
     if (task == nullptr || (task->done && !current)) {
         return;
     }
@@ -227,7 +226,8 @@
         auto& tasks = run->occurrences[end.task.position.occurrence][end.task.position.step].tasks;
         for (std::uint32_t index = 0; index < tasks.size(); ++index) {
             auto& member = tasks[index];
-            const TaskId memberId { end.task.job, { end.task.position.occurrence, end.task.position.step, index } };
+            const TaskId memberId { end.task.job,
+                { end.task.position.occurrence, end.task.position.step, index } };
             if (!member.done && !jobs::isFinal(run->state)) {
                 taskDone(*run, memberId, member, now);
             }
@@ -501,8 +501,7 @@
     }
 }
 
-void PoolScheduler::taskFailed(
-    JobRun& run, const TaskId& id, Task& task, const UpstreamId& where, Moment now)
+void PoolScheduler::taskFailed(JobRun& run, const TaskId& id, Task& task, const UpstreamId& where, Moment now)
 {
     ++task.failures;
     task.failedOn.insert(where);
@@ -584,7 +583,8 @@
     const auto tasks = found->second.tasks;
     for (const auto& taskId : tasks) {
         const auto [run, task] = find(taskId);
-        if (reborn && (task->phase == Phase::Starting || (task->phase == Phase::Stopping && !task->stopAnswered))) {
+        if (reborn
+            && (task->phase == Phase::Starting || (task->phase == Phase::Stopping && !task->stopAnswered))) {
             // The new life may still carry out the start, until it has answered to a stop.
             stop(taskId, *task, now, "start on a former life without an answer");
             continue;
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -45,7 +45,8 @@
 
     bool hasChange() const { return !this->changed.empty(); }
 
-    /** @return State of a job, or nothing when it is not known here; an end is not shown before it is written. */
+    /** @return State of a job, or nothing when it is not known here; an end is not shown before it is
+     * written. */
     std::optional<jobs::JobState> stateOf(const jobs::JobId& job) const;
 
     /** @return Jobs that have not ended. */
@@ -113,7 +114,8 @@
     void toWaiting(Task& task, Moment now);
     void detach(const jobs::TaskId& id, Task& task);
     void stop(const jobs::TaskId& id, Task& task, Moment now, std::string_view reason);
-    void stopForeign(const UpstreamId& upstream, const jobs::TaskId& id, jobs::Run run, std::string_view reason);
+    void stopForeign(
+        const UpstreamId& upstream, const jobs::TaskId& id, jobs::Run run, std::string_view reason);
     void markChanged(const jobs::JobId& job, bool isUrgent);
     void checkStalls(Moment now);
     void emptyUpstreams(Moment now);
--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -59,9 +59,8 @@
         .read =
             [this, reading](const std::string& key,
                 const store::Callback<kernel::Expected<std::optional<store::Entry>>>& callback) {
-                reading(callback, [this, key]() -> kernel::Expected<std::optional<store::Entry>> {
-                    return find(key);
-                });
+                reading(callback,
+                    [this, key]() -> kernel::Expected<std::optional<store::Entry>> { return find(key); });
             },
         .list =
             [this, reading](const std::string& prefix,
@@ -75,7 +74,8 @@
                 watch(std::move(prefix), after, wait, faults, std::move(callback));
             },
         .change =
-            [this, faults](const store::Change& change, const store::Callback<store::ChangeOutcome>& callback) {
+            [this, faults](
+                const store::Change& change, const store::Callback<store::ChangeOutcome>& callback) {
                 if (faults->silent) {
                     later(silence, [callback] { callback(store::OutcomeUnknown { timeout() }); });
                     return;
@@ -95,7 +95,8 @@
                 });
             },
         .grant =
-            [this, reading](Duration lifetime, const store::Callback<kernel::Expected<store::Lease>>& callback) {
+            [this, reading](
+                Duration lifetime, const store::Callback<kernel::Expected<store::Lease>>& callback) {
                 reading(callback, [this, lifetime]() -> kernel::Expected<store::Lease> {
                     const auto lease = ++this->numbers;
                     this->leases[lease] = { lifetime, now() + lifetime };
@@ -123,7 +124,10 @@
     };
 }
 
-void KeyValue::put(const std::string& key, const std::string& value) { apply({ {}, { { key, value } }, {} }); }
+void KeyValue::put(const std::string& key, const std::string& value)
+{
+    apply({ {}, { { key, value } }, {} });
+}
 
 std::optional<store::Entry> KeyValue::find(const std::string& key) const
 {
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -46,8 +46,11 @@
 void Workers::add(const std::string& name, const model::ServiceId& service, std::int64_t cpu)
 {
     const auto life = ++this->lives;
-    this->workers.push_back({ .name = name, .service = service, .cpu = cpu,
-        .id = UpstreamId { name + "-" + std::to_string(life) }, .born = static_cast<std::int64_t>(life) });
+    this->workers.push_back({ .name = name,
+        .service = service,
+        .cpu = cpu,
+        .id = UpstreamId { name + "-" + std::to_string(life) },
+        .born = static_cast<std::int64_t>(life) });
 }
 
 std::vector<scheduling::UpstreamFacts> Workers::members() const
@@ -55,9 +58,13 @@
     std::vector<scheduling::UpstreamFacts> facts;
     for (const auto& worker : this->workers) {
         if (worker.up) {
-            facts.push_back({ .id = worker.id, .service = worker.service, .address = "127.0.0.1:1",
-                .zone = model::ZoneId { "a" }, .rack = model::RackId { "r1" },
-                .capacity = { worker.cpu, 65536, 0 }, .born = { worker.born } });
+            facts.push_back({ .id = worker.id,
+                .service = worker.service,
+                .address = "127.0.0.1:1",
+                .zone = model::ZoneId { "a" },
+                .rack = model::RackId { "r1" },
+                .capacity = { worker.cpu, 65536, 0 },
+                .born = { worker.born } });
         }
     }
     return facts;
@@ -91,10 +98,7 @@
     worker.born = static_cast<std::int64_t>(++this->lives);
 }
 
-void Workers::crash(const std::string& name)
-{
-    lose(*std::ranges::find(this->workers, name, &Worker::name));
-}
+void Workers::crash(const std::string& name) { lose(*std::ranges::find(this->workers, name, &Worker::name)); }
 
 ports::VmOrderResult Workers::maintain(const model::VmId& vm, std::uint64_t term)
 {
@@ -267,7 +271,8 @@
                     const ports::Look& wanted, const store::Callback<ports::LookOutcome>& callback) {
                     if (isCut(id)) {
                         later(silence, [callback] {
-                            callback(kernel::Error { kernel::ResultCode::PlatformTimeout, "upstream", "cut" });
+                            callback(
+                                kernel::Error { kernel::ResultCode::PlatformTimeout, "upstream", "cut" });
                         });
                         return;
                     }
@@ -282,7 +287,8 @@
                         later(silence, [callback] { callback(StartResult::Unknown); });
                         return;
                     }
-                    later(latency, [this, order, term, lease, callback] { callback(start(order, term, lease)); });
+                    later(latency,
+                        [this, order, term, lease, callback] { callback(start(order, term, lease)); });
                 },
             .stop =
                 [this, isCut](const scheduling::StopTask& order, ports::Term term,
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -25,8 +25,8 @@
 /**
  * @brief Upstreams in memory that run tasks under leases, and the VMs under them.
  *
- * They keep fences, run numbers, ends and leases as the platform's do, and note each broken promise. The payload
- * of a task is the time that it runs, in ms.
+ * They keep fences, run numbers, ends and leases as the platform's do, and note each broken promise. The
+ * payload of a task is the time that it runs, in ms.
  */
 class Workers {
 public:
--- a/src/wasabiroad/store/store.hpp
+++ b/src/wasabiroad/store/store.hpp
@@ -150,7 +150,8 @@
     /** @brief Lists all keys under a prefix, page by page. */
     const std::function<void(std::string prefix, Callback<kernel::Expected<Listing>>)> list;
     /** @brief Waits for changes after a revision; without any it answers after `wait`. */
-    const std::function<void(std::string prefix, Revision after, kernel::Duration wait, Callback<WatchOutcome>)>
+    const std::function<void(
+        std::string prefix, Revision after, kernel::Duration wait, Callback<WatchOutcome>)>
         watch;
     const std::function<void(Change, Callback<ChangeOutcome>)> change;
     const std::function<void(kernel::Duration lifetime, Callback<kernel::Expected<Lease>>)> grant;
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -44,14 +44,17 @@
 };
 
 const std::vector<UpstreamRow> upstreamRows {
-    { "ready", R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":1},"seq":4})",
+    { "ready",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":1},"seq":4})",
         true },
     { "draining",
         R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"draining","capacity":{},"labels":["k","r"]})",
         true },
-    { "unknown state", R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"odd","capacity":{}})", false },
+    { "unknown state", R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"odd","capacity":{}})",
+        false },
     { "no service", R"({"address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{}})", false },
-    { "address of another type", R"({"service":"s","address":7,"zone":"a","state":"ready","capacity":{}})", false },
+    { "address of another type", R"({"service":"s","address":7,"zone":"a","state":"ready","capacity":{}})",
+        false },
     { "no capacity", R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready"})", false },
     { "capacity of another type",
         R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":5})", false },
@@ -84,8 +87,8 @@
 BOOST_AUTO_TEST_CASE(wave_is_decoded)
 {
     const auto wave = decodeWave(R"({"wave":3,"machines":["m-1","m-2"],"durationS":20.5,"maxCount":2})");
-    const ports::WaveRequest expected { model::WaveId { "3" }, 3, { model::VmId { "m-1" }, model::VmId { "m-2" } },
-        { 20500 }, 2 };
+    const ports::WaveRequest expected { model::WaveId { "3" }, 3,
+        { model::VmId { "m-1" }, model::VmId { "m-2" } }, { 20500 }, 2 };
     BOOST_REQUIRE(wave.has_value());
     BOOST_TEST((*wave == expected));
     BOOST_TEST(!decodeWave("{}").has_value());
--- a/test/platform/orders.cpp
+++ b/test/platform/orders.cpp
@@ -39,8 +39,8 @@
     const scheduling::UpstreamId upstream { "i-1" };
     BOOST_TEST(encodeStart({ upstream, task, { 2 }, "text", "" }, { 7 }, { 486000 })
         == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"text","untilMs":486000,"fencingToken":7})");
-    BOOST_TEST(encodeStart({ upstream, task, { 2 }, "text", "c" }, { 7 }, { 486000 }).ends_with(
-        R"("fencingToken":7,"checkpoint":"c"})"));
+    BOOST_TEST(encodeStart({ upstream, task, { 2 }, "text", "c" }, { 7 }, { 486000 })
+                   .ends_with(R"("fencingToken":7,"checkpoint":"c"})"));
     BOOST_TEST(encodeStop({ upstream, task, { 2 }, "" }, { 7 })
         == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"fencingToken":7})");
     BOOST_TEST(encodePace({ upstream, task, { 2 }, 40 }, { 7 })
@@ -79,9 +79,8 @@
 /** Guards against an end that is counted as another. */
 BOOST_DATA_TEST_CASE(end_is_decoded, data::make(endRows), row)
 {
-    const auto tasks = decodeTasks(
-        R"({"runningTasks":[],"ended":[[1,"5c0e7a21d94b36f8.0.1.17",1,")" + std::string { row.word }
-        + R"(",""]]})");
+    const auto tasks = decodeTasks(R"({"runningTasks":[],"ended":[[1,"5c0e7a21d94b36f8.0.1.17",1,")"
+        + std::string { row.word } + R"(",""]]})");
     BOOST_REQUIRE_EQUAL(tasks->ended.size(), 1);
     BOOST_TEST((tasks->ended.front().kind == row.kind));
 }
--- a/test/platform/requests.cpp
+++ b/test/platform/requests.cpp
@@ -23,13 +23,35 @@
         "longRunning":true},{"count":20,"after":[0],"savesProgress":true,"gang":true,"sameRack":true,
         "requires":"a","speculative":true,"fills":true}]})",
         { 77 });
-    const jobs::Job expected { .id = id, .queue = queue.id, .service = queue.service, .payload = "text",
-        .steps = { { .count = 4, .resources = { 500, 256, 1 }, .estimate = { 900 }, .dataRack = "r1-3",
-                       .maxPerUpstream = 2, .longRunning = true, .image = "i", .tailTarget = { 50 }, .mayMiss = 1 },
-            { .count = 20, .after = { 0 }, .savesProgress = true, .gang = true, .sameRack = true, .label = "a",
-                .speculative = true, .filler = true } },
-        .occurrences = 3, .firstDue = { 5000 }, .interval = { 100 }, .accepted = { 77 }, .priority = 1,
-        .maxAttempts = 4, .stretch = 1.6, .allowance = { 600 } };
+    const jobs::Job expected { .id = id,
+        .queue = queue.id,
+        .service = queue.service,
+        .payload = "text",
+        .steps = { { .count = 4,
+                       .resources = { 500, 256, 1 },
+                       .estimate = { 900 },
+                       .dataRack = "r1-3",
+                       .maxPerUpstream = 2,
+                       .longRunning = true,
+                       .image = "i",
+                       .tailTarget = { 50 },
+                       .mayMiss = 1 },
+            { .count = 20,
+                .after = { 0 },
+                .savesProgress = true,
+                .gang = true,
+                .sameRack = true,
+                .label = "a",
+                .speculative = true,
+                .filler = true } },
+        .occurrences = 3,
+        .firstDue = { 5000 },
+        .interval = { 100 },
+        .accepted = { 77 },
+        .priority = 1,
+        .maxAttempts = 4,
+        .stretch = 1.6,
+        .allowance = { 600 } };
     BOOST_REQUIRE(job.has_value());
     BOOST_TEST((*job == expected));
 }
@@ -53,7 +75,8 @@
 };
 
 const std::vector<IdRow> ids { { "5c0e7a21d94b36f8", true }, { "5c0e7a21d94b36f", false },
-    { "5C0e7a21d94b36f8", false }, { "5c0e7a21d94b36f8/", false }, { "../../../../../..", false }, { "", false } };
+    { "5C0e7a21d94b36f8", false }, { "5c0e7a21d94b36f8/", false }, { "../../../../../..", false },
+    { "", false } };
 
 /** Guards against paths that reach other keys of the store. */
 BOOST_DATA_TEST_CASE(job_id_is_16_hexadecimal_digits, data::make(ids), row)
--- a/test/wasabiroad/agent/jobs.cpp
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -45,8 +45,8 @@
     BOOST_REQUIRE(site.hasOwner());
     std::vector<SubmitOutcome> outcomes;
     const auto submit = [&](std::size_t daemon) {
-        site.daemons[daemon]->intake.submit(makeJob("a"), { 3000 },
-            [&](const SubmitOutcome& outcome) { outcomes.push_back(outcome); });
+        site.daemons[daemon]->intake.submit(
+            makeJob("a"), { 3000 }, [&](const SubmitOutcome& outcome) { outcomes.push_back(outcome); });
     };
     submit(0);
     site.runFor(delay);
@@ -101,7 +101,8 @@
     BOOST_TEST((site.state("a", owner) == StateOutcome { JobState::Cancelled }));
 }
 
-/** Guards against an open job that a daemon takes for cancelled, or forgets, after the history was dropped. */
+/** Guards against an open job that a daemon takes for cancelled, or forgets, after the history was dropped.
+ */
 BOOST_AUTO_TEST_CASE(jobs_survive_a_dropped_history)
 {
     Site site { 1 };
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -25,8 +25,14 @@
 inline jobs::Job makeJob(const std::string& id, std::int64_t runMs = 50, std::uint32_t count = 2)
 {
     const jobs::Step step { .count = count, .resources = { 1000, 100, 0 }, .estimate = { runMs } };
-    return { .id = jobs::JobId { id }, .queue = queue, .service = service, .payload = std::to_string(runMs),
-        .steps = { step }, .accepted = kernel::now(kernel::WallClock {}), .maxAttempts = 3, .stretch = 2,
+    return { .id = jobs::JobId { id },
+        .queue = queue,
+        .service = service,
+        .payload = std::to_string(runMs),
+        .steps = { step },
+        .accepted = kernel::now(kernel::WallClock {}),
+        .maxAttempts = 3,
+        .stretch = 2,
         .allowance = { 1000 } };
 }
 
@@ -174,9 +180,9 @@
     {
         const auto operatorState = [this](store::Revision asOf) {
             const jobs::Queue route { .id = queue, .host = "h", .prefix = "/q/", .service = service };
-            return ports::OperatorState {
-                jobs::Configuration { { 1 }, { route }, { { service, false }, { spare, true } } }, this->waves, asOf
-            };
+            return ports::OperatorState { jobs::Configuration {
+                                              { 1 }, { route }, { { service, false }, { spare, true } } },
+                this->waves, asOf };
         };
         const auto answer = [this](auto callback, auto result) {
             auto timer = std::make_shared<boost::asio::steady_timer>(
@@ -199,10 +205,12 @@
                         callback) {
                     if (faults->silent) {
                         answer(callback,
-                            kernel::Expected<std::vector<scheduling::UpstreamFacts>> { tl::unexpected(away) });
+                            kernel::Expected<std::vector<scheduling::UpstreamFacts>> {
+                                tl::unexpected(away) });
                     } else {
                         answer(callback,
-                            kernel::Expected<std::vector<scheduling::UpstreamFacts>> { this->workers.members() });
+                            kernel::Expected<std::vector<scheduling::UpstreamFacts>> {
+                                this->workers.members() });
                     }
                 },
             .listVms =
@@ -216,7 +224,8 @@
                 },
             .waveStatus =
                 [](std::uint64_t wave, bool completed) {
-                    return store::Put { "status/" + std::to_string(wave), completed ? "completed" : "running" };
+                    return store::Put { "status/" + std::to_string(wave),
+                        completed ? "completed" : "running" };
                 },
         };
     }
--- a/test/wasabiroad/jobs/codec.cpp
+++ b/test/wasabiroad/jobs/codec.cpp
@@ -16,8 +16,9 @@
 
 const std::vector<Job> jobRows {
     { .id = JobId { "a" }, .steps = { Step {} } },
-    { JobId { "5c0e7a21d94b36f8" }, QueueId { "q" }, model::ServiceId { "s" }, std::string { "\0\xff text", 7 },
-        { fullStep, dependent }, 4, { 1000 }, { 50 }, { 77 }, 1, 4, 1.6, { 600 } },
+    { JobId { "5c0e7a21d94b36f8" }, QueueId { "q" }, model::ServiceId { "s" },
+        std::string { "\0\xff text", 7 }, { fullStep, dependent }, 4, { 1000 }, { 50 }, { 77 }, 1, 4, 1.6,
+        { 600 } },
 };
 
 /** Guards against a job that is read back from the store other than it was accepted. */
@@ -30,7 +31,8 @@
 
 const std::vector<Record> recordRows {
     {},
-    { JobState::Running, { { { 1, 2, 3 }, true }, { { 0, 0, 1 }, false, 2, { 1ULL << 40U }, "checkpoint" } } },
+    { JobState::Running,
+        { { { 1, 2, 3 }, true }, { { 0, 0, 1 }, false, 2, { 1ULL << 40U }, "checkpoint" } } },
     { JobState::Failed, {}, { 123456 } },
 };
 
--- a/test/wasabiroad/jobs/configuration.cpp
+++ b/test/wasabiroad/jobs/configuration.cpp
@@ -36,9 +36,9 @@
 /** Guards against calls that reach another queue than the one with the longest prefix of their host. */
 BOOST_DATA_TEST_CASE(longest_prefix_selects_the_queue, data::make(rows), row)
 {
-    const Configuration configuration { {}, { queue("short", "a.example", "/x/"),
-                                                queue("long", "a.example", "/x/y/"),
-                                                queue("other", "b.example", "/x/") } };
+    const Configuration configuration { {},
+        { queue("short", "a.example", "/x/"), queue("long", "a.example", "/x/y/"),
+            queue("other", "b.example", "/x/") } };
     const auto* const found = findQueue(configuration, row.host, row.path);
     BOOST_TEST((found != nullptr ? found->id.text() : "") == row.found);
 }
--- a/test/wasabiroad/scheduling/fixture.hpp
+++ b/test/wasabiroad/scheduling/fixture.hpp
@@ -16,10 +16,16 @@
     return { { milliseconds }, { wallClockOfStart + milliseconds } };
 }
 
-inline UpstreamFacts makeUpstream(const std::string& id, std::int64_t cpu = 4000, const std::string& rack = "r1")
+inline UpstreamFacts makeUpstream(
+    const std::string& id, std::int64_t cpu = 4000, const std::string& rack = "r1")
 {
-    return { .id = UpstreamId { id }, .service = service, .address = "127.0.0.1:1", .zone = model::ZoneId { "a" },
-        .rack = model::RackId { rack }, .labels = { "kind", rack }, .capacity = { cpu, 8000, 0 },
+    return { .id = UpstreamId { id },
+        .service = service,
+        .address = "127.0.0.1:1",
+        .zone = model::ZoneId { "a" },
+        .rack = model::RackId { rack },
+        .labels = { "kind", rack },
+        .capacity = { cpu, 8000, 0 },
         .born = { 1 } };
 }
 
@@ -30,9 +36,15 @@
 
 inline jobs::Job makeJob(const std::string& id, std::vector<jobs::Step> steps, std::uint32_t maxAttempts = 3)
 {
-    return { .id = jobs::JobId { id }, .queue = jobs::QueueId { "queue" }, .service = service,
-        .payload = "payload-" + id, .steps = std::move(steps), .accepted = at(0).wall,
-        .maxAttempts = maxAttempts, .stretch = 2, .allowance = { 1000 } };
+    return { .id = jobs::JobId { id },
+        .queue = jobs::QueueId { "queue" },
+        .service = service,
+        .payload = "payload-" + id,
+        .steps = std::move(steps),
+        .accepted = at(0).wall,
+        .maxAttempts = maxAttempts,
+        .stretch = 2,
+        .allowance = { 1000 } };
 }
 
 /** @brief A scheduler with upstreams that have answered, and the orders that it gave. */
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -26,7 +26,8 @@
 constexpr std::size_t upstreamCount = 3;
 constexpr std::int64_t upstreamCpu = 3000;
 
-const Policy policy { .leaseSpan = { slowLease + 400 }, .takeoverSpan = { slowLease + 400 + formerOwnerActs } };
+const Policy policy { .leaseSpan = { slowLease + 400 },
+    .takeoverSpan = { slowLease + 400 + formerOwnerActs } };
 
 } // namespace
 
@@ -144,8 +145,8 @@
         this->owners.back()->scheduler.setActive(false);
     }
     ++this->term;
-    const auto owner = std::make_shared<Owner>(
-        Owner { PoolScheduler { policy, this->term, moment() }, this->term });
+    const auto owner
+        = std::make_shared<Owner>(Owner { PoolScheduler { policy, this->term, moment() }, this->term });
     this->owners.push_back(owner);
     std::vector<UpstreamId> used;
     std::vector<UpstreamFacts> members;
@@ -351,11 +352,11 @@
 
 Model::Upstream& Model::at(const UpstreamId& id)
 {
-    return *std::ranges::find(this->upstreams, id, [](const Upstream& upstream) { return upstream.facts.id; });
+    return *std::ranges::find(
+        this->upstreams, id, [](const Upstream& upstream) { return upstream.facts.id; });
 }
 
-StartResult Model::start(
-    Upstream& upstream, const StartTask& order, std::uint64_t ofTerm, std::int64_t until)
+StartResult Model::start(Upstream& upstream, const StartTask& order, std::uint64_t ofTerm, std::int64_t until)
 {
     if (ofTerm < upstream.fence) {
         return StartResult::Refused;
@@ -375,8 +376,7 @@
     checkStart(upstream, order);
     upstream.leaseEnd = std::max(upstream.leaseEnd, until);
     this->lastStart[order.task] = this->now;
-    upstream.running[order.task]
-        = { order.run, this->now + between(200, 1500), chance(60), chance(5) };
+    upstream.running[order.task] = { order.run, this->now + between(200, 1500), chance(60), chance(5) };
     ++this->starts;
     return StartResult::Started;
 }
--- a/test/wasabiroad/scheduling/model.hpp
+++ b/test/wasabiroad/scheduling/model.hpp
@@ -39,8 +39,8 @@
 /**
  * @brief Runs schedulers against upstreams and a store in virtual time and checks the promises at each start.
  *
- * The upstreams keep leases, fences, run numbers and ends as the platform's do. Time passes in steps; calls take
- * random times, so orders and answers overtake each other.
+ * The upstreams keep leases, fences, run numbers and ends as the platform's do. Time passes in steps; calls
+ * take random times, so orders and answers overtake each other.
  */
 class Model {
 public:
--- a/test/wasabiroad/scheduling/model_runs.cpp
+++ b/test/wasabiroad/scheduling/model_runs.cpp
@@ -18,9 +18,18 @@
     { .title = "cuts", .cuts = 2 },
     { .title = "owners change", .lostAnswers = 10, .ownerChanges = 4 },
     { .title = "former owners act on", .ownerChanges = 4, .formerOwnersAct = true },
-    { .title = "owners change while upstreams are cut off", .ownerChanges = 4, .formerOwnersAct = true, .cuts = 2 },
-    { .title = "late orders and owners change", .lateOrders = 30, .ownerChanges = 3, .formerOwnersAct = true },
-    { .title = "owners change while upstreams crash", .crashes = 2, .ownerChanges = 4, .formerOwnersAct = true },
+    { .title = "owners change while upstreams are cut off",
+        .ownerChanges = 4,
+        .formerOwnersAct = true,
+        .cuts = 2 },
+    { .title = "late orders and owners change",
+        .lateOrders = 30,
+        .ownerChanges = 3,
+        .formerOwnersAct = true },
+    { .title = "owners change while upstreams crash",
+        .crashes = 2,
+        .ownerChanges = 4,
+        .formerOwnersAct = true },
 };
 
 /** Sequences of random events for each kind of fault; ten kinds make more than 10,000. */
--- a/test/wasabiroad/scheduling/pace.cpp
+++ b/test/wasabiroad/scheduling/pace.cpp
@@ -32,8 +32,12 @@
 BOOST_DATA_TEST_CASE(filler_yields_to_the_serving_task, data::make(rows), row)
 {
     Site site { { makeUpstream("u1") } };
-    const jobs::Step serving { .count = 1, .resources = { 1000, 100, 0 }, .longRunning = true, .tailTarget = { 100 } };
-    const jobs::Step filler { .count = 1, .resources = { 1000, 100, 0 }, .longRunning = true, .filler = true };
+    const jobs::Step serving {
+        .count = 1, .resources = { 1000, 100, 0 }, .longRunning = true, .tailTarget = { 100 }
+    };
+    const jobs::Step filler {
+        .count = 1, .resources = { 1000, 100, 0 }, .longRunning = true, .filler = true
+    };
     site.apply(JobAdded { makeJob("j", { serving, filler }) }, 10);
     BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
     std::int64_t time = 1000;
--- a/test/wasabiroad/scheduling/placement.cpp
+++ b/test/wasabiroad/scheduling/placement.cpp
@@ -25,15 +25,18 @@
 const std::vector<PlacementRow> rows {
     { "spread over both", makeStep(2), 2, 2 },
     { "as many as fit", makeStep(20), 8, 2 },
-    { "cpu of fillers is not counted", { .count = 20, .resources = { 1000, 100, 0 }, .filler = true }, 20, 2 },
+    { "cpu of fillers is not counted", { .count = 20, .resources = { 1000, 100, 0 }, .filler = true }, 20,
+        2 },
     { "memory of fillers is", { .count = 20, .resources = { 1000, 4000, 0 }, .filler = true }, 4, 2 },
     { "limit on one upstream", { .count = 6, .resources = { 100, 100, 0 }, .maxPerUpstream = 2 }, 4, 2 },
     { "label of one upstream", { .count = 2, .resources = { 100, 100, 0 }, .label = "r2" }, 2, 1 },
     { "label that nobody has", { .count = 2, .resources = { 100, 100, 0 }, .label = "x" }, 0, 0 },
-    { "rack of the data", { .count = 2, .resources = { 100, 100, 0 }, .estimate = { 500 }, .dataRack = "r2" }, 2, 1 },
+    { "rack of the data", { .count = 2, .resources = { 100, 100, 0 }, .estimate = { 500 }, .dataRack = "r2" },
+        2, 1 },
     { "gang that fits", { .count = 8, .resources = { 1000, 100, 0 }, .gang = true }, 8, 2 },
     { "gang that does not fit", { .count = 9, .resources = { 1000, 100, 0 }, .gang = true }, 0, 0 },
-    { "gang on one rack", { .count = 4, .resources = { 1000, 100, 0 }, .gang = true, .sameRack = true }, 4, 1 },
+    { "gang on one rack", { .count = 4, .resources = { 1000, 100, 0 }, .gang = true, .sameRack = true }, 4,
+        1 },
     { "accelerators that nobody has", { .count = 1, .resources = { 100, 100, 1 } }, 0, 0 },
 };
 
@@ -64,8 +67,8 @@
 UpstreamFacts draining()
 {
     const auto facts = makeUpstream("u1");
-    return { facts.id, facts.service, facts.address, facts.zone, facts.rack, facts.labels, facts.capacity, true,
-        facts.born };
+    return { facts.id, facts.service, facts.address, facts.zone, facts.rack, facts.labels, facts.capacity,
+        true, facts.born };
 }
 
 const std::vector<UnusableRow> unusableRows {
@@ -77,7 +80,8 @@
         { MembersSeen {}, DrainsChanged { { UpstreamId { "u1" } } }, MembersSeen { { makeUpstream("u1") } },
             TasksListed { .upstream = UpstreamId { "u1" }, .born = { 1 } } } },
     { "runs a job that nobody knows",
-        { TasksListed { .upstream = UpstreamId { "u1" }, .born = { 1 },
+        { TasksListed { .upstream = UpstreamId { "u1" },
+            .born = { 1 },
             .running = { { { jobs::JobId { "foreign" }, {} }, { 1 } } } } } },
     { "replaced by another", { UpstreamReplaced { UpstreamId { "u1" } } } },
 };
@@ -101,8 +105,14 @@
     const auto first = site.starts.front();
     site.apply(JobAdded { makeJob("a-late", { makeStep(1) }) }, 10);
     const auto late = makeJob("b-new", { makeStep(1) });
-    const jobs::Job fresh { .id = late.id, .queue = late.queue, .service = service, .steps = late.steps,
-        .accepted = at(9000).wall, .maxAttempts = 3, .stretch = 2, .allowance = { 1000 } };
+    const jobs::Job fresh { .id = late.id,
+        .queue = late.queue,
+        .service = service,
+        .steps = late.steps,
+        .accepted = at(9000).wall,
+        .maxAttempts = 3,
+        .stretch = 2,
+        .allowance = { 1000 } };
     site.apply(JobAdded { fresh }, 9000);
     site.list("u1", {}, { { 1, first.task, first.run, EndKind::Done, "" } }, 9100);
     BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -18,7 +18,10 @@
     const std::size_t startsAfterAnswer;
     const std::size_t stopsAfterAnswer;
 
-    friend std::ostream& operator<<(std::ostream& out, const StartRow& row) { return out << name(row.result); }
+    friend std::ostream& operator<<(std::ostream& out, const StartRow& row)
+    {
+        return out << name(row.result);
+    }
 };
 
 const std::vector<StartRow> startRows {
@@ -46,7 +49,8 @@
     }
 }
 
-/** Guards against a second run after a start without an answer, in the order in which its fate becomes known. */
+/** Guards against a second run after a start without an answer, in the order in which its fate becomes known.
+ */
 BOOST_AUTO_TEST_CASE(unanswered_start_is_settled_by_a_stop_and_a_later_list)
 {
     Site site { { makeUpstream("u1") } };
@@ -229,7 +233,9 @@
 BOOST_AUTO_TEST_CASE(step_waits_for_all_tasks_of_earlier_steps)
 {
     Site site { { makeUpstream("u1") } };
-    const jobs::Step second { .count = 1, .resources = { 1000, 100, 0 }, .estimate = { 500 }, .after = { 0 } };
+    const jobs::Step second {
+        .count = 1, .resources = { 1000, 100, 0 }, .estimate = { 500 }, .after = { 0 }
+    };
     site.apply(JobAdded { makeJob("j", { makeStep(2), second }) }, 10);
     BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
     site.list("u1", { { site.starts[1].task, site.starts[1].run, "", 50 } },
@@ -244,8 +250,13 @@
 BOOST_AUTO_TEST_CASE(occurrence_waits_for_its_time)
 {
     Site site { { makeUpstream("u1") } };
-    const jobs::Job job { .id = jobs::JobId { "j" }, .service = service, .steps = { makeStep(1) },
-        .occurrences = 2, .firstDue = at(1000).wall, .interval = { 500 }, .accepted = at(0).wall };
+    const jobs::Job job { .id = jobs::JobId { "j" },
+        .service = service,
+        .steps = { makeStep(1) },
+        .occurrences = 2,
+        .firstDue = at(1000).wall,
+        .interval = { 500 },
+        .accepted = at(0).wall };
     site.apply(JobAdded { job }, 10);
     site.apply(Tick {}, 999);
     BOOST_TEST(site.starts.empty());
@@ -297,7 +308,9 @@
 BOOST_DATA_TEST_CASE(drain_keeps_to_the_tasks_that_may_be_missed, data::make(mayMissRows), row)
 {
     Site site { { makeUpstream("u1", 2000), makeUpstream("u2", 2000) } };
-    const jobs::Step step { .count = 4, .resources = { 1000, 100, 0 }, .longRunning = true, .mayMiss = row.mayMiss };
+    const jobs::Step step {
+        .count = 4, .resources = { 1000, 100, 0 }, .longRunning = true, .mayMiss = row.mayMiss
+    };
     site.apply(JobAdded { makeJob("j", { step }) }, 10);
     BOOST_REQUIRE_EQUAL(site.starts.size(), 4);
     for (const auto* const id : { "u1", "u2" }) {
--- a/test/wasabiroad/scheduling/wave_plan.cpp
+++ b/test/wasabiroad/scheduling/wave_plan.cpp
@@ -30,8 +30,8 @@
 };
 
 const std::vector<Row> rows {
-    { "pools without jobs first",
-        { vm("a", checks, WaveStage::Waiting), vm("b", spare, WaveStage::Waiting) }, 1, { "b" } },
+    { "pools without jobs first", { vm("a", checks, WaveStage::Waiting), vm("b", spare, WaveStage::Waiting) },
+        1, { "b" } },
     { "a quarter of a pool with jobs",
         { vm("a", checks, WaveStage::Waiting), vm("b", checks, WaveStage::Waiting),
             vm("c", checks, WaveStage::Waiting) },
@@ -42,8 +42,7 @@
         5, {} },
     { "maintenance counts against the wave",
         { vm("a", spare, WaveStage::InMaintenance), vm("b", checks, WaveStage::Waiting) }, 1, {} },
-    { "only VMs that are up",
-        { vm("a", spare, WaveStage::Away), vm("b", spare, WaveStage::Done) }, 4, {} },
+    { "only VMs that are up", { vm("a", spare, WaveStage::Away), vm("b", spare, WaveStage::Done) }, 4, {} },
 };
 
 /** Guards against more VMs out of service than the wave or a pool bears. */
