--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -125,15 +125,15 @@
             return;
         }
     }
-    this->environment.store->read(keys::pendingCounts(service),
+    this->environment.store->read(keys::report(service),
         [countOf, callback = std::move(callback)](
             const kernel::Expected<std::optional<store::Entry>>& entry) {
             if (!entry) {
                 callback(std::nullopt);
                 return;
             }
-            const auto counts = *entry ? jobs::decodePendingCounts((*entry)->value) : std::nullopt;
-            callback(counts ? countOf(*counts) : 0);
+            const auto report = *entry ? jobs::decodePoolReport((*entry)->value) : std::nullopt;
+            callback(report ? countOf(report->pending) : 0);
         });
 }
 
@@ -195,6 +195,12 @@
         this->wanted.insert(keys::poolDuty + queue.service.text());
         this->poolsWithJobs.insert(queue.service);
     }
+    this->sparePools.clear();
+    for (const auto& pool : configuration.pools) {
+        if (pool.spare) {
+            this->sparePools.insert(pool.service);
+        }
+    }
     this->wanted.insert(keys::fleetDuty);
     this->duties->want(this->wanted);
 }
@@ -202,7 +208,7 @@
 void Agent::informFleetAgent()
 {
     if (this->fleetAgent) {
-        this->fleetAgent->setPoolsWithJobs(this->poolsWithJobs);
+        this->fleetAgent->setPools(this->poolsWithJobs, this->sparePools);
         this->fleetAgent->setWaves(this->waves);
     }
 }
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -96,6 +96,7 @@
     std::shared_ptr<Duties> duties {};
     std::set<std::string> wanted {};
     std::set<model::ServiceId> poolsWithJobs {};
+    std::set<model::ServiceId> sparePools {};
     std::map<std::uint64_t, ports::WaveRequest> waves {};
     std::map<model::ServiceId, std::shared_ptr<PoolAgent>> pools {};
     std::shared_ptr<FleetAgent> fleetAgent {};
--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -20,6 +20,15 @@
 /** Margin over the shortest time between orders of two daemons. */
 constexpr Duration orderGapMargin { 300 };
 
+/** Longest time of a move, its drain included; after it the VM may be planned with again. */
+constexpr Duration moveLimit { 8000 };
+
+/** Interval over which the growth of a pool's load is measured. */
+constexpr Duration trendInterval { 700 };
+
+/** Loads that are further apart than this say nothing of the present growth. */
+constexpr Duration longestTrend { 3000 };
+
 /** Lists in a row without a VM after which it is gone for good. */
 constexpr std::uint32_t missingLimit = 8;
 
@@ -64,7 +73,7 @@
         return;
     }
     this->timer.start(tickInterval, [self = shared_from_this()] { self->tick(); });
-    if (!hasOpenWave() || this->listing || !this->environment.holdsDuties()) {
+    if (this->listing || !this->environment.holdsDuties()) {
         return;
     }
     for (auto& [number, wave] : this->waves) {
@@ -73,6 +82,7 @@
         }
     }
     this->listing = true;
+    this->listRequested = bootNow();
     this->environment.fleet->listVms(
         [self = shared_from_this()](const kernel::Expected<std::vector<ports::VmFacts>>& facts) {
             self->listing = false;
@@ -119,7 +129,9 @@
     for (const auto& vm : facts) {
         byName[vm.vm] = &vm;
     }
-    bool draining = false;
+    updateMoves(facts);
+    bool draining
+        = std::ranges::any_of(this->moves, [](const auto& entry) { return !entry.second.accepted; });
     for (auto& [number, wave] : this->waves) {
         if (wave.loaded && !wave.completed) {
             updateStages(wave, byName);
@@ -129,6 +141,7 @@
             });
         }
     }
+    readReports(facts);
     if (draining) {
         this->environment.store->list(
             keys::emptied, [self = shared_from_this()](const kernel::Expected<store::Listing>& listing) {
@@ -139,6 +152,189 @@
     }
 }
 
+void FleetAgent::setPools(std::set<model::ServiceId> withJobs, std::set<model::ServiceId> spare)
+{
+    this->poolsWithJobs = std::move(withJobs);
+    this->sparePools = std::move(spare);
+}
+
+bool FleetAgent::isInWave(const model::VmId& vm) const
+{
+    return std::ranges::any_of(this->waves, [&](const auto& entry) {
+        const auto found = entry.second.vms.find(vm);
+        return found != entry.second.vms.end() && !entry.second.completed
+            && found->second.stage != WaveStage::Done;
+    });
+}
+
+std::vector<scheduling::MovableVm> FleetAgent::movableVms(const std::vector<ports::VmFacts>& facts) const
+{
+    std::vector<scheduling::MovableVm> vms;
+    for (const auto& vm : facts) {
+        const auto moving = this->moves.find(vm.vm);
+        const bool isMoving = moving != this->moves.end();
+        const bool up = vm.condition == ports::VmCondition::Up;
+        if (!up && !isMoving && vm.condition != ports::VmCondition::Moving) {
+            continue;
+        }
+        const bool busy = isMoving || !up || isInWave(vm.vm) || this->unmovable.contains(vm.vm);
+        vms.push_back(
+            { vm.vm, isMoving ? moving->second.order.to : vm.pool, vm.upstream, vm.capacity, busy });
+    }
+    return vms;
+}
+
+void FleetAgent::Trend::observe(kernel::Instant now, std::int64_t cpu)
+{
+    constexpr std::int64_t millisecondsPerSecond = 1000;
+    if (now - this->at < trendInterval) {
+        return;
+    }
+    const auto passed = (now - this->at).milliseconds;
+    this->growth
+        = passed < longestTrend.milliseconds ? (cpu - this->cpu) * millisecondsPerSecond / passed : 0;
+    this->at = now;
+    this->cpu = cpu;
+}
+
+std::vector<scheduling::PoolView> FleetAgent::viewPools(
+    const store::Listing& reports, const std::vector<scheduling::MovableVm>& vms)
+{
+    std::vector<scheduling::PoolView> views;
+    const auto now = bootNow();
+    for (const auto& entry : reports.entries) {
+        const model::ServiceId pool { entry.key.substr(keys::reports.size()) };
+        const auto report = jobs::decodePoolReport(entry.value);
+        if (!report || !this->poolsWithJobs.contains(pool)) {
+            continue;
+        }
+        std::vector<scheduling::UpstreamId> idle;
+        for (const auto& id : report->releasable) {
+            idle.emplace_back(id);
+        }
+        const scheduling::PoolDemand demand { report->wanted, {}, report->taken, report->spread,
+            std::move(idle) };
+        auto& trend = this->trends[pool];
+        trend.observe(now, report->wanted.cpu);
+        const scheduling::PoolView view { pool, false, demand, trend.growth, {} };
+        const auto own = std::ranges::count(vms, pool, &scheduling::MovableVm::pool);
+        const auto any = std::ranges::find(vms, pool, &scheduling::MovableVm::pool);
+        const bool surplus = any != vms.end()
+            && static_cast<std::uint32_t>(own) > scheduling::vmsNeeded(view, any->capacity);
+        if (!surplus) {
+            this->surplusSince.erase(pool);
+        }
+        const auto since = surplus ? this->surplusSince.try_emplace(pool, now).first->second : now;
+        views.push_back({ pool, false, demand, trend.growth, now - since });
+    }
+    for (const auto& pool : this->sparePools) {
+        views.push_back({ pool, true });
+    }
+    return views;
+}
+
+void FleetAgent::planMoves(const std::vector<ports::VmFacts>& facts, const store::Listing& reports)
+{
+    if (!mayOrder()) {
+        return;
+    }
+    const auto vms = movableVms(facts);
+    for (const auto& order : scheduling::planMoves(viewPools(reports, vms), vms)) {
+        beginMove(order);
+    }
+}
+
+void FleetAgent::beginMove(const scheduling::VmMove& order)
+{
+    kernel::logEvent("vm-move",
+        { { "vm", order.vm.text() }, { "from", order.from.text() }, { "to", order.to.text() },
+            { "upstream", order.upstream.text() } });
+    this->moves.emplace(order.vm, Move { .order = order, .since = bootNow() });
+    if (!this->poolsWithJobs.contains(order.from)) {
+        orderMove(order.vm);
+        return;
+    }
+    change(
+        { { keys::drain(order.from, order.vm), jobs::encode(jobs::Drain { order.upstream.text(), false }) } },
+        {}, [self = shared_from_this(), vm = order.vm](const store::ChangeOutcome& outcome) {
+            if (!std::holds_alternative<store::Committed>(outcome)) {
+                self->moves.erase(vm);
+            }
+        });
+}
+
+void FleetAgent::orderMove(const model::VmId& vm)
+{
+    auto& move = this->moves.at(vm);
+    if (!mayOrder() || move.ordering || move.accepted) {
+        return;
+    }
+    move.ordering = true;
+    this->environment.fleet->move(
+        vm, move.order.to, this->term, [self = shared_from_this(), vm](ports::VmOrderResult result) {
+            auto& move = self->moves.at(vm);
+            move.ordering = false;
+            if (self->closed) {
+                return;
+            }
+            if (result == ports::VmOrderResult::Done) {
+                move.accepted = true;
+                move.since = bootNow();
+                return;
+            }
+            kernel::logEvent(
+                "vm-move-refused", { { "vm", vm.text() }, { "result", static_cast<int>(result) } });
+            if (result == ports::VmOrderResult::Fenced) {
+                self->close();
+            } else if (result == ports::VmOrderResult::Rejected) {
+                self->unmovable.insert(vm);
+                self->endMove(vm);
+            } else if (result == ports::VmOrderResult::Busy || result == ports::VmOrderResult::NotInWave) {
+                self->endMove(vm);
+            }
+        });
+}
+
+void FleetAgent::endMove(const model::VmId& vm)
+{
+    const auto& order = this->moves.at(vm).order;
+    if (this->poolsWithJobs.contains(order.from)) {
+        change({}, { keys::drain(order.from, vm), keys::emptied + vm.text() },
+            [](const store::ChangeOutcome&) {});
+    }
+    this->moves.erase(vm);
+}
+
+void FleetAgent::updateMoves(const std::vector<ports::VmFacts>& facts)
+{
+    std::vector<model::VmId> ended;
+    for (auto& [name, move] : this->moves) {
+        const auto found = std::ranges::find(facts, name, &ports::VmFacts::vm);
+        const bool arrived = move.accepted && found != facts.end() && found->pool == move.order.to
+            && found->condition == ports::VmCondition::Up;
+        const bool lost = found == facts.end() || bootNow() - move.since > moveLimit;
+        if (!move.ordering && (arrived || lost)) {
+            ended.push_back(name);
+        }
+    }
+    for (const auto& name : ended) {
+        endMove(name);
+    }
+}
+
+void FleetAgent::readReports(const std::vector<ports::VmFacts>& facts)
+{
+    if (this->sparePools.empty()) {
+        return;
+    }
+    this->environment.store->list(
+        keys::reports, [self = shared_from_this(), facts](const kernel::Expected<store::Listing>& reports) {
+            if (reports && !self->closed) {
+                self->planMoves(facts, *reports);
+            }
+        });
+}
+
 void FleetAgent::updateStages(Wave& wave, const std::map<model::VmId, const ports::VmFacts*>& facts)
 {
     for (auto& [name, vm] : wave.vms) {
@@ -156,13 +352,15 @@
         const bool up = now.condition == ports::VmCondition::Up;
         switch (vm.stage) {
         case WaveStage::InMaintenance:
-            if (up && now.upstream != vm.upstream && !vm.ordering) {
+            // A VM of the reserve has no upstream before and after; the list has to be younger than the
+            // order.
+            if (up && !vm.ordering && this->listRequested > vm.since) {
                 vm.stage = WaveStage::Done;
             }
             break;
         case WaveStage::Waiting:
         case WaveStage::Away:
-            vm.stage = up ? WaveStage::Waiting : WaveStage::Away;
+            vm.stage = up && !this->moves.contains(name) ? WaveStage::Waiting : WaveStage::Away;
             vm.pool = now.pool;
             vm.upstream = now.upstream;
             break;
@@ -225,7 +423,7 @@
     kernel::logEvent("wave-drain",
         { { "wave", wave.request.number }, { "vm", name.text() }, { "pool", vm.pool.text() },
             { "upstream", vm.upstream.text() } });
-    change({ { keys::drain(vm.pool, name), vm.upstream.text() } }, {},
+    change({ { keys::drain(vm.pool, name), jobs::encode(jobs::Drain { vm.upstream.text(), true }) } }, {},
         [self = shared_from_this(), number = wave.request.number, name](const store::ChangeOutcome& outcome) {
             if (!std::holds_alternative<store::Committed>(outcome)) {
                 // The next list shows whether it still waits.
@@ -237,13 +435,23 @@
 
 void FleetAgent::onEmptied(const store::Listing& listing)
 {
+    const auto isEmpty = [&](const model::VmId& vm, const scheduling::UpstreamId& upstream) {
+        return std::ranges::any_of(listing.entries, [&](const store::Entry& entry) {
+            return entry.key == keys::emptied + vm.text() && entry.value == upstream.text();
+        });
+    };
+    std::vector<model::VmId> ready;
+    for (const auto& [name, move] : this->moves) {
+        if (!move.accepted && isEmpty(name, move.order.upstream)) {
+            ready.push_back(name);
+        }
+    }
+    for (const auto& name : ready) {
+        orderMove(name);
+    }
     for (auto& [number, wave] : this->waves) {
         for (auto& [name, vm] : wave.vms) {
-            const auto key = keys::emptied + name.text();
-            const bool empty = std::ranges::any_of(listing.entries, [&](const store::Entry& entry) {
-                return entry.key == key && entry.value == vm.upstream.text();
-            });
-            if (vm.stage == WaveStage::Draining && empty && !vm.ordering) {
+            if (vm.stage == WaveStage::Draining && !vm.ordering && isEmpty(name, vm.upstream)) {
                 maintain(number, name);
             }
         }
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -2,6 +2,7 @@
 
 #include "wasabiroad/agent/timer.hpp"
 #include "wasabiroad/ports/fleet.hpp"
+#include "wasabiroad/scheduling/move_plan.hpp"
 #include "wasabiroad/scheduling/wave_plan.hpp"
 
 #include <functional>
@@ -39,8 +40,8 @@
     /** @brief Sets the waves that the operator asks for. */
     void setWaves(const std::map<std::uint64_t, ports::WaveRequest>& requests);
 
-    /** @brief Sets the pools that run jobs. */
-    void setPoolsWithJobs(std::set<model::ServiceId> pools) { this->poolsWithJobs = std::move(pools); }
+    /** @brief Sets the pools that run jobs, and those whose VMs are a reserve. */
+    void setPools(std::set<model::ServiceId> withJobs, std::set<model::ServiceId> spare);
 
     void close();
 
@@ -66,7 +67,34 @@
         bool writing { false };
     };
 
+    struct Move {
+        scheduling::VmMove order;
+        kernel::Instant since {};
+        bool ordering { false };
+        /** @brief The platform has accepted it; the VM is on its way. */
+        bool accepted { false };
+    };
+
+    /** @brief Growth of the load of a pool. */
+    struct Trend {
+        void observe(kernel::Instant now, std::int64_t cpu);
+
+        kernel::Instant at {};
+        std::int64_t cpu { 0 };
+        std::int64_t growth { 0 };
+    };
+
     void tick();
+    void readReports(const std::vector<ports::VmFacts>& facts);
+    void planMoves(const std::vector<ports::VmFacts>& facts, const store::Listing& reports);
+    std::vector<scheduling::PoolView> viewPools(
+        const store::Listing& reports, const std::vector<scheduling::MovableVm>& vms);
+    std::vector<scheduling::MovableVm> movableVms(const std::vector<ports::VmFacts>& facts) const;
+    void updateMoves(const std::vector<ports::VmFacts>& facts);
+    void beginMove(const scheduling::VmMove& order);
+    void orderMove(const model::VmId& vm);
+    void endMove(const model::VmId& vm);
+    bool isInWave(const model::VmId& vm) const;
     bool hasOpenWave() const;
     void load(std::uint64_t number);
     void onVms(const std::vector<ports::VmFacts>& facts);
@@ -87,7 +115,14 @@
     kernel::Instant begun {};
     std::map<std::uint64_t, Wave> waves {};
     std::set<model::ServiceId> poolsWithJobs {};
+    std::set<model::ServiceId> sparePools {};
+    std::map<model::VmId, Move> moves {};
+    std::map<model::ServiceId, kernel::Instant> surplusSince {};
+    std::map<model::ServiceId, Trend> trends {};
+    /** @brief VMs that the platform did not let change their pool. */
+    std::set<model::VmId> unmovable {};
     bool listing { false };
+    kernel::Instant listRequested {};
     bool closed { false };
     Timer timer;
 };
--- a/src/wasabiroad/agent/keys.hpp
+++ b/src/wasabiroad/agent/keys.hpp
@@ -59,7 +59,10 @@
 
 inline std::string usedUpstreams(const model::ServiceId& service) { return "used/" + service.text(); }
 
-inline std::string pendingCounts(const model::ServiceId& service) { return "pending/" + service.text(); }
+/** What the owners of pools report of them. */
+inline const std::string reports { "report/" };
+
+inline std::string report(const model::ServiceId& service) { return reports + service.text(); }
 
 } // namespace keys
 
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -22,8 +22,8 @@
 /** Time to gather other records: each write is paid for. */
 constexpr Duration flushDelay { 60 };
 
-/** Interval of writing the numbers of waiting jobs, which callers may see up to 2 s late. */
-constexpr Duration countsInterval { 600 };
+/** Interval of reports: callers may see counts up to 2 s late, and VMs move by the demand. */
+constexpr Duration reportInterval { 400 };
 
 /** Wait of a watch; a silent connection hides cancelled jobs for this time and some slack. */
 constexpr Duration watchWait { 1000 };
@@ -204,7 +204,7 @@
         }
     }
     const auto known = this->drains;
-    for (const auto& [vm, upstream] : known) {
+    for (const auto& [vm, drain] : known) {
         const auto key = keys::drain(this->service, model::VmId { vm });
         if (!present.contains(key)) {
             onDrain(key, std::nullopt);
@@ -502,23 +502,39 @@
     apply(scheduling::Tick {});
     closeUnused();
     announceEmptied();
-    publishCounts();
+    publishReport();
 }
 
-void PoolAgent::publishCounts()
+void PoolAgent::publishReport()
 {
-    const auto counts = this->scheduler->pendingCounts();
-    const auto at = now().steady;
-    if (this->publishing || counts == this->publishedCounts || at - this->lastPublished < countsInterval) {
+    const auto at = now();
+    if (this->publishing || at.steady - this->lastPublished < reportInterval) {
+        return;
+    }
+    const auto demand = this->scheduler->demand(at);
+    kernel::logEvent("pool-state",
+        { { "pool", this->service.text() }, { "members", this->members.size() },
+            { "releasable", demand.releasable.size() }, { "jobs", this->scheduler->jobCount() },
+            { "cpu_wanted", demand.wanted.cpu }, { "cpu_taken", demand.taken.cpu },
+            { "cpu_room", demand.room.cpu }, { "memory_wanted", demand.wanted.memory },
+            { "memory_taken", demand.taken.memory }, { "memory_room", demand.room.memory },
+            { "spread", demand.spread } });
+    std::vector<std::string> idle;
+    for (const auto& id : demand.releasable) {
+        idle.push_back(id.text());
+    }
+    auto value = jobs::encode(jobs::PoolReport {
+        this->scheduler->pendingCounts(), demand.wanted, demand.taken, demand.spread, std::move(idle) });
+    if (value == this->publishedReport) {
         return;
     }
     this->publishing = true;
-    this->lastPublished = at;
-    this->writer->put({ keys::pendingCounts(this->service), jobs::encode(counts) },
-        [self = shared_from_this(), counts](const store::ChangeOutcome& outcome) {
+    this->lastPublished = at.steady;
+    this->writer->put({ keys::report(this->service), value },
+        [self = shared_from_this(), value](const store::ChangeOutcome& outcome) {
             self->publishing = false;
             if (std::holds_alternative<store::Committed>(outcome)) {
-                self->publishedCounts = counts;
+                self->publishedReport = value;
             }
         });
 }
@@ -579,26 +595,30 @@
         });
 }
 
-void PoolAgent::onDrain(const std::string& key, const std::optional<std::string>& upstream)
+void PoolAgent::onDrain(const std::string& key, const std::optional<std::string>& value)
 {
     const auto vm = key.substr(keys::drainsOf(this->service).size());
-    if (upstream) {
-        this->drains.insert_or_assign(vm, *upstream);
-    } else {
-        this->drains.erase(vm);
+    const auto drain = value ? jobs::decodeDrain(*value) : std::nullopt;
+    this->drains.erase(vm);
+    if (drain) {
+        this->drains.emplace(vm, *drain);
     }
     this->announced.erase(vm);
-    std::vector<UpstreamId> ids;
-    for (const auto& [name, id] : this->drains) {
-        ids.emplace_back(id);
-    }
-    kernel::logEvent("drain-changed", { { "vm", vm }, { "upstream", upstream.value_or("") } });
-    apply(scheduling::DrainsChanged { std::move(ids) });
+    std::vector<scheduling::Drain> all;
+    for (const auto& [name, known] : this->drains) {
+        all.push_back({ UpstreamId { known.upstream }, known.stopsTasks });
+    }
+    kernel::logEvent("drain-changed",
+        { { "vm", vm }, { "upstream", drain ? drain->upstream : "" },
+            { "stops_tasks", drain && drain->stopsTasks ? "yes" : "no" } });
+    apply(scheduling::DrainsChanged { std::move(all) });
+    announceEmptied();
 }
 
 void PoolAgent::announceEmptied()
 {
-    for (const auto& [vm, upstream] : this->drains) {
+    for (const auto& [vm, drain] : this->drains) {
+        const auto& upstream = drain.upstream;
         if (this->announced.contains(vm) || !this->scheduler->isEmptied(UpstreamId { upstream })) {
             continue;
         }
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -72,13 +72,13 @@
     void flush();
     void onFlushed(std::uint64_t batch);
     void tick();
-    void publishCounts();
+    void publishReport();
     void useMembers();
     void openLinks();
     void closeUnused();
     std::set<std::string> upstreamsInUse() const;
     void recordUsed(const std::set<std::string>& ids);
-    void onDrain(const std::string& key, const std::optional<std::string>& upstream);
+    void onDrain(const std::string& key, const std::optional<std::string>& value);
     void announceEmptied();
     void superseded();
     void replaced(const scheduling::UpstreamId& id);
@@ -96,7 +96,7 @@
     /** @brief Upstreams that are recorded as used: tasks may be started there. */
     std::set<std::string> used {};
     /** @brief Upstreams that are to be emptied, by VM. */
-    std::map<std::string, std::string> drains {};
+    std::map<std::string, jobs::Drain> drains {};
     /** @brief VMs whose emptiness is written. */
     std::set<std::string> announced {};
     bool recordingUsed { false };
@@ -105,7 +105,7 @@
     bool flushPlanned { false };
     std::map<std::uint64_t, std::map<scheduling::UpstreamId, std::uint64_t>> unrecordedEnds {};
     std::map<scheduling::UpstreamId, std::uint64_t> seenEnds {};
-    jobs::PendingCounts publishedCounts {};
+    std::string publishedReport {};
     bool publishing { false };
     kernel::Instant lastPublished {};
     Timer tickTimer;
--- a/src/wasabiroad/jobs/codec.cpp
+++ b/src/wasabiroad/jobs/codec.cpp
@@ -114,20 +114,46 @@
     return target.SerializeAsString();
 }
 
-std::string encode(const PendingCounts& counts)
+std::string encode(const Drain& drain)
 {
-    wire::PendingCounts target;
-    for (const auto& [queue, count] : counts) {
+    wire::Drain target;
+    target.set_upstream(drain.upstream);
+    target.set_stops_tasks(drain.stopsTasks);
+    return target.SerializeAsString();
+}
+
+std::optional<Drain> decodeDrain(std::string_view bytes)
+{
+    wire::Drain source;
+    if (!source.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || source.upstream().empty()) {
+        return std::nullopt;
+    }
+    return Drain { source.upstream(), source.stops_tasks() };
+}
+
+std::string encode(const PoolReport& report)
+{
+    wire::PoolReport target;
+    for (const auto& [queue, count] : report.pending) {
         auto& row = *target.add_counts();
         row.set_queue(queue.text());
         row.set_count(count);
     }
+    target.set_cpu(report.wanted.cpu);
+    target.set_memory(report.wanted.memory);
+    target.set_accelerators(report.wanted.accelerators);
+    target.set_taken_cpu(report.taken.cpu);
+    target.set_taken_memory(report.taken.memory);
+    target.set_spread(report.spread);
+    for (const auto& id : report.releasable) {
+        target.add_releasable(id);
+    }
     return target.SerializeAsString();
 }
 
-std::optional<PendingCounts> decodePendingCounts(std::string_view bytes)
+std::optional<PoolReport> decodePoolReport(std::string_view bytes)
 {
-    wire::PendingCounts source;
+    wire::PoolReport source;
     if (!source.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return std::nullopt;
     }
@@ -135,7 +161,9 @@
     for (const auto& row : source.counts()) {
         counts[QueueId { row.queue() }] = row.count();
     }
-    return counts;
+    return PoolReport { std::move(counts), { source.cpu(), source.memory(), source.accelerators() },
+        { source.taken_cpu(), source.taken_memory() }, source.spread(),
+        { source.releasable().begin(), source.releasable().end() } };
 }
 
 std::optional<Job> decodeJob(std::string_view bytes)
--- a/src/wasabiroad/jobs/codec.hpp
+++ b/src/wasabiroad/jobs/codec.hpp
@@ -19,13 +19,44 @@
 /** @return The stored form of a list of upstreams. */
 std::string encode(const std::vector<std::string>& upstreams);
 
+/** @brief Jobs that have not begun, by queue. */
 using PendingCounts = std::map<QueueId, std::uint64_t>;
 
-/** @return The stored form of the numbers of jobs that have not begun. */
-std::string encode(const PendingCounts& counts);
+/** @brief What the owner of a pool reports of it. */
+struct PoolReport {
+    const PendingCounts pending {};
+    /** @brief Resources of all tasks that run or could run now. */
+    const Resources wanted {};
+    /** @brief The part of them that has room. */
+    const Resources taken {};
+    /** @brief Upstreams that the widest long-running step needs. */
+    const std::uint32_t spread { 0 };
+    /** @brief Upstreams that run out of tasks soon, the first of them first. */
+    const std::vector<std::string> releasable {};
 
-/** @return The numbers of jobs that have not begun, or nothing when the bytes are none. */
-std::optional<PendingCounts> decodePendingCounts(std::string_view bytes);
+    friend bool operator==(const PoolReport&, const PoolReport&) = default;
+};
+
+/** @brief Asks the owner of a pool to empty an upstream. */
+struct Drain {
+    const std::string upstream {};
+    /** @brief Tasks that do not end soon are stopped. */
+    const bool stopsTasks { false };
+
+    friend auto operator<=>(const Drain&, const Drain&) = default;
+};
+
+/** @return The stored form of a drain. */
+std::string encode(const Drain& drain);
+
+/** @return The drain, or nothing when the bytes are none. */
+std::optional<Drain> decodeDrain(std::string_view bytes);
+
+/** @return The stored form of a report. */
+std::string encode(const PoolReport& report);
+
+/** @return The report, or nothing when the bytes are none. */
+std::optional<PoolReport> decodePoolReport(std::string_view bytes);
 
 /** @return The job, or nothing when the bytes are no job. */
 std::optional<Job> decodeJob(std::string_view bytes);
--- a/src/wasabiroad/ports/fleet.hpp
+++ b/src/wasabiroad/ports/fleet.hpp
@@ -48,6 +48,7 @@
     const VmCondition condition { VmCondition::Up };
     /** @brief The upstream that runs on it, if any. */
     const scheduling::UpstreamId upstream {};
+    const jobs::Resources capacity {};
 
     friend auto operator<=>(const VmFacts&, const VmFacts&) = default;
 };
@@ -66,6 +67,8 @@
     const std::function<void(store::Callback<kernel::Expected<std::vector<VmFacts>>>)> listVms;
     /** @brief Takes a VM down for maintenance; its tasks end at once. */
     const std::function<void(model::VmId, std::uint64_t wave, Term, store::Callback<VmOrderResult>)> maintain;
+    /** @brief Gives a VM to another pool; its tasks end at once. */
+    const std::function<void(model::VmId, model::ServiceId pool, Term, store::Callback<VmOrderResult>)> move;
     /** @brief Entry with the state of a wave, as the operator reads it. */
     const std::function<store::Put(std::uint64_t wave, bool completed)> waveStatus;
 };
--- a/src/wasabiroad/scheduling/event.hpp
+++ b/src/wasabiroad/scheduling/event.hpp
@@ -93,9 +93,18 @@
     friend bool operator==(const MembersSeen&, const MembersSeen&) = default;
 };
 
-/** @brief Upstreams that are to be emptied for maintenance. */
+/** @brief An upstream that is to be emptied, because its VM leaves the pool or has maintenance. */
+struct Drain {
+    const UpstreamId upstream {};
+    /** @brief Tasks that do not end soon are stopped. */
+    const bool stopsTasks { false };
+
+    friend auto operator<=>(const Drain&, const Drain&) = default;
+};
+
+/** @brief The upstreams that are to be emptied. */
 struct DrainsChanged {
-    const std::vector<UpstreamId> upstreams {};
+    const std::vector<Drain> drains {};
 
     friend bool operator==(const DrainsChanged&, const DrainsChanged&) = default;
 };
--- /dev/null
+++ b/src/wasabiroad/scheduling/move_plan.cpp
@@ -0,0 +1,172 @@
+#include "wasabiroad/scheduling/move_plan.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace wasabiroad::scheduling {
+
+namespace {
+
+/** Room over the present demand, which rises while a VM is on its way. */
+constexpr double headroom = 1.15;
+
+/** Room for tasks that wait, for each that waits: a task takes this share of the time that its job can spare. */
+constexpr double waitingShare = 0.6;
+
+/** Growth counts up to this part of the present load: steps of many tasks come in lumps. */
+constexpr std::int64_t growthCap = 2;
+
+/** VMs beyond the widest long-running step: for an upstream that fails or is in maintenance. */
+constexpr std::uint32_t spreadReserve = 2;
+
+/** Smallest size of a pool with jobs. */
+constexpr std::uint32_t leastVms = 3;
+
+/** A pool gives a VM to the reserve only after this time with too many: demand may rise again. */
+constexpr kernel::Duration surplusPatience { 2000 };
+
+/** A pool gives VMs to a pool that needs more after this time with too many. */
+constexpr kernel::Duration givingPatience { 800 };
+
+/** Time from the decision until a VM of another pool takes tasks. */
+constexpr kernel::Duration moveTime { 2500 };
+
+struct Balance {
+    const PoolView* view { nullptr };
+    std::uint32_t needed { 0 };
+    std::uint32_t have { 0 };
+    std::vector<const MovableVm*> free {};
+};
+
+double share(std::int64_t wanted, std::int64_t room)
+{
+    return room > 0 ? static_cast<double>(wanted) / static_cast<double>(room) : 0;
+}
+
+Balance balanceOf(const PoolView& view, const std::vector<MovableVm>& vms)
+{
+    Balance balance { .view = &view };
+    jobs::Resources const* capacity = nullptr;
+    const auto& order = view.demand.releasable;
+    std::map<UpstreamId, const MovableVm*> byUpstream;
+    for (const auto& vm : vms) {
+        if (vm.pool != view.pool) {
+            continue;
+        }
+        ++balance.have;
+        capacity = &vm.capacity;
+        if (!vm.busy && view.spare) {
+            balance.free.push_back(&vm);
+        } else if (!vm.busy) {
+            byUpstream[vm.upstream] = &vm;
+        }
+    }
+    // The first that runs out of tasks is taken first, from the end of the list.
+    for (auto id = order.rbegin(); id != order.rend(); ++id) {
+        if (const auto found = byUpstream.find(*id); found != byUpstream.end()) {
+            balance.free.push_back(found->second);
+        }
+    }
+    if (!view.spare && capacity != nullptr) {
+        balance.needed = vmsNeeded(view, *capacity);
+    }
+    return balance;
+}
+
+/** A pool with tasks that wait keeps its VMs, though some may be on their way to it. */
+bool mayGive(const PoolView& view)
+{
+    return view.spare
+        || (view.surplusFor >= givingPatience && view.demand.wanted.cpu <= view.demand.taken.cpu);
+}
+
+/** Takes one VM: from the pool with the largest surplus, and from the reserve last. */
+const MovableVm* takeFree(std::vector<Balance>& balances, const model::ServiceId& to)
+{
+    Balance* best = nullptr;
+    for (auto& balance : balances) {
+        if (balance.view->pool == to || balance.free.empty() || balance.have <= balance.needed
+            || !mayGive(*balance.view)) {
+            continue;
+        }
+        const auto rank = [](const Balance& item) {
+            return std::pair { !item.view->spare, item.have - item.needed };
+        };
+        if (best == nullptr || rank(balance) > rank(*best)) {
+            best = &balance;
+        }
+    }
+    if (best == nullptr) {
+        return nullptr;
+    }
+    const auto* const vm = best->free.back();
+    best->free.pop_back();
+    --best->have;
+    return vm;
+}
+
+} // namespace
+
+std::uint32_t vmsNeeded(const PoolView& pool, const jobs::Resources& vm)
+{
+    constexpr std::int64_t millisecondsPerSecond = 1000;
+    const auto& demand = pool.demand;
+    const auto growth = std::min(demand.wanted.cpu / growthCap,
+        std::max<std::int64_t>(0, pool.cpuGrowth) * moveTime.milliseconds / millisecondsPerSecond);
+    const auto needed = [](std::int64_t wanted, std::int64_t taken) {
+        const auto waiting = std::max<std::int64_t>(0, wanted - taken);
+        return wanted - waiting + static_cast<std::int64_t>(waitingShare * static_cast<double>(waiting));
+    };
+    const auto load = std::max({ share(needed(demand.wanted.cpu, demand.taken.cpu) + growth, vm.cpu),
+        share(needed(demand.wanted.memory, demand.taken.memory), vm.memory),
+        share(demand.wanted.accelerators, vm.accelerators) });
+    const auto forLoad = static_cast<std::uint32_t>(std::ceil(load * headroom)) + 1;
+    return std::max({ leastVms, forLoad, demand.spread + spreadReserve });
+}
+
+std::vector<VmMove> planMoves(const std::vector<PoolView>& pools, const std::vector<MovableVm>& vms)
+{
+    std::vector<Balance> balances;
+    for (const auto& view : pools) {
+        balances.push_back(balanceOf(view, vms));
+    }
+    std::vector<VmMove> moves;
+    const auto move = [&](const MovableVm& vm, const model::ServiceId& to) {
+        moves.push_back({ vm.vm, vm.pool, to, vm.upstream });
+    };
+    std::vector<Balance*> short_;
+    for (auto& balance : balances) {
+        if (!balance.view->spare && balance.have < balance.needed) {
+            short_.push_back(&balance);
+        }
+    }
+    std::ranges::sort(
+        short_, std::greater {}, [](const Balance* balance) { return balance->needed - balance->have; });
+    for (auto* const balance : short_) {
+        while (balance->have < balance->needed) {
+            const auto* const vm = takeFree(balances, balance->view->pool);
+            if (vm == nullptr) {
+                break;
+            }
+            move(*vm, balance->view->pool);
+            ++balance->have;
+        }
+    }
+    const auto reserve = std::ranges::find_if(pools, [](const auto& view) { return view.spare; });
+    if (reserve == pools.end()) {
+        return moves;
+    }
+    for (auto& balance : balances) {
+        if (!balance.view->spare && balance.have > balance.needed && !balance.free.empty()
+            && balance.view->surplusFor >= surplusPatience) {
+            const auto surplus = std::min<std::size_t>(balance.have - balance.needed, balance.free.size());
+            for (std::size_t index = 0; index < surplus; ++index) {
+                move(*balance.free[balance.free.size() - 1 - index], reserve->pool);
+            }
+        }
+    }
+    return moves;
+}
+
+} // namespace wasabiroad::scheduling
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -15,6 +15,17 @@
 /** Starts of one term; the run number is the term above these bits. */
 constexpr unsigned runBits = 20;
 
+/** Upstreams over which the tasks of a long-running step are spread; fewer would lose more of it at once. */
+constexpr std::uint32_t longRunningSpread = 3;
+
+std::uint32_t tasksPerVm(const jobs::Step& step)
+{
+    return std::max(1U, (step.count + longRunningSpread - 1) / longRunningSpread);
+}
+
+/** Upstreams whose tasks end within this time can leave the pool: a drain keeps their room from new tasks. */
+constexpr Duration releaseWithin { 900 };
+
 /** Share of the estimated remaining chain that must fit before a job is late; estimates are often too high.
  */
 constexpr double feasibleShare = 0.5;
@@ -51,6 +62,59 @@
     });
 }
 
+PoolDemand PoolScheduler::demand(Moment now) const
+{
+    std::int64_t cpu = 0;
+    std::int64_t memory = 0;
+    std::int64_t accelerators = 0;
+    std::uint32_t spread = 0;
+    for (const auto& [id, run] : this->jobRuns) {
+        for (std::uint32_t occurrence = 0; occurrence < run.occurrences.size(); ++occurrence) {
+            for (std::uint32_t number = 0; number < run.job.steps.size(); ++number) {
+                const auto& step = run.job.steps[number];
+                const auto& tasks = run.occurrences[occurrence][number].tasks;
+                const bool ready = !jobs::isFinal(run.state) && isStepReady(run, occurrence, number, now);
+                const auto counted = std::ranges::count_if(tasks, [&](const Task& task) {
+                    return task.phase != Phase::Done && (ready || task.phase != Phase::Waiting);
+                });
+                cpu += step.filler ? 0 : counted * step.resources.cpu;
+                memory += counted * step.resources.memory;
+                accelerators += counted * step.resources.accelerators;
+                if (step.longRunning && step.maxPerUpstream > 0 && !jobs::isFinal(run.state)) {
+                    spread = std::max(spread, (step.count + step.maxPerUpstream - 1) / step.maxPerUpstream);
+                }
+            }
+        }
+    }
+    std::vector<std::pair<std::int64_t, UpstreamId>> releasable;
+    std::int64_t roomCpu = 0;
+    std::int64_t roomMemory = 0;
+    std::int64_t takenCpu = 0;
+    std::int64_t takenMemory = 0;
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (isOpen(upstream, now)) {
+            roomCpu += upstream.facts->capacity.cpu;
+            roomMemory += upstream.facts->capacity.memory;
+            takenCpu += upstream.cpu;
+            takenMemory += upstream.memory;
+        }
+        if (upstream.member && upstream.listed && !upstream.hasForeign && !this->drains.contains(id)
+            && !hasLongRunning(upstream)) {
+            const auto left = timeToEmpty(upstream, now);
+            if (left < releaseWithin) {
+                releasable.emplace_back(left.milliseconds, id);
+            }
+        }
+    }
+    std::ranges::sort(releasable);
+    std::vector<UpstreamId> ids;
+    for (const auto& [used, id] : releasable) {
+        ids.push_back(id);
+    }
+    return { { cpu, memory, accelerators }, { roomCpu, roomMemory }, { takenCpu, takenMemory }, spread,
+        std::move(ids) };
+}
+
 std::vector<PoolScheduler::Ready> PoolScheduler::readySteps(Moment now)
 {
     std::vector<Ready> ready;
@@ -191,11 +255,16 @@
         && upstream.accelerators + step.resources.accelerators <= capacity.accelerators;
 }
 
-bool PoolScheduler::usable(const Upstream& upstream, const Ready& ready, const Task&, Moment now) const
+bool PoolScheduler::isOpen(const Upstream& upstream, Moment now) const
+{
+    return upstream.facts && upstream.member && upstream.listed && !upstream.hasForeign
+        && !this->drains.contains(upstream.facts->id) && !upstream.facts->draining
+        && upstream.suspectUntil <= now.steady;
+}
+
+bool PoolScheduler::usable(const Upstream& upstream, const Ready& ready, Moment now) const
 {
-    if (!upstream.facts || !upstream.member || !upstream.listed || upstream.hasForeign
-        || this->drains.contains(upstream.facts->id) || upstream.facts->draining
-        || upstream.suspectUntil > now.steady) {
+    if (!isOpen(upstream, now)) {
         return false;
     }
     const auto& step = ready.job->job.steps[ready.step];
@@ -207,6 +276,26 @@
         && (step.maxPerUpstream == 0 || countOfStep(upstream, ready) < step.maxPerUpstream);
 }
 
+Duration PoolScheduler::timeToEmpty(const Upstream& upstream, Moment now) const
+{
+    Duration longest {};
+    for (const auto& id : upstream.tasks) {
+        const auto& task = this->jobRuns.at(id.job)
+                               .occurrences[id.position.occurrence][id.position.step]
+                               .tasks[id.position.index];
+        const auto seen = task.lastProgress - task.started;
+        const auto whole = task.percent > 0 ? Duration { seen.milliseconds * 100 / task.percent }
+                                            : std::max(stepOf(id).estimate, seen * 2);
+        longest = std::max(longest, task.started + whole - now.steady);
+    }
+    return longest;
+}
+
+bool PoolScheduler::hasLongRunning(const Upstream& upstream) const
+{
+    return std::ranges::any_of(upstream.tasks, [&](const TaskId& id) { return stepOf(id).longRunning; });
+}
+
 std::uint32_t PoolScheduler::countOfStep(const Upstream& upstream, const Ready& ready) const
 {
     const TaskId first { ready.job->job.id, { ready.occurrence, ready.step, 0 } };
@@ -222,9 +311,9 @@
     const auto& step = ready.job->job.steps[ready.step];
     const bool waitForRack = !step.dataRack.empty() && now.steady - task.readySince < step.estimate;
     Upstream* best = nullptr;
-    std::tuple<bool, bool, std::uint32_t, double> bestKey {};
+    std::tuple<bool, bool, std::uint32_t, bool, double> bestKey {};
     for (auto& [id, upstream] : this->upstreams) {
-        if (!usable(upstream, ready, task, now)) {
+        if (!usable(upstream, ready, now)) {
             continue;
         }
         const auto& facts = *upstream.facts;
@@ -239,7 +328,11 @@
         const auto cpuLoad = share(upstream.cpu + step.resources.cpu, facts.capacity.cpu);
         const auto load = step.filler ? memoryLoad : std::max(cpuLoad, memoryLoad);
         const std::tuple key { task.failedOn.contains(id), far,
-            step.longRunning ? countOfStep(upstream, ready) : 0U, load };
+            step.longRunning ? countOfStep(upstream, ready) / tasksPerVm(step) : 0U,
+            // Long-running tasks share VMs, so that the other VMs can change their pool.
+            step.longRunning && !hasLongRunning(upstream),
+            // Other tasks fill the most loaded VMs first, so that the rest can be released.
+            step.longRunning || step.filler ? load : -load };
         if (best == nullptr || key < bestKey) {
             best = &upstream;
             bestKey = key;
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -142,10 +142,11 @@
 
 void PoolScheduler::on(const DrainsChanged& event, Moment now)
 {
-    std::map<UpstreamId, kernel::Instant> wanted;
-    for (const auto& id : event.upstreams) {
-        const auto known = this->drains.find(id);
-        wanted.emplace(id, known != this->drains.end() ? known->second : now.steady);
+    std::map<UpstreamId, internal::Draining> wanted;
+    for (const auto& drain : event.drains) {
+        const auto known = this->drains.find(drain.upstream);
+        const auto since = known != this->drains.end() ? known->second.since : now.steady;
+        wanted.emplace(drain.upstream, internal::Draining { since, drain.stopsTasks });
     }
     this->drains = std::move(wanted);
     emptyUpstreams(now);
@@ -444,7 +445,8 @@
         if (!emptied && !draining) {
             continue;
         }
-        const bool patient = emptied && now.steady - drain->second < this->policy.drainPatience;
+        const bool patient = emptied
+            && (!drain->second.stopsTasks || now.steady - drain->second.since < this->policy.drainPatience);
         const auto tasks = upstream.tasks;
         for (const auto& id : tasks) {
             const auto [run, task] = find(id);
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wasabiroad/scheduling/move_plan.hpp"
 #include "wasabiroad/scheduling/policy.hpp"
 #include "wasabiroad/scheduling/state.hpp"
 
@@ -55,6 +56,9 @@
     /** @return Jobs of each queue without times of their own that have not begun. */
     std::map<jobs::QueueId, std::uint64_t> pendingCounts() const;
 
+    /** @return What the pool needs now. */
+    PoolDemand demand(Moment now) const;
+
     /** @return Whether the upstream runs nothing and gets nothing new. */
     bool isEmptied(const UpstreamId& upstream) const;
 
@@ -128,7 +132,10 @@
     void startOn(const Ready& ready, std::uint32_t index, Upstream& upstream, jobs::Run run, Moment now);
     Upstream* choose(const Ready& ready, const Task& task, Moment now, const model::RackId* onlyRack);
     bool fits(const Upstream& upstream, const jobs::Step& step) const;
-    bool usable(const Upstream& upstream, const Ready& ready, const Task& task, Moment now) const;
+    bool isOpen(const Upstream& upstream, Moment now) const;
+    bool usable(const Upstream& upstream, const Ready& ready, Moment now) const;
+    kernel::Duration timeToEmpty(const Upstream& upstream, Moment now) const;
+    bool hasLongRunning(const Upstream& upstream) const;
     std::uint32_t countOfStep(const Upstream& upstream, const Ready& ready) const;
     bool isStepReady(const JobRun& run, std::uint32_t occurrence, std::uint32_t step, Moment now) const;
     std::uint32_t awayBeside(const JobRun& run, const jobs::TaskId& id) const;
@@ -144,8 +151,8 @@
     bool passNeeded { false };
     bool urgent { false };
     std::set<UpstreamId> unheard {};
-    /** @brief Upstreams that are to be emptied, since when. */
-    std::map<UpstreamId, kernel::Instant> drains {};
+    /** @brief Upstreams that are to be emptied. */
+    std::map<UpstreamId, internal::Draining> drains {};
     std::unordered_map<jobs::JobId, JobRun> jobRuns {};
     std::map<UpstreamId, Upstream> upstreams {};
     std::set<jobs::JobId> changed {};
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -63,6 +63,12 @@
     bool written { false };
 };
 
+/** @brief An upstream that is to be emptied. */
+struct Draining {
+    kernel::Instant since {};
+    bool stopsTasks { false };
+};
+
 /** @brief Scheduling state of an upstream. */
 struct Upstream {
     std::optional<UpstreamFacts> facts {};
--- a/test/wasabiroad/jobs/codec.cpp
+++ b/test/wasabiroad/jobs/codec.cpp
@@ -71,8 +71,12 @@
 {
     const std::vector<std::string> upstreams { "u1", "u2" };
     BOOST_TEST((decodeUpstreams(encode(upstreams)) == upstreams));
-    const PendingCounts counts { { QueueId { "q" }, 7 }, { QueueId { "r" }, 0 } };
-    BOOST_TEST((decodePendingCounts(encode(counts)) == counts));
+    const PoolReport report { { { QueueId { "q" }, 7 }, { QueueId { "r" }, 0 } }, { 1, 2, 3 }, { 1, 1 }, 4,
+        { "u1" } };
+    BOOST_TEST((decodePoolReport(encode(report)) == report));
+    const Drain drain { "u1", true };
+    BOOST_TEST((decodeDrain(encode(drain)) == drain));
+    BOOST_TEST(!decodeDrain("").has_value());
 }
 
 } // namespace
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -322,7 +322,7 @@
         }
         site.list(id, running, {}, 1000);
     }
-    site.apply(DrainsChanged { { UpstreamId { "u1" } } }, 1100);
+    site.apply(DrainsChanged { { { UpstreamId { "u1" }, true } } }, 1100);
     BOOST_TEST(site.stops.size() == row.stops);
     BOOST_TEST(!site.scheduler.isEmptied(UpstreamId { "u1" }));
 }
