--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -74,7 +74,6 @@
             }
         };
     };
-    this->scheduler.emplace(makePolicy(this->taskLease), this->term.value, now());
     this->writer = std::make_shared<RecordWriter>(this->environment.context, this->environment.store,
         this->service, this->term,
         RecordEvents {
@@ -144,16 +143,16 @@
     }
     this->loaded = true;
     this->used.insert(usedBefore.begin(), usedBefore.end());
-    addJobs(pool, records, true);
     std::vector<UpstreamId> ids;
     for (const auto& id : usedBefore) {
         ids.emplace_back(id);
     }
+    this->scheduler.emplace(makePolicy(this->taskLease), this->term.value, now(), ids);
+    addJobs(pool, records, true);
     kernel::logEvent("pool-loaded",
         { { "pool", this->service.text() }, { "term", this->term.value },
             { "jobs", this->scheduler->jobCount() }, { "used", usedBefore.size() },
             { "used_revision", usedRevision.value }, { "revision", pool.asOf.value } });
-    apply(scheduling::TermBegun { std::move(ids) });
     useMembers();
     watch(pool.asOf);
     tick();
--- a/src/wasabiroad/scheduling/event.hpp
+++ b/src/wasabiroad/scheduling/event.hpp
@@ -174,20 +174,13 @@
     friend auto operator<=>(const UpstreamReplaced&, const UpstreamReplaced&) = default;
 };
 
-/** @brief A term of ownership begins: these upstreams may run tasks of a former owner. */
-struct TermBegun {
-    const std::vector<UpstreamId> used {};
-
-    friend bool operator==(const TermBegun&, const TermBegun&) = default;
-};
-
 /** @brief Time has passed. */
 struct Tick {
     friend auto operator<=>(const Tick&, const Tick&) = default;
 };
 
 using Event = std::variant<JobAdded, JobCancelled, MembersSeen, DrainsChanged, TasksListed, StartAnswered,
-    StopAnswered, UpstreamSilent, UpstreamReplaced, TermBegun, Tick>;
+    StopAnswered, UpstreamSilent, UpstreamReplaced, Tick>;
 
 /** @brief Start a run of a task on an upstream. */
 struct StartTask {
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -56,10 +56,12 @@
 
 } // namespace
 
-PoolScheduler::PoolScheduler(Policy policy, std::uint64_t term, Moment started)
-    : policy(policy)
-    , term(term)
+PoolScheduler::PoolScheduler(
+    Policy limits, std::uint64_t ownTerm, Moment started, const std::vector<UpstreamId>& used)
+    : policy(limits)
+    , term(ownTerm)
     , begun(started)
+    , unheard(used.begin(), used.end())
 {
 }
 
@@ -83,7 +85,7 @@
     for (auto& steps : run.occurrences) {
         steps.resize(event.job.steps.size());
         for (std::size_t step = 0; step < steps.size(); ++step) {
-            Task task { .unresolved = event.mayHaveStarted, .notBefore = {}, .readySince = now.steady };
+            Task task { .unresolved = event.mayHaveStarted && !this->unheard.empty(), .notBefore = {}, .readySince = now.steady };
             steps[step].tasks.assign(event.job.steps[step].count, task);
         }
     }
@@ -360,14 +362,6 @@
     this->passNeeded = true;
 }
 
-void PoolScheduler::on(const TermBegun& event, Moment)
-{
-    this->unheard.insert(event.used.begin(), event.used.end());
-    if (this->unheard.empty()) {
-        resolveStarts();
-    }
-}
-
 void PoolScheduler::heardOf(const UpstreamId& id)
 {
     if (this->unheard.erase(id) != 0 && this->unheard.empty()) {
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -24,8 +24,10 @@
      * @param policy Limits and weights.
      * @param term Term of ownership; runs of a later term have higher numbers.
      * @param started When the term began.
+     * @param used Upstreams that may run tasks of a former owner.
      */
-    PoolScheduler(Policy policy, std::uint64_t term, Moment started);
+    PoolScheduler(
+        Policy policy, std::uint64_t term, Moment started, const std::vector<UpstreamId>& used = {});
 
     /**
      * @brief Applies one event.
@@ -101,7 +103,6 @@
     void on(const StopAnswered& event, Moment now);
     void on(const UpstreamSilent& event, Moment now);
     void on(const UpstreamReplaced& event, Moment now);
-    void on(const TermBegun& event, Moment now);
     void on(const Tick& event, Moment now);
 
     void applyEnd(const UpstreamId& id, const EndedTask& end, Moment now);
@@ -150,7 +151,8 @@
     bool active { true };
     bool passNeeded { false };
     bool urgent { false };
-    std::set<UpstreamId> unheard {};
+    /** @brief Upstreams that may run tasks of a former owner unseen. */
+    std::set<UpstreamId> unheard;
     /** @brief Upstreams that are to be emptied. */
     std::map<UpstreamId, internal::Draining> drains {};
     std::unordered_map<jobs::JobId, JobRun> jobRuns {};
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -18,7 +18,7 @@
 constexpr Duration latency { 2 };
 constexpr Duration silence { 300 };
 constexpr Duration stopTime { 30 };
-constexpr Duration maintenanceTime { 400 };
+constexpr Duration downTime { 400 };
 constexpr Duration endInterval { 10 };
 
 Instant now() { return kernel::now(kernel::SteadyClock {}); }
@@ -76,7 +76,7 @@
     for (const auto& worker : this->workers) {
         facts.push_back({ model::VmId { worker.name }, worker.service,
             worker.up ? ports::VmCondition::Up : ports::VmCondition::Maintenance,
-            worker.up ? worker.id : UpstreamId {} });
+            worker.up ? worker.id : UpstreamId {}, { worker.cpu, 65536, 0 } });
     }
     return facts;
 }
@@ -110,20 +110,42 @@
     if (this->maintainedVms.contains(vm)) {
         return ports::VmOrderResult::Done;
     }
+    this->maintainedVms.insert(vm);
+    takeDown(worker, "maintenance");
+    const auto down = std::ranges::count_if(this->workers, [](const auto& other) { return !other.up; });
+    this->downAtMost = std::max(this->downAtMost, static_cast<std::size_t>(down));
+    return ports::VmOrderResult::Done;
+}
+
+ports::VmOrderResult Workers::move(
+    const model::VmId& vm, const model::ServiceId& pool, std::uint64_t term)
+{
+    auto& worker = *std::ranges::find(this->workers, vm.text(), &Worker::name);
+    if (term < worker.vmFence) {
+        return ports::VmOrderResult::Fenced;
+    }
+    worker.vmFence = term;
+    if (worker.service == pool) {
+        return ports::VmOrderResult::Done;
+    }
+    ++this->moves;
+    worker.service = pool;
+    takeDown(worker, "move");
+    return ports::VmOrderResult::Done;
+}
+
+void Workers::takeDown(Worker& worker, const std::string& reason)
+{
     if (!worker.running.empty()) {
-        this->faults.push_back("maintenance ended tasks on " + worker.name);
+        this->faults.push_back(reason + " ended tasks on " + worker.name);
     }
-    this->maintainedVms.insert(vm);
     worker.up = false;
     lose(worker);
-    const auto down = std::ranges::count_if(this->workers, [](const auto& other) { return !other.up; });
-    this->downAtMost = std::max(this->downAtMost, static_cast<std::size_t>(down));
-    later(maintenanceTime, [this, vm] {
-        auto& back = *std::ranges::find(this->workers, vm.text(), &Worker::name);
+    later(downTime, [this, name = worker.name] {
+        auto& back = *std::ranges::find(this->workers, name, &Worker::name);
         back.up = true;
         back.id = UpstreamId { back.name + "-" + std::to_string(++this->lives) };
     });
-    return ports::VmOrderResult::Done;
 }
 
 void Workers::end(Worker& worker, const jobs::TaskId& task, EndKind kind)
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -47,6 +47,12 @@
     /** @brief Takes a VM down; a new upstream comes up on it after a while. */
     ports::VmOrderResult maintain(const model::VmId& vm, std::uint64_t term);
 
+    /** @brief Gives a VM to another pool; a new upstream comes up on it after a while. */
+    ports::VmOrderResult move(const model::VmId& vm, const model::ServiceId& pool, std::uint64_t term);
+
+    /** @return Moves that were carried out. */
+    std::size_t moveCount() const { return this->moves; }
+
     /** @brief Lets an upstream lose all that it runs and start again. */
     void crash(const std::string& name);
 
@@ -92,6 +98,7 @@
     };
 
     Worker* find(const scheduling::UpstreamId& id);
+    void takeDown(Worker& worker, const std::string& reason);
     void advance(Worker& worker);
     bool isDone(const jobs::TaskId& task) const;
     void lose(Worker& worker);
@@ -111,6 +118,7 @@
     std::map<jobs::TaskId, std::pair<std::string, kernel::Instant>> done {};
     std::set<model::VmId> maintainedVms {};
     std::size_t downAtMost { 0 };
+    std::size_t moves { 0 };
     std::uint64_t lives { 0 };
 };
 
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -222,6 +222,11 @@
                     const store::Callback<ports::VmOrderResult>& callback) {
                     answer(callback, this->workers.maintain(vm, term.value));
                 },
+            .move =
+                [=, this](const model::VmId& vm, const model::ServiceId& pool, ports::Term term,
+                    const store::Callback<ports::VmOrderResult>& callback) {
+                    answer(callback, this->workers.move(vm, pool, term.value));
+                },
             .waveStatus =
                 [](std::uint64_t wave, bool completed) {
                     return store::Put { "status/" + std::to_string(wave),
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -145,21 +145,20 @@
         this->owners.back()->scheduler.setActive(false);
     }
     ++this->term;
-    const auto owner
-        = std::make_shared<Owner>(Owner { PoolScheduler { policy, this->term, moment() }, this->term });
-    this->owners.push_back(owner);
     std::vector<UpstreamId> used;
     std::vector<UpstreamFacts> members;
     for (const auto& upstream : this->upstreams) {
         used.push_back(upstream.facts.id);
         members.push_back(upstream.facts);
     }
+    const auto owner
+        = std::make_shared<Owner>(Owner { PoolScheduler { policy, this->term, moment(), used }, this->term });
+    this->owners.push_back(owner);
     for (const auto& [id, record] : this->records) {
         if (!jobs::isFinal(record.state)) {
             feed(owner, JobAdded { this->jobs.at(id), record, true });
         }
     }
-    feed(owner, TermBegun { used });
     feed(owner, MembersSeen { members });
     for (const auto& id : used) {
         look(owner, id);
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -190,7 +190,7 @@
 /** Guards against a second run of a task that a former owner started. */
 BOOST_DATA_TEST_CASE(new_owner_starts_only_what_nobody_runs, data::make(takeoverRows), row)
 {
-    PoolScheduler scheduler { Policy {}, 9, at(0) };
+    PoolScheduler scheduler { Policy {}, 9, at(0), { UpstreamId { "u1" }, UpstreamId { "u2" } } };
     const jobs::TaskId task { jobs::JobId { "j" }, {} };
     std::size_t starts = 0;
     const auto apply = [&](const Event& event, std::int64_t time) {
@@ -199,7 +199,6 @@
         }
     };
     apply(JobAdded { makeJob("j", { makeStep(1) }), { JobState::Running }, true }, 0);
-    apply(TermBegun { { UpstreamId { "u1" }, UpstreamId { "u2" } } }, 0);
     apply(MembersSeen { { makeUpstream("u1"), makeUpstream("u2") } }, 1);
     std::vector<RunningTask> running;
     if (row.listsTask) {
@@ -327,6 +326,17 @@
     BOOST_TEST(!site.scheduler.isEmptied(UpstreamId { "u1" }));
 }
 
+/** Guards against an upstream that a new owner takes for empty before it has heard of it. */
+BOOST_AUTO_TEST_CASE(upstream_of_a_former_owner_is_not_empty_until_it_answers)
+{
+    const UpstreamId upstream { "u1" };
+    PoolScheduler scheduler { Policy {}, 9, at(0), { upstream } };
+    scheduler.apply(DrainsChanged { { { upstream, true } } }, at(0));
+    BOOST_TEST(!scheduler.isEmptied(upstream));
+    scheduler.apply(TasksListed { .upstream = upstream, .born = { 1 } }, at(10));
+    BOOST_TEST(scheduler.isEmptied(upstream));
+}
+
 /** Guards against a task that hangs on an upstream which looks healthy. */
 BOOST_AUTO_TEST_CASE(task_without_progress_is_started_elsewhere)
 {
