--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -32,7 +32,7 @@
 
 Agent::Agent(AgentContext agentEnvironment)
     : environment(std::move(agentEnvironment))
-    , submissions(std::make_shared<Submissions>(environment.context, environment.store))
+    , submissions(std::make_shared<Submissions>(environment.context, environment.store, environment.metrics))
     , membersTimer(environment.context)
 {
 }
--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -29,6 +29,9 @@
 /** Loads that are further apart than this say nothing of the present growth. */
 constexpr Duration longestTrend { 3000 };
 
+/** Interval of looking for drains that nobody carries on; they keep room from tasks. */
+constexpr Duration drainsInterval { 2000 };
+
 /** Lists in a row without a VM after which it is gone for good. */
 constexpr std::uint32_t missingLimit = 8;
 
@@ -97,6 +100,42 @@
         });
 }
 
+bool FleetAgent::isDraining(const model::VmId& vm) const
+{
+    return this->moves.contains(vm) || std::ranges::any_of(this->waves, [&](const auto& entry) {
+        const auto found = entry.second.vms.find(vm);
+        return found != entry.second.vms.end() && found->second.stage == WaveStage::Draining;
+    });
+}
+
+void FleetAgent::removeStaleDrains()
+{
+    if (!mayOrder() || bootNow() - this->drainsChecked < drainsInterval) {
+        return;
+    }
+    this->drainsChecked = bootNow();
+    for (const auto& pool : this->poolsWithJobs) {
+        this->environment.store->list(keys::drainsOf(pool),
+            [self = shared_from_this(), pool](const kernel::Expected<store::Listing>& drains) {
+                if (drains && !self->closed) {
+                    self->removeStaleDrains(pool, *drains);
+                }
+            });
+    }
+}
+
+void FleetAgent::removeStaleDrains(const model::ServiceId& pool, const store::Listing& drains)
+{
+    for (const auto& entry : drains.entries) {
+        const model::VmId vm { entry.key.substr(keys::drainsOf(pool).size()) };
+        if (!isDraining(vm)) {
+            kernel::logEvent("stale-drain",
+                { { "vm", vm.text() }, { "pool", pool.text() }, { "revision", entry.revision.value } });
+            change({}, { entry.key, keys::emptied + vm.text() }, [](const store::ChangeOutcome&) {});
+        }
+    }
+}
+
 void FleetAgent::load(std::uint64_t number)
 {
     auto& wave = this->waves.at(number);
@@ -130,6 +169,7 @@
         byName[vm.vm] = &vm;
     }
     updateMoves(facts);
+    removeStaleDrains();
     bool draining
         = std::ranges::any_of(this->moves, [](const auto& entry) { return !entry.second.accepted; });
     for (auto& [number, wave] : this->waves) {
@@ -209,6 +249,7 @@
             continue;
         }
         std::vector<scheduling::UpstreamId> idle;
+        idle.reserve(report->releasable.size());
         for (const auto& id : report->releasable) {
             idle.emplace_back(id);
         }
@@ -399,10 +440,12 @@
         ++counts[vm.pool];
     }
     std::vector<scheduling::PoolSize> pools;
+    pools.reserve(counts.size());
     for (const auto& [pool, count] : counts) {
         pools.push_back({ pool, count, this->poolsWithJobs.contains(pool) });
     }
     std::vector<scheduling::WaveVm> vms;
+    vms.reserve(wave.vms.size());
     for (const auto& [name, vm] : wave.vms) {
         vms.push_back({ name, vm.pool, vm.stage });
     }
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -95,6 +95,10 @@
     void orderMove(const model::VmId& vm);
     void endMove(const model::VmId& vm);
     bool isInWave(const model::VmId& vm) const;
+    /** Removes drains that nobody carries on: a former owner's, and those whose removal failed. */
+    void removeStaleDrains();
+    void removeStaleDrains(const model::ServiceId& pool, const store::Listing& drains);
+    bool isDraining(const model::VmId& vm) const;
     bool hasOpenWave() const;
     void load(std::uint64_t number);
     void onVms(const std::vector<ports::VmFacts>& facts);
@@ -123,6 +127,7 @@
     std::set<model::VmId> unmovable {};
     bool listing { false };
     kernel::Instant listRequested {};
+    kernel::Instant drainsChecked {};
     bool closed { false };
     Timer timer;
 };
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -54,6 +54,9 @@
     , taskLease(std::min(environment.taskLease, longestTaskLease))
     , service(std::move(pool))
     , term(ownTerm)
+    , startCounter(
+          environment.metrics->counter("wasabiroad_task_starts_total", { { "pool", service.text() } }))
+    , jobTimes(environment.metrics->histogram("wasabiroad_job_ms", { { "pool", service.text() } }))
     , tickTimer(environment.context)
     , flushTimer(environment.context)
 {
@@ -77,7 +80,7 @@
     this->writer = std::make_shared<RecordWriter>(this->environment.context, this->environment.store,
         this->service, this->term,
         RecordEvents {
-            withSelf([](PoolAgent& self, const jobs::JobId& job) { self.scheduler->recordWritten(job); }),
+            withSelf([](PoolAgent& self, const jobs::JobId& job) { self.onJobEnded(job); }),
             withSelf([](PoolAgent& self, const jobs::JobId& job) {
                 self.apply(scheduling::JobCancelled { job });
             }),
@@ -87,6 +90,14 @@
     load();
 }
 
+void PoolAgent::onJobEnded(const jobs::JobId& job)
+{
+    if (const auto accepted = this->scheduler->acceptedAt(job)) {
+        this->jobTimes.observe(static_cast<double>((now().wall - *accepted).milliseconds));
+    }
+    this->scheduler->recordWritten(job);
+}
+
 void PoolAgent::retryLoad()
 {
     callLater(this->environment.context, retryInterval, [self = shared_from_this()] { self->load(); });
@@ -144,6 +155,7 @@
     this->loaded = true;
     this->used.insert(usedBefore.begin(), usedBefore.end());
     std::vector<UpstreamId> ids;
+    ids.reserve(usedBefore.size());
     for (const auto& id : usedBefore) {
         ids.emplace_back(id);
     }
@@ -320,6 +332,7 @@
     kernel::logEvent("task-start",
         { { "task", jobs::toText(order.task) }, { "run", order.run.value },
             { "upstream", order.upstream.text() }, { "resumes", order.checkpoint.empty() ? "no" : "yes" } });
+    this->startCounter.increment();
     upstream.orders().start(order, this->term, this->taskLease,
         [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run](
             const ports::StartOutcome& outcome) {
@@ -423,6 +436,8 @@
 {
     for (const auto& end : tasks.ended) {
         if (end.number > this->seenEnds[id]) {
+            this->environment.metrics->count("wasabiroad_task_ends_total",
+                { { "pool", this->service.text() }, { "kind", std::string { scheduling::name(end.kind) } } });
             kernel::logEvent("task-ended",
                 { { "task", jobs::toText(end.task) }, { "run", end.run.value }, { "upstream", id.text() },
                     { "kind", scheduling::name(end.kind) }, { "number", end.number } });
@@ -519,6 +534,7 @@
             { "memory_taken", demand.taken.memory }, { "memory_room", demand.room.memory },
             { "spread", demand.spread } });
     std::vector<std::string> idle;
+    idle.reserve(demand.releasable.size());
     for (const auto& id : demand.releasable) {
         idle.push_back(id.text());
     }
@@ -604,6 +620,7 @@
     }
     this->announced.erase(vm);
     std::vector<scheduling::Drain> all;
+    all.reserve(this->drains.size());
     for (const auto& [name, known] : this->drains) {
         all.push_back({ UpstreamId { known.upstream }, known.stopsTasks });
     }
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -62,6 +62,7 @@
     void onKeyEvents(const std::vector<store::KeyEvent>& events);
     void onKeyEvent(const store::KeyEvent& event);
     void retryLoad();
+    void onJobEnded(const jobs::JobId& job);
     void apply(const scheduling::Event& event);
     void carryOut(const scheduling::Order& order);
     void carryOut(const scheduling::StartTask& order, UpstreamAgent& upstream);
@@ -105,6 +106,8 @@
     bool flushPlanned { false };
     std::map<std::uint64_t, std::map<scheduling::UpstreamId, std::uint64_t>> unrecordedEnds {};
     std::map<scheduling::UpstreamId, std::uint64_t> seenEnds {};
+    metrics::Counter startCounter;
+    metrics::Histogram jobTimes;
     std::string publishedReport {};
     bool publishing { false };
     kernel::Instant lastPublished {};
--- a/src/wasabiroad/agent/submissions.cpp
+++ b/src/wasabiroad/agent/submissions.cpp
@@ -53,9 +53,11 @@
 
 } // namespace
 
-Submissions::Submissions(boost::asio::io_context& ioContext, std::shared_ptr<const store::Store> jobStore)
+Submissions::Submissions(boost::asio::io_context& ioContext, std::shared_ptr<const store::Store> jobStore,
+    std::shared_ptr<metrics::Metrics> processMetrics)
     : context(ioContext)
     , store(std::move(jobStore))
+    , metrics(std::move(processMetrics))
     , timer(ioContext)
 {
 }
@@ -173,6 +175,8 @@
         { { "job", waiting.job.id.text() }, { "queue", waiting.job.queue.text() },
             { "pool", waiting.job.service.text() }, { "outcome", outcomeName(outcome) },
             { "store_failures", this->failures } });
+    this->metrics->count("wasabiroad_submissions_total",
+        { { "queue", waiting.job.queue.text() }, { "outcome", std::string { outcomeName(outcome) } } });
     waiting.callback(outcome);
 }
 
--- a/src/wasabiroad/agent/submissions.hpp
+++ b/src/wasabiroad/agent/submissions.hpp
@@ -2,6 +2,7 @@
 
 #include "wasabiroad/agent/intake.hpp"
 #include "wasabiroad/agent/timer.hpp"
+#include "wasabiroad/metrics/metrics.hpp"
 
 #include <deque>
 #include <memory>
@@ -13,7 +14,8 @@
  */
 class Submissions : public std::enable_shared_from_this<Submissions> {
 public:
-    Submissions(boost::asio::io_context& context, std::shared_ptr<const store::Store> store);
+    Submissions(boost::asio::io_context& context, std::shared_ptr<const store::Store> store,
+        std::shared_ptr<metrics::Metrics> metrics);
 
     /** @brief Stores a job and calls back with what is known then. */
     void submit(jobs::Job job, kernel::Duration deadline, store::Callback<SubmitOutcome> callback);
@@ -37,6 +39,7 @@
 
     boost::asio::io_context& context;
     const std::shared_ptr<const store::Store> store;
+    const std::shared_ptr<metrics::Metrics> metrics;
     std::deque<std::shared_ptr<Waiting>> queue {};
     Timer timer;
     bool planned { false };
--- a/src/wasabiroad/scheduling/move_plan.cpp
+++ b/src/wasabiroad/scheduling/move_plan.cpp
@@ -11,7 +11,8 @@
 /** Room over the present demand, which rises while a VM is on its way. */
 constexpr double headroom = 1.15;
 
-/** Room for tasks that wait, for each that waits: a task takes this share of the time that its job can spare. */
+/** Room for tasks that wait, for each that waits: a task takes this share of the time that its job can spare.
+ */
 constexpr double waitingShare = 0.6;
 
 /** Growth counts up to this part of the present load: steps of many tasks come in lumps. */
@@ -128,6 +129,7 @@
 std::vector<VmMove> planMoves(const std::vector<PoolView>& pools, const std::vector<MovableVm>& vms)
 {
     std::vector<Balance> balances;
+    balances.reserve(pools.size());
     for (const auto& view : pools) {
         balances.push_back(balanceOf(view, vms));
     }
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -108,6 +108,7 @@
     }
     std::ranges::sort(releasable);
     std::vector<UpstreamId> ids;
+    ids.reserve(releasable.size());
     for (const auto& [used, id] : releasable) {
         ids.push_back(id);
     }
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -85,7 +85,9 @@
     for (auto& steps : run.occurrences) {
         steps.resize(event.job.steps.size());
         for (std::size_t step = 0; step < steps.size(); ++step) {
-            Task task { .unresolved = event.mayHaveStarted && !this->unheard.empty(), .notBefore = {}, .readySince = now.steady };
+            Task task { .unresolved = event.mayHaveStarted && !this->unheard.empty(),
+                .notBefore = {},
+                .readySince = now.steady };
             steps[step].tasks.assign(event.job.steps[step].count, task);
         }
     }
@@ -653,6 +655,12 @@
     return jobs::isFinal(run.state) && !run.written ? JobState::Running : run.state;
 }
 
+std::optional<kernel::Instant> PoolScheduler::acceptedAt(const jobs::JobId& job) const
+{
+    const auto found = this->jobRuns.find(job);
+    return found != this->jobRuns.end() ? std::optional { found->second.job.accepted } : std::nullopt;
+}
+
 std::vector<jobs::JobId> PoolScheduler::openJobs() const
 {
     std::vector<jobs::JobId> open;
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -52,6 +52,9 @@
      * written. */
     std::optional<jobs::JobState> stateOf(const jobs::JobId& job) const;
 
+    /** @return Wall clock at which a job was accepted, or nothing when it is not known here. */
+    std::optional<kernel::Instant> acceptedAt(const jobs::JobId& job) const;
+
     /** @return Jobs that have not ended. */
     std::vector<jobs::JobId> openJobs() const;
 
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -51,6 +51,38 @@
     BOOST_TEST(site.reaches("a", jobs::JobState::Completed, 1 - owner));
 }
 
+/** Guards against upstreams that stay closed to tasks since the daemon that drained them is gone. */
+BOOST_AUTO_TEST_CASE(drains_of_a_former_owner_are_removed)
+{
+    Site site { 1, 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    for (const auto& vm : site.workers.vms()) {
+        site.store.put(
+            "pool/checks/drain/" + vm.vm.text(), jobs::encode(jobs::Drain { vm.upstream.text(), false }));
+    }
+    site.runFor(100);
+    site.submit(makeJob("a", 50, 4));
+    BOOST_TEST(site.reaches("a", jobs::JobState::Completed));
+    BOOST_TEST(site.store.list("pool/checks/drain/").entries.empty());
+}
+
+/** Guards against a pool that gets no VMs of the reserve, and against moves that end tasks. */
+BOOST_AUTO_TEST_CASE(vms_of_the_reserve_come_when_tasks_wait)
+{
+    Site site { 1, 3 };
+    for (const auto* const name : { "r0", "r1", "r2" }) {
+        site.workers.add(name, spare, 4000);
+    }
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(600);
+    site.submit(makeJob("wide", 1500, 40));
+    BOOST_TEST(site.reaches("wide", jobs::JobState::Completed));
+    BOOST_TEST(site.workers.moveCount() >= 3);
+    // The pool gives back what it no longer needs.
+    BOOST_TEST(site.runUntil([&] { return site.workers.moveCount() >= 6; }));
+    BOOST_TEST(site.workers.broken().empty());
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
--- /dev/null
+++ b/test/wasabiroad/scheduling/move_plan.cpp
@@ -0,0 +1,81 @@
+#include "wasabiroad/scheduling/move_plan.hpp"
+
+#include <string>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::scheduling {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+const jobs::Resources capacity { 16000, 65536, 0 };
+const model::ServiceId checks { "checks" };
+const model::ServiceId sims { "sims" };
+const model::ServiceId reserve { "reserve" };
+
+/** A pool with so many VMs, of which some run out of tasks soon. */
+struct Pool {
+    const model::ServiceId id {};
+    const std::uint32_t vms { 0 };
+    const std::uint32_t releasable { 0 };
+    const std::int64_t wanted { 0 };
+    const std::int64_t taken { 0 };
+    const std::int64_t surplusMs { 0 };
+};
+
+struct Row {
+    const char* title;
+    const std::vector<Pool> pools;
+    /** @brief Moves as "from>to", in order. */
+    const std::vector<std::string> moves;
+
+    friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
+};
+
+const std::vector<Row> rows {
+    { "nothing to do", { { checks, 3 }, { sims, 3 }, { reserve, 2 } }, {} },
+    { "the reserve helps a pool in need", { { checks, 3, 0, 80000, 48000 }, { sims, 3 }, { reserve, 2 } },
+        { "reserve>checks", "reserve>checks" } },
+    { "a pool with a surplus helps before the reserve",
+        { { checks, 3, 0, 60000, 48000 }, { sims, 9, 9, 0, 0, 1000 }, { reserve, 2 } },
+        { "sims>checks", "sims>checks" } },
+    { "a pool whose own tasks wait gives nothing",
+        { { checks, 3, 0, 80000, 48000 }, { sims, 9, 9, 10000, 5000, 1000 }, { reserve, 0 } }, {} },
+    { "a surplus of a moment is kept",
+        { { checks, 3, 0, 80000, 48000 }, { sims, 9, 9, 0, 0, 100 }, { reserve, 0 } }, {} },
+    { "a lasting surplus goes to the reserve", { { checks, 5, 5, 0, 0, 3000 }, { reserve, 0 } },
+        { "checks>reserve", "checks>reserve" } },
+    { "VMs with tasks stay", { { checks, 5, 1, 0, 0, 3000 }, { reserve, 0 } }, { "checks>reserve" } },
+};
+
+/** Guards against VMs that are taken from a pool that needs them, or that stand in a pool without need. */
+BOOST_DATA_TEST_CASE(vms_follow_the_demand, data::make(rows), row)
+{
+    std::vector<PoolView> views;
+    std::vector<MovableVm> vms;
+    for (const auto& pool : row.pools) {
+        std::vector<UpstreamId> releasable;
+        for (std::uint32_t index = 0; index < pool.vms; ++index) {
+            const auto name = pool.id.text() + std::to_string(index);
+            vms.push_back({ model::VmId { name }, pool.id, UpstreamId { name }, capacity });
+            if (index < pool.releasable) {
+                releasable.emplace_back(name);
+            }
+        }
+        views.push_back({ pool.id, pool.id == reserve,
+            { { pool.wanted, 0, 0 }, {}, { pool.taken, 0, 0 }, 0, releasable }, 0, { pool.surplusMs } });
+    }
+    std::vector<std::string> moves;
+    for (const auto& move : planMoves(views, vms)) {
+        moves.push_back(move.from.text() + ">" + move.to.text());
+    }
+    BOOST_TEST(moves == row.moves, boost::test_tools::per_element());
+}
+
+} // namespace
+
+} // namespace wasabiroad::scheduling
