--- a/src/wasabiroad/scheduling/move_plan.cpp
+++ b/src/wasabiroad/scheduling/move_plan.cpp
@@ -137,15 +137,15 @@
     const auto move = [&](const MovableVm& vm, const model::ServiceId& to) {
         moves.push_back({ vm.vm, vm.pool, to, vm.upstream });
     };
-    std::vector<Balance*> short_;
+    std::vector<Balance*> inNeed;
     for (auto& balance : balances) {
         if (!balance.view->spare && balance.have < balance.needed) {
-            short_.push_back(&balance);
+            inNeed.push_back(&balance);
         }
     }
     std::ranges::sort(
-        short_, std::greater {}, [](const Balance* balance) { return balance->needed - balance->have; });
-    for (auto* const balance : short_) {
+        inNeed, std::greater {}, [](const Balance* balance) { return balance->needed - balance->have; });
+    for (auto* const balance : inNeed) {
         while (balance->have < balance->needed) {
             const auto* const vm = takeFree(balances, balance->view->pool);
             if (vm == nullptr) {
