--- a/src/wasabiroad/jobs/codec.cpp
+++ b/src/wasabiroad/jobs/codec.cpp
@@ -98,8 +98,9 @@
         progress.set_step(task.position.step);
         progress.set_index(task.position.index);
         progress.set_done(task.done);
-        progress.set_failures(task.failures);
-        progress.set_failed_run(task.failedRun.value);
+        for (const auto run : task.failedRuns) {
+            progress.add_failed_runs(run.value);
+        }
         progress.set_checkpoint(task.checkpoint);
     }
     return target.SerializeAsString();
@@ -205,8 +206,13 @@
     std::vector<TaskProgress> tasks;
     tasks.reserve(static_cast<std::size_t>(source.tasks_size()));
     for (const auto& task : source.tasks()) {
-        tasks.push_back({ { task.occurrence(), task.step(), task.index() }, task.done(), task.failures(),
-            { task.failed_run() }, task.checkpoint() });
+        std::vector<Run> failedRuns;
+        failedRuns.reserve(static_cast<std::size_t>(task.failed_runs_size()));
+        for (const auto run : task.failed_runs()) {
+            failedRuns.push_back({ run });
+        }
+        tasks.push_back({ { task.occurrence(), task.step(), task.index() }, task.done(),
+            std::move(failedRuns), task.checkpoint() });
     }
     return Record { static_cast<JobState>(source.state()), std::move(tasks), { source.finished_ms() } };
 }
--- a/src/wasabiroad/jobs/job.hpp
+++ b/src/wasabiroad/jobs/job.hpp
@@ -128,9 +128,8 @@
 struct TaskProgress {
     const TaskIndex position {};
     const bool done { false };
-    const std::uint32_t failures { 0 };
-    /** @brief Highest run whose failure is counted. */
-    const Run failedRun {};
+    /** @brief Runs that failed, in ascending order. */
+    const std::vector<Run> failedRuns {};
     const std::string checkpoint {};
 
     friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -99,8 +99,7 @@
         }
         auto& step = run.occurrences[at.occurrence][at.step];
         auto& task = step.tasks[at.index];
-        task.failures = progress.failures;
-        task.failedRun = progress.failedRun;
+        task.failedRuns.insert(progress.failedRuns.begin(), progress.failedRuns.end());
         task.checkpoint = progress.checkpoint;
         if (progress.done && !task.done) {
             task.done = true;
@@ -193,7 +192,6 @@
     if (task == nullptr || (task->done && !current)) {
         return;
     }
-    const bool wasStopping = current && task->phase == Phase::Stopping;
     if (!end.checkpoint.empty() && (current || !isActive(*task))) {
         task->checkpoint = end.checkpoint;
     }
@@ -214,8 +212,7 @@
         taskDone(*run, end.task, *task, now);
         break;
     case EndKind::Failed:
-        if (end.run > task->failedRun && !wasStopping) {
-            task->failedRun = end.run;
+        if (task->failedRuns.insert(end.run).second) {
             taskFailed(*run, end.task, *task, id, now);
         }
         break;
@@ -501,7 +498,6 @@
 
 void PoolScheduler::taskFailed(JobRun& run, const TaskId& id, Task& task, const UpstreamId& where, Moment now)
 {
-    ++task.failures;
     task.failedOn.insert(where);
     markChanged(run.job.id, false);
     if (const auto upstream = this->upstreams.find(where); upstream != this->upstreams.end()) {
@@ -510,7 +506,7 @@
             suspect(upstream->second, now);
         }
     }
-    if (!stepOf(id).longRunning && task.failures >= run.job.maxAttempts) {
+    if (!stepOf(id).longRunning && task.failedRuns.size() >= run.job.maxAttempts) {
         finish(run, JobState::Failed, now, "a task used up its attempts");
     }
 }
@@ -632,9 +628,10 @@
         std::vector<jobs::TaskProgress> tasks;
         if (!jobs::isFinal(run.state)) {
             eachTask(run, [&](const TaskId& task, const Task& state) {
-                if (state.done || state.failures > 0 || !state.checkpoint.empty()) {
-                    tasks.push_back({ task.position, state.done, state.failures, state.failedRun,
-                        state.done ? std::string {} : state.checkpoint });
+                if (state.done || !state.failedRuns.empty() || !state.checkpoint.empty()) {
+                    tasks.push_back(
+                        { task.position, state.done, { state.failedRuns.begin(), state.failedRuns.end() },
+                            state.done ? std::string {} : state.checkpoint });
                 }
             });
         }
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -28,8 +28,7 @@
     UpstreamId upstream {};
     jobs::Run run {};
     std::string checkpoint {};
-    std::uint32_t failures { 0 };
-    jobs::Run failedRun {};
+    std::set<jobs::Run> failedRuns {};
     /** @brief Upstreams on which it failed. */
     std::set<UpstreamId> failedOn {};
     std::int64_t percent { 0 };
--- a/test/wasabiroad/jobs/codec.cpp
+++ b/test/wasabiroad/jobs/codec.cpp
@@ -32,7 +32,7 @@
 const std::vector<Record> recordRows {
     {},
     { JobState::Running,
-        { { { 1, 2, 3 }, true }, { { 0, 0, 1 }, false, 2, { 1ULL << 40U }, "checkpoint" } } },
+        { { { 1, 2, 3 }, true }, { { 0, 0, 1 }, false, { { 7 }, { 1ULL << 40U } }, "checkpoint" } } },
     { JobState::Failed, {}, { 123456 } },
 };
 
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -410,7 +410,7 @@
         }
     }
     for (const auto& progress : record.tasks) {
-        if (progress.position == order.task.position && progress.failures >= job.maxAttempts) {
+        if (progress.position == order.task.position && progress.failedRuns.size() >= job.maxAttempts) {
             fail("too many attempts of " + name);
         }
     }
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -122,7 +122,7 @@
     BOOST_REQUIRE_EQUAL(changes.size(), 1);
     BOOST_TEST((changes.front().record.state == row.state));
     const auto& tasks = changes.front().record.tasks;
-    BOOST_TEST((tasks.empty() ? 0U : tasks.front().failures) == row.failures);
+    BOOST_TEST((tasks.empty() ? 0U : tasks.front().failedRuns.size()) == row.failures);
 }
 
 /** Guards against an end that is shown to callers before it is in the store. */
@@ -163,12 +163,42 @@
     Site site { { makeUpstream("u1") }, 9 };
     const jobs::Run run { 77 };
     const jobs::TaskId task { jobs::JobId { "j" }, {} };
-    const jobs::Record record { JobState::Running, { { {}, false, 1, run, "" } } };
+    const jobs::Record record { JobState::Running, { { {}, false, { run }, "" } } };
     site.apply(JobAdded { makeJob("j", { makeStep(1) }, 2), record }, 10);
     site.list("u1", {}, { { 1, task, run, EndKind::Failed, "" } }, 20);
     BOOST_TEST((site.scheduler.stateOf(task.job) == JobState::Running));
 }
 
+/** Guards against an attempt that is not counted since its run failed while it was being stopped. */
+BOOST_AUTO_TEST_CASE(failure_of_a_run_that_is_being_stopped_counts)
+{
+    Site site { { makeUpstream("u1"), makeUpstream("u2") } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }, 2) }, 10);
+    const auto first = site.starts.front();
+    site.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 900);
+    BOOST_REQUIRE_EQUAL(site.stops.size(), 1);
+    site.list(first.upstream.text(), {}, { { 1, first.task, first.run, EndKind::Failed, "" } }, 1000);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), 2);
+    const auto second = site.starts.back();
+    site.list(second.upstream.text(), {},
+        { { second.upstream == first.upstream ? 2U : 1U, second.task, second.run, EndKind::Failed, "" } },
+        2000);
+    BOOST_TEST(site.starts.size() == 2);
+    BOOST_TEST(site.scheduler.hasUrgentChange());
+}
+
+/** Guards against an attempt that is not counted since the end of a later run was listed first. */
+BOOST_AUTO_TEST_CASE(failures_count_in_any_order)
+{
+    Site site { { makeUpstream("u1"), makeUpstream("u2") } };
+    const jobs::TaskId task { jobs::JobId { "j" }, {} };
+    const jobs::Record record { JobState::Running, { { {}, false, { { 9 } }, "" } } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }, 2), record }, 10);
+    site.list("u1", {}, { { 1, task, { 5 }, EndKind::Failed, "" } }, 20);
+    BOOST_TEST(site.scheduler.hasUrgentChange());
+    BOOST_TEST((site.scheduler.takeChanges().front().record.state == JobState::Failed));
+}
+
 /** What a new owner hears of the upstreams that a former owner used. */
 struct TakeoverRow {
     const char* title;
