--- a/test/wasabiroad/settings/settings.cpp
+++ b/test/wasabiroad/settings/settings.cpp
@@ -35,6 +35,12 @@
         "/limits/header-bytes" },
     Row { "no pointer", { { "entry", "a" } }, ResultCode::InvalidArguments, "entry" },
     Row { "member of a text", { { "/entry/name", "a" } }, ResultCode::InvalidArguments, "/entry/name" },
+    Row { "access to a fleet", { { "/fleet", R"({"readiness":"127.0.0.1:1","vms":"127.0.0.1:2"})" } } },
+    Row { "fleet without its readiness listener", { { "/fleet", R"({"vms":"127.0.0.1:2"})" } },
+        ResultCode::SchemaViolation, "/fleet" },
+    Row { "task lease too short",
+        { { "/fleet", R"({"readiness":"127.0.0.1:1","vms":"127.0.0.1:2","task-lease-ms":10})" } },
+        ResultCode::SchemaViolation, "/fleet/task-lease-ms" },
     Row { "upper case identifier", { { "/zone", "BY-1" } }, ResultCode::SchemaViolation, "/zone" },
 };
 
