--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -73,13 +73,13 @@
 {
     Site site { 1, 2 };
     BOOST_REQUIRE(site.hasOwner());
-    // Both upstreams have joined, so that the tasks are spread.
+    // Both upstreams have joined; the tasks fill both, and one of them loses its four.
     site.runFor(500);
-    site.submit(makeJob("a", 1000, 4));
-    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 4; }));
+    site.submit(makeJob("a", 1000, 8));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 8; }));
     site.workers.crash("vm0");
     BOOST_TEST(site.reaches("a", JobState::Completed));
-    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 6);
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 12);
     BOOST_TEST(site.workers.broken().empty());
 }
 
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -121,18 +121,20 @@
 
 void Model::cancelSome()
 {
-    for (auto& [id, record] : this->records) {
-        if (!jobs::isFinal(record.state) && chance(200)) {
-            this->records.erase(id);
-            this->records.emplace(id, jobs::Record { JobState::Cancelled });
-            this->cancelled.emplace(id, this->now);
-            after(between(1, 300), [this, id = id] {
-                for (const auto& owner : this->owners) {
-                    feed(owner, JobCancelled { id });
-                }
-            });
-            return;
+    for (const auto& [known, record] : this->records) {
+        if (jobs::isFinal(record.state) || !chance(200)) {
+            continue;
         }
+        const auto id = known;
+        this->records.erase(id);
+        this->records.emplace(id, jobs::Record { JobState::Cancelled });
+        this->cancelled.emplace(id, this->now);
+        after(between(1, 300), [this, id] {
+            for (const auto& owner : this->owners) {
+                feed(owner, JobCancelled { id });
+            }
+        });
+        return;
     }
 }
 
