--- a/test/wasabiroad/standin/proxy.cpp
+++ b/test/wasabiroad/standin/proxy.cpp
@@ -116,11 +116,12 @@
     standin::Proxy proxy { context, *http::parseEndpoint(*address) };
     const auto listener = proxy.listen("127.0.0.1:0");
     BOOST_REQUIRE(listener);
+    // A fault's time runs from the moment that it is set.
+    const auto begin = std::chrono::steady_clock::now();
     const auto set
         = proxy.answerAdmin(http::makeRequest(boost::beast::http::verb::put, "/fault?" + row.fault));
     BOOST_TEST(set.result_int() == 200U);
 
-    const auto begin = std::chrono::steady_clock::now();
     Client client { tcp::socket { context } };
     client.start(*http::parseEndpoint(*listener));
     // A silent connection has no end; that its bytes were dropped shows that the fault was met.
