--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -26,8 +26,6 @@
 /** Attempts to cancel a job whose record changes at the same time. */
 constexpr int cancelAttempts = 6;
 
-Instant bootNow() { return kernel::now(kernel::BootClock {}); }
-
 } // namespace
 
 Agent::Agent(AgentContext agentEnvironment)
@@ -75,7 +73,8 @@
 
 bool Agent::isReady() const
 {
-    return this->environment.configurations->current() != nullptr && bootNow() - this->contact < contactLimit;
+    return this->environment.configurations->current() != nullptr
+        && kernel::bootNow() - this->contact < contactLimit;
 }
 
 void Agent::submit(jobs::Job job, Duration deadline, store::Callback<SubmitOutcome> callback)
@@ -148,7 +147,7 @@
     this->environment.fleet->watchOperator(
         after, operatorWait, [self = shared_from_this(), after](const ports::OperatorOutcome& outcome) {
             if (std::holds_alternative<kernel::Error>(outcome)) {
-                callLater(
+                kernel::callLater(
                     self->environment.context, retryInterval, [self, after] { self->watchOperator(after); });
                 return;
             }
@@ -163,7 +162,7 @@
     }
     std::visit(kernel::Overloaded {
                    [&](const ports::OperatorState& state) {
-                       this->contact = bootNow();
+                       this->contact = kernel::bootNow();
                        for (const auto& wave : state.waves) {
                            this->waves.try_emplace(wave.number, wave);
                        }
@@ -175,7 +174,7 @@
                    },
                    [&](const store::HistoryGone&) { readOperator(); },
                    [&](const kernel::Error&) {
-                       callLater(this->environment.context, retryInterval,
+                       kernel::callLater(this->environment.context, retryInterval,
                            [self = shared_from_this()] { self->readOperator(); });
                    },
                },
@@ -280,7 +279,7 @@
             if (!members) {
                 return;
             }
-            self->contact = bootNow();
+            self->contact = kernel::bootNow();
             const auto pools = self->pools;
             for (const auto& [service, agent] : pools) {
                 agent->setMembers(*members);
@@ -350,7 +349,7 @@
         callback(Unavailable {});
         return;
     }
-    callLater(this->environment.context, retryInterval,
+    kernel::callLater(this->environment.context, retryInterval,
         [self = shared_from_this(), service, job, attempts, callback] {
             self->cancel(service, job, attempts - 1, callback);
         });
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -48,9 +48,6 @@
     /** @return Whether the load balancer should send callers to this entry. */
     bool isReady() const;
 
-    /** @return Number of pools that this daemon owns. */
-    std::size_t ownedPools() const { return this->pools.size(); }
-
     /** @brief Stores a job. */
     void submit(jobs::Job job, kernel::Duration deadline, store::Callback<SubmitOutcome> callback);
 
@@ -100,7 +97,7 @@
     std::map<std::uint64_t, ports::WaveRequest> waves {};
     std::map<model::ServiceId, std::shared_ptr<PoolAgent>> pools {};
     std::shared_ptr<FleetAgent> fleetAgent {};
-    Timer membersTimer;
+    kernel::Timer membersTimer;
     kernel::Instant contact {};
     bool abandoned { false };
 };
--- a/src/wasabiroad/agent/duties.cpp
+++ b/src/wasabiroad/agent/duties.cpp
@@ -28,8 +28,6 @@
 /** Delay before a vacant duty is taken, for each duty that is held already: spreads duties over daemons. */
 constexpr Duration delayPerHeldDuty { 250 };
 
-Instant bootNow() { return kernel::now(kernel::BootClock {}); }
-
 } // namespace
 
 Duties::Duties(boost::asio::io_context& ioContext, std::shared_ptr<const store::Store> dutyStore,
@@ -57,15 +55,15 @@
     this->wanted = duties;
     for (const auto& duty : duties) {
         if (!this->owners.contains(duty)) {
-            this->vacantSince.try_emplace(duty, bootNow());
+            this->vacantSince.try_emplace(duty, kernel::bootNow());
         }
     }
     tryVacant();
 }
 
-bool Duties::mayAct() const { return bootNow() < this->validUntil + actGrace; }
+bool Duties::mayAct() const { return kernel::bootNow() < this->validUntil + actGrace; }
 
-bool Duties::surelyHolds() const { return bootNow() < this->validUntil; }
+bool Duties::surelyHolds() const { return kernel::bootNow() < this->validUntil; }
 
 void Duties::keepLease()
 {
@@ -73,7 +71,7 @@
         return;
     }
     this->leaseTimer.start(renewInterval, [self = shared_from_this()] { self->keepLease(); });
-    const auto sent = bootNow();
+    const auto sent = kernel::bootNow();
     if (this->lease && !this->renewing) {
         this->renewing = true;
         this->store->renew(*this->lease, [self = shared_from_this(), sent](kernel::Expected<bool> alive) {
@@ -96,7 +94,6 @@
         return;
     }
     this->lease = granted->id;
-    this->contact = bootNow();
     this->validUntil = sent + granted->lifetime;
     tryVacant();
 }
@@ -106,10 +103,9 @@
     if (!alive) {
         kernel::logEvent("lease-not-renewed",
             { { "code", number(alive.error().code) }, { "reason", alive.error().found },
-                { "valid_ms", (this->validUntil - bootNow()).milliseconds } });
+                { "valid_ms", (this->validUntil - kernel::bootNow()).milliseconds } });
         return;
     }
-    this->contact = bootNow();
     if (!*alive) {
         this->lease.reset();
         loseAll("lease ended");
@@ -126,10 +122,9 @@
                 return;
             }
             if (!listing) {
-                callLater(self->context, retryInterval, [self] { self->readOwners(); });
+                kernel::callLater(self->context, retryInterval, [self] { self->readOwners(); });
                 return;
             }
-            self->contact = bootNow();
             self->informed = true;
             std::set<std::string> present;
             for (const auto& found : listing->entries) {
@@ -157,7 +152,6 @@
             }
             std::visit(kernel::Overloaded {
                            [&](const store::KeyEvents& changes) {
-                               self->contact = bootNow();
                                for (const auto& event : changes.events) {
                                    std::visit(kernel::Overloaded {
                                                   [&](const store::Entry& found) {
@@ -175,7 +169,8 @@
                            },
                            [&](const store::HistoryGone&) { self->readOwners(); },
                            [&](const kernel::Error&) {
-                               callLater(self->context, retryInterval, [self] { self->readOwners(); });
+                               kernel::callLater(
+                                   self->context, retryInterval, [self] { self->readOwners(); });
                            },
                        },
                 outcome);
@@ -202,7 +197,7 @@
 void Duties::onVacant(const std::string& duty)
 {
     this->owners.erase(duty);
-    this->vacantSince.try_emplace(duty, bootNow());
+    this->vacantSince.try_emplace(duty, kernel::bootNow());
     if (this->held.contains(duty)) {
         lose(duty, "key removed");
     }
@@ -214,7 +209,7 @@
         return;
     }
     bool vacant = false;
-    const auto now = bootNow();
+    const auto now = kernel::bootNow();
     for (const auto& duty : this->wanted) {
         const auto since = this->vacantSince.find(duty);
         if (since == this->vacantSince.end() || this->taking.contains(duty)) {
@@ -244,13 +239,11 @@
             }
             std::visit(kernel::Overloaded {
                            [&](const store::Committed& committed) {
-                               self->contact = bootNow();
                                if (self->lease == lease) {
                                    self->onOwner(duty, self->self(), committed.revision);
                                }
                            },
                            [&](const store::Conflict& conflict) {
-                               self->contact = bootNow();
                                for (const auto& found : conflict.current) {
                                    self->onOwner(duty, found.value, found.created);
                                }
@@ -282,7 +275,7 @@
     for (const auto& [duty, term] : lost) {
         lose(duty, reason);
         this->owners.erase(duty);
-        this->vacantSince.try_emplace(duty, bootNow());
+        this->vacantSince.try_emplace(duty, kernel::bootNow());
     }
     tryVacant();
 }
--- a/src/wasabiroad/agent/duties.hpp
+++ b/src/wasabiroad/agent/duties.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wasabiroad/agent/timer.hpp"
+#include "wasabiroad/kernel/timer.hpp"
 #include "wasabiroad/model/identifier.hpp"
 #include "wasabiroad/ports/upstreams.hpp"
 #include "wasabiroad/store/store.hpp"
@@ -58,12 +58,6 @@
     /** @return Whether no other daemon can have its duties. */
     bool surelyHolds() const;
 
-    /** @return When the store last answered. */
-    kernel::Instant lastContact() const { return this->contact; }
-
-    /** @return Whether the list of owners has been read. */
-    bool isInformed() const { return this->informed; }
-
 private:
     void keepLease();
     void onLease(const kernel::Expected<store::Lease>& lease, kernel::Instant sent);
@@ -90,14 +84,13 @@
     bool stopping { false };
     /** @brief Boot clock until which the lease surely lives. */
     kernel::Instant validUntil {};
-    kernel::Instant contact {};
     std::set<std::string> wanted {};
     std::map<std::string, std::string> owners {};
     std::map<std::string, ports::Term> held {};
     std::map<std::string, kernel::Instant> vacantSince {};
     std::set<std::string> taking {};
-    Timer leaseTimer;
-    Timer retryTimer;
+    kernel::Timer leaseTimer;
+    kernel::Timer retryTimer;
 };
 
 } // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -35,8 +35,6 @@
 /** Lists in a row without a VM after which it is gone for good. */
 constexpr std::uint32_t missingLimit = 8;
 
-kernel::Instant bootNow() { return kernel::now(kernel::BootClock {}); }
-
 } // namespace
 
 FleetAgent::FleetAgent(FleetContext context, ports::Term ownTerm)
@@ -48,7 +46,7 @@
 
 void FleetAgent::start()
 {
-    this->begun = bootNow();
+    this->begun = kernel::bootNow();
     tick();
 }
 
@@ -62,7 +60,7 @@
 bool FleetAgent::mayOrder() const
 {
     return !this->closed && this->environment.holdsDuties()
-        && bootNow() - this->begun > this->environment.orderGap + orderGapMargin;
+        && kernel::bootNow() - this->begun > this->environment.orderGap + orderGapMargin;
 }
 
 bool FleetAgent::hasOpenWave() const
@@ -85,7 +83,7 @@
         }
     }
     this->listing = true;
-    this->listRequested = bootNow();
+    this->listRequested = kernel::bootNow();
     this->environment.fleet->listVms(
         [self = shared_from_this()](const kernel::Expected<std::vector<ports::VmFacts>>& facts) {
             self->listing = false;
@@ -110,10 +108,10 @@
 
 void FleetAgent::removeStaleDrains()
 {
-    if (!mayOrder() || bootNow() - this->drainsChecked < drainsInterval) {
+    if (!mayOrder() || kernel::bootNow() - this->drainsChecked < drainsInterval) {
         return;
     }
-    this->drainsChecked = bootNow();
+    this->drainsChecked = kernel::bootNow();
     for (const auto& pool : this->poolsWithJobs) {
         this->environment.store->list(keys::drainsOf(pool),
             [self = shared_from_this(), pool](const kernel::Expected<store::Listing>& drains) {
@@ -241,7 +239,7 @@
     const store::Listing& reports, const std::vector<scheduling::MovableVm>& vms)
 {
     std::vector<scheduling::PoolView> views;
-    const auto now = bootNow();
+    const auto now = kernel::bootNow();
     for (const auto& entry : reports.entries) {
         const model::ServiceId pool { entry.key.substr(keys::reports.size()) };
         const auto report = jobs::decodePoolReport(entry.value);
@@ -290,7 +288,7 @@
     kernel::logEvent("vm-move",
         { { "vm", order.vm.text() }, { "from", order.from.text() }, { "to", order.to.text() },
             { "upstream", order.upstream.text() } });
-    this->moves.emplace(order.vm, Move { .order = order, .since = bootNow() });
+    this->moves.emplace(order.vm, Move { .order = order, .since = kernel::bootNow() });
     if (!this->poolsWithJobs.contains(order.from)) {
         orderMove(order.vm);
         return;
@@ -320,7 +318,7 @@
             }
             if (result == ports::VmOrderResult::Done) {
                 move.accepted = true;
-                move.since = bootNow();
+                move.since = kernel::bootNow();
                 return;
             }
             kernel::logEvent(
@@ -353,7 +351,7 @@
         const auto found = std::ranges::find(facts, name, &ports::VmFacts::vm);
         const bool arrived = move.accepted && found != facts.end() && found->pool == move.order.to
             && found->condition == ports::VmCondition::Up;
-        const bool lost = found == facts.end() || bootNow() - move.since > moveLimit;
+        const bool lost = found == facts.end() || kernel::bootNow() - move.since > moveLimit;
         if (!move.ordering && (arrived || lost)) {
             ended.push_back(name);
         }
@@ -452,7 +450,7 @@
     for (const auto& name : scheduling::nextOfWave(vms, pools, wave.request.parallelism)) {
         auto& vm = wave.vms.at(name);
         vm.stage = WaveStage::Draining;
-        vm.since = bootNow();
+        vm.since = kernel::bootNow();
         if (this->poolsWithJobs.contains(vm.pool)) {
             requestDrain(wave, name, vm);
         } else {
@@ -533,7 +531,7 @@
     switch (result) {
     case VmOrderResult::Done:
         vm.stage = WaveStage::InMaintenance;
-        vm.since = bootNow();
+        vm.since = kernel::bootNow();
         recordDone(wave, name, vm);
         return;
     case VmOrderResult::NotInWave:
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wasabiroad/agent/timer.hpp"
+#include "wasabiroad/kernel/timer.hpp"
 #include "wasabiroad/ports/fleet.hpp"
 #include "wasabiroad/scheduling/move_plan.hpp"
 #include "wasabiroad/scheduling/wave_plan.hpp"
@@ -129,7 +129,7 @@
     kernel::Instant listRequested {};
     kernel::Instant drainsChecked {};
     bool closed { false };
-    Timer timer;
+    kernel::Timer timer;
 };
 
 } // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/fwd.hpp
+++ b/src/wasabiroad/agent/fwd.hpp
@@ -7,7 +7,6 @@
 class PoolAgent;
 class RecordWriter;
 class Submissions;
-class Timer;
 class UpstreamAgent;
 
 } // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -62,10 +62,7 @@
 {
 }
 
-scheduling::Moment PoolAgent::now() const
-{
-    return { kernel::now(kernel::BootClock {}), kernel::now(kernel::WallClock {}) };
-}
+scheduling::Moment PoolAgent::now() const { return { kernel::bootNow(), kernel::now(kernel::WallClock {}) }; }
 
 void PoolAgent::start()
 {
@@ -100,7 +97,8 @@
 
 void PoolAgent::retryLoad()
 {
-    callLater(this->environment.context, retryInterval, [self = shared_from_this()] { self->load(); });
+    kernel::callLater(
+        this->environment.context, retryInterval, [self = shared_from_this()] { self->load(); });
 }
 
 void PoolAgent::load()
@@ -237,7 +235,7 @@
                            },
                            [&](const store::HistoryGone&) { self->load(); },
                            [&](const kernel::Error&) {
-                               callLater(self->environment.context, retryInterval,
+                               kernel::callLater(self->environment.context, retryInterval,
                                    [self, after] { self->closed ? void() : self->watch(after); });
                            },
                        },
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -111,8 +111,8 @@
     std::string publishedReport {};
     bool publishing { false };
     kernel::Instant lastPublished {};
-    Timer tickTimer;
-    Timer flushTimer;
+    kernel::Timer tickTimer;
+    kernel::Timer flushTimer;
 };
 
 } // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -109,7 +109,7 @@
             { { "pool", this->service.text() }, { "code", number(error.code) }, { "reason", error.found },
                 { "waiting", this->pending.size() } });
         this->inFlight = true;
-        callLater(this->context, retryInterval, [self = shared_from_this()] {
+        kernel::callLater(this->context, retryInterval, [self = shared_from_this()] {
             self->inFlight = false;
             self->send();
         });
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "wasabiroad/agent/timer.hpp"
 #include "wasabiroad/jobs/job.hpp"
+#include "wasabiroad/kernel/timer.hpp"
 #include "wasabiroad/ports/upstreams.hpp"
 #include "wasabiroad/scheduling/event.hpp"
 #include "wasabiroad/store/store.hpp"
--- a/src/wasabiroad/agent/submissions.cpp
+++ b/src/wasabiroad/agent/submissions.cpp
@@ -39,8 +39,6 @@
 /** Jobs that may wait for the store; more are rejected. */
 constexpr std::size_t queueLimit = 256;
 
-kernel::Instant bootNow() { return kernel::now(kernel::BootClock {}); }
-
 std::string_view outcomeName(const SubmitOutcome& outcome)
 {
     return std::visit(kernel::Overloaded {
@@ -65,9 +63,9 @@
 void Submissions::submit(jobs::Job job, Duration deadline, store::Callback<SubmitOutcome> callback)
 {
     const auto wait = std::min(patience, Duration { deadline.milliseconds / 2 });
-    auto waiting
-        = std::make_shared<Waiting>(Waiting { std::move(job), std::move(callback), bootNow() + wait });
-    const bool away = this->failures >= awayAfter && bootNow() - this->lastFailure < probeInterval;
+    auto waiting = std::make_shared<Waiting>(
+        Waiting { std::move(job), std::move(callback), kernel::bootNow() + wait });
+    const bool away = this->failures >= awayAfter && kernel::bootNow() - this->lastFailure < probeInterval;
     if (away || this->queue.size() >= queueLimit) {
         answer(*waiting,
             Rejected { away ? ResultCode::PlatformUnreachable : ResultCode::QueueFull, retryAfter });
@@ -153,10 +151,10 @@
 void Submissions::again(const std::vector<std::shared_ptr<Waiting>>& batch, bool undecided)
 {
     ++this->failures;
-    this->lastFailure = bootNow();
+    this->lastFailure = kernel::bootNow();
     for (const auto& waiting : batch) {
         waiting->undecided = waiting->undecided || undecided;
-        if (bootNow() + retryInterval < waiting->giveUp) {
+        if (kernel::bootNow() + retryInterval < waiting->giveUp) {
             this->queue.push_back(waiting);
         } else if (waiting->undecided) {
             answer(*waiting, Undecided {});
--- a/src/wasabiroad/agent/submissions.hpp
+++ b/src/wasabiroad/agent/submissions.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "wasabiroad/agent/intake.hpp"
-#include "wasabiroad/agent/timer.hpp"
+#include "wasabiroad/kernel/timer.hpp"
 #include "wasabiroad/metrics/metrics.hpp"
 
 #include <deque>
@@ -41,7 +41,7 @@
     const std::shared_ptr<const store::Store> store;
     const std::shared_ptr<metrics::Metrics> metrics;
     std::deque<std::shared_ptr<Waiting>> queue {};
-    Timer timer;
+    kernel::Timer timer;
     bool planned { false };
     /** @brief Changes that failed in a row; while the store is away, callers are rejected at once. */
     unsigned failures { 0 };
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -45,7 +45,7 @@
         return;
     }
     this->awaitingRecord = false;
-    const auto sent = kernel::now(kernel::BootClock {});
+    const auto sent = kernel::bootNow();
     const bool renews = this->answering && this->events.mayAct();
     if (renews) {
         this->lastRenewal = sent;
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wasabiroad/agent/timer.hpp"
+#include "wasabiroad/kernel/timer.hpp"
 #include "wasabiroad/ports/upstreams.hpp"
 
 #include <functional>
@@ -51,7 +51,7 @@
     const ports::Term term;
     const kernel::Duration taskLease;
     const UpstreamEvents events;
-    Timer timer;
+    kernel::Timer timer;
     bool closed { false };
     bool answering { false };
     bool awaitingRecord { false };
--- a/src/wasabiroad/kernel/clock.cpp
+++ b/src/wasabiroad/kernel/clock.cpp
@@ -14,7 +14,9 @@
     return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count() };
 }
 
-Instant readBootClock()
+} // namespace
+
+Instant bootNow()
 {
     constexpr std::int64_t millisecondsPerSecond = 1000;
     constexpr std::int64_t nanosecondsPerMillisecond = 1000000;
@@ -23,13 +25,11 @@
     return { time.tv_sec * millisecondsPerSecond + time.tv_nsec / nanosecondsPerMillisecond };
 }
 
-} // namespace
-
 Instant now(const Clock& clock)
 {
     return std::visit(Overloaded {
                           [](const SteadyClock&) { return read<std::chrono::steady_clock>(); },
-                          [](const BootClock&) { return readBootClock(); },
+                          [](const BootClock&) { return bootNow(); },
                           [](const WallClock&) { return read<std::chrono::system_clock>(); },
                           [](const ManualClock& manual) { return manual.instant; },
                       },
--- a/src/wasabiroad/kernel/clock.hpp
+++ b/src/wasabiroad/kernel/clock.hpp
@@ -74,4 +74,7 @@
  */
 Instant now(const Clock& clock);
 
+/** @return The current instant of `BootClock`, by which leases are judged. */
+Instant bootNow();
+
 } // namespace wasabiroad::kernel
--- a/src/wasabiroad/kernel/fwd.hpp
+++ b/src/wasabiroad/kernel/fwd.hpp
@@ -10,5 +10,6 @@
 class Kernel;
 class Registry;
 class Threads;
+class Timer;
 
 } // namespace wasabiroad::kernel
--- a/src/wasabiroad/agent/timer.cpp
+++ b/src/wasabiroad/kernel/timer.cpp
@@ -1,10 +1,10 @@
-#include "wasabiroad/agent/timer.hpp"
+#include "wasabiroad/kernel/timer.hpp"
 
 #include <memory>
 
-namespace wasabiroad::agent {
+namespace wasabiroad::kernel {
 
-void Timer::start(kernel::Duration delay, std::function<void()> function)
+void Timer::start(Duration delay, std::function<void()> function)
 {
     this->timer.expires_after(delay.chrono());
     this->timer.async_wait([function = std::move(function)](boost::system::error_code cancelled) {
@@ -14,10 +14,10 @@
     });
 }
 
-void callLater(boost::asio::io_context& context, kernel::Duration delay, std::function<void()> function)
+void callLater(boost::asio::io_context& context, Duration delay, std::function<void()> function)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(context, delay.chrono());
     timer->async_wait([timer, function = std::move(function)](boost::system::error_code) { function(); });
 }
 
-} // namespace wasabiroad::agent
+} // namespace wasabiroad::kernel
--- a/src/wasabiroad/agent/timer.hpp
+++ b/src/wasabiroad/kernel/timer.hpp
@@ -7,7 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace wasabiroad::agent {
+namespace wasabiroad::kernel {
 
 /** @brief Calls a function once after a time; a new start replaces the earlier one. */
 class Timer {
@@ -18,7 +18,7 @@
     }
 
     /** @brief Calls `function` after `delay`, unless the timer is started again, cancelled or destroyed. */
-    void start(kernel::Duration delay, std::function<void()> function);
+    void start(Duration delay, std::function<void()> function);
 
     void cancel() { this->timer.cancel(); }
 
@@ -27,6 +27,6 @@
 };
 
 /** @brief Calls `function` on the context after a time; it keeps what it captures alive. */
-void callLater(boost::asio::io_context& context, kernel::Duration delay, std::function<void()> function);
+void callLater(boost::asio::io_context& context, Duration delay, std::function<void()> function);
 
-} // namespace wasabiroad::agent
+} // namespace wasabiroad::kernel
--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -1,8 +1,8 @@
 #include "wasabiroad/standin/key_value.hpp"
 
-#include <algorithm>
+#include "wasabiroad/kernel/timer.hpp"
 
-#include <boost/asio/steady_timer.hpp>
+#include <algorithm>
 
 namespace wasabiroad::standin {
 
@@ -35,21 +35,15 @@
 {
 }
 
-void KeyValue::later(Duration delay, std::function<void()> action)
-{
-    auto timer = std::make_shared<boost::asio::steady_timer>(this->context, delay.chrono());
-    timer->async_wait([timer, action = std::move(action)](boost::system::error_code) { action(); });
-}
-
 store::Store KeyValue::connect(std::shared_ptr<StoreFaults> faults)
 {
     const auto reading = [this, faults](auto callback, auto answer) {
         if (faults->silent) {
-            later(silence, [callback] { callback(tl::unexpected(timeout())); });
+            kernel::callLater(this->context, silence, [callback] { callback(tl::unexpected(timeout())); });
         } else if (faults->busy) {
-            later(latency, [callback] { callback(tl::unexpected(refusal())); });
+            kernel::callLater(this->context, latency, [callback] { callback(tl::unexpected(refusal())); });
         } else {
-            later(latency, [this, callback, answer] {
+            kernel::callLater(this->context, latency, [this, callback, answer] {
                 expireLeases();
                 callback(answer());
             });
@@ -77,10 +71,11 @@
             [this, faults](
                 const store::Change& change, const store::Callback<store::ChangeOutcome>& callback) {
                 if (faults->silent) {
-                    later(silence, [callback] { callback(store::OutcomeUnknown { timeout() }); });
+                    kernel::callLater(this->context, silence,
+                        [callback] { callback(store::OutcomeUnknown { timeout() }); });
                     return;
                 }
-                later(latency, [this, faults, change, callback] {
+                kernel::callLater(this->context, latency, [this, faults, change, callback] {
                     if (faults->busy) {
                         callback(store::NotDone { refusal() });
                         return;
@@ -88,7 +83,8 @@
                     expireLeases();
                     auto outcome = apply(change);
                     if (faults->losesAnswers) {
-                        later(silence, [callback] { callback(store::OutcomeUnknown { timeout() }); });
+                        kernel::callLater(this->context, silence,
+                            [callback] { callback(store::OutcomeUnknown { timeout() }); });
                         return;
                     }
                     callback(std::move(outcome));
@@ -172,7 +168,6 @@
         }
     }
     ++this->revision;
-    ++this->changes;
     const auto made = this->revision;
     for (const auto& put : change.puts) {
         auto& item = this->items[put.key];
@@ -220,13 +215,13 @@
     const std::shared_ptr<StoreFaults>& faults, store::Callback<store::WatchOutcome> callback)
 {
     if (faults->silent || faults->silentWatches) {
-        later(wait + silence, [callback] { callback(timeout()); });
+        kernel::callLater(this->context, wait + silence, [callback] { callback(timeout()); });
         return;
     }
     const auto number = ++this->numbers;
     this->watches.push_back({ std::move(prefix), after.value, faults, std::move(callback), number });
-    later(latency, [this] { answerWatches(); });
-    later(wait, [this, number] {
+    kernel::callLater(this->context, latency, [this] { answerWatches(); });
+    kernel::callLater(this->context, wait, [this, number] {
         const auto found = std::ranges::find(this->watches, number, &Watch::number);
         if (found == this->watches.end()) {
             return;
@@ -234,7 +229,7 @@
         const auto watch = *found;
         this->watches.erase(found);
         if (watch.faults->silent || watch.faults->silentWatches) {
-            later(silence, [callback = watch.callback] { callback(timeout()); });
+            kernel::callLater(this->context, silence, [callback = watch.callback] { callback(timeout()); });
         } else {
             watch.callback(eventsAfter(watch.prefix, watch.after));
         }
@@ -251,7 +246,8 @@
             ++watch;
             continue;
         }
-        later(latency, [callback = watch->callback, outcome] { callback(outcome); });
+        kernel::callLater(
+            this->context, latency, [callback = watch->callback, outcome] { callback(outcome); });
         watch = this->watches.erase(watch);
     }
 }
--- a/src/wasabiroad/standin/key_value.hpp
+++ b/src/wasabiroad/standin/key_value.hpp
@@ -50,9 +50,6 @@
     /** @brief Ends all leases, as after an outage. */
     void endLeases();
 
-    /** @return Changes that were made. */
-    std::uint64_t changeCount() const { return this->changes; }
-
 private:
     struct Item {
         std::string value {};
@@ -69,7 +66,6 @@
         std::uint64_t number { 0 };
     };
 
-    void later(kernel::Duration delay, std::function<void()> action);
     store::Entry entryOf(const std::string& key, const Item& item) const;
     store::ChangeOutcome apply(const store::Change& change);
     void remove(const std::string& key, std::uint64_t revision);
@@ -89,7 +85,6 @@
     std::map<std::uint64_t, std::pair<kernel::Duration, kernel::Instant>> leases {};
     std::list<Watch> watches {};
     std::uint64_t numbers { 0 };
-    std::uint64_t changes { 0 };
 };
 
 } // namespace wasabiroad::standin
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -1,10 +1,10 @@
 #include "wasabiroad/standin/workers.hpp"
 
+#include "wasabiroad/kernel/timer.hpp"
+
 #include <algorithm>
 #include <charconv>
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace wasabiroad::standin {
 
 using kernel::Duration;
@@ -37,12 +37,6 @@
 {
 }
 
-void Workers::later(Duration delay, std::function<void()> action)
-{
-    auto timer = std::make_shared<boost::asio::steady_timer>(this->context, delay.chrono());
-    timer->async_wait([timer, action = std::move(action)](boost::system::error_code) { action(); });
-}
-
 void Workers::add(const std::string& name, const model::ServiceId& service, std::int64_t cpu)
 {
     const auto life = ++this->lives;
@@ -140,7 +134,7 @@
     }
     worker.up = false;
     lose(worker);
-    later(downTime, [this, name = worker.name] {
+    kernel::callLater(this->context, downTime, [this, name = worker.name] {
         auto& back = *std::ranges::find(this->workers, name, &Worker::name);
         back.up = true;
         back.id = UpstreamId { back.name + "-" + std::to_string(++this->lives) };
@@ -276,7 +270,7 @@
         callback(std::move(outcome));
         return;
     }
-    later(endInterval, [this, id, wanted, until, callback = std::move(callback)] {
+    kernel::callLater(this->context, endInterval, [this, id, wanted, until, callback = std::move(callback)] {
         waitForEnd(id, wanted, until, callback);
     });
 }
@@ -291,13 +285,13 @@
                 [this, isCut, id = facts.id](
                     const ports::Look& wanted, const store::Callback<ports::LookOutcome>& callback) {
                     if (isCut(id)) {
-                        later(silence, [callback] {
+                        kernel::callLater(this->context, silence, [callback] {
                             callback(
                                 kernel::Error { kernel::ResultCode::PlatformTimeout, "upstream", "cut" });
                         });
                         return;
                     }
-                    later(latency, [this, id, wanted, callback] {
+                    kernel::callLater(this->context, latency, [this, id, wanted, callback] {
                         waitForEnd(id, wanted, now() + wanted.wait, callback);
                     });
                 },
@@ -305,25 +299,27 @@
                 [this, isCut](const scheduling::StartTask& order, ports::Term term, Duration lease,
                     const store::Callback<ports::StartOutcome>& callback) {
                     if (isCut(order.upstream)) {
-                        later(silence, [callback] { callback(StartResult::Unknown); });
+                        kernel::callLater(
+                            this->context, silence, [callback] { callback(StartResult::Unknown); });
                         return;
                     }
-                    later(latency,
+                    kernel::callLater(this->context, latency,
                         [this, order, term, lease, callback] { callback(start(order, term, lease)); });
                 },
             .stop =
                 [this, isCut](const scheduling::StopTask& order, ports::Term term,
                     const store::Callback<ports::OrderOutcome>& callback) {
                     if (isCut(order.upstream)) {
-                        later(silence, [callback] { callback(false); });
+                        kernel::callLater(this->context, silence, [callback] { callback(false); });
                         return;
                     }
-                    later(latency, [this, order, term, callback] { callback(stop(order, term)); });
+                    kernel::callLater(this->context, latency,
+                        [this, order, term, callback] { callback(stop(order, term)); });
                 },
             .pace =
                 [this](const scheduling::PaceTask&, ports::Term,
                     const store::Callback<ports::OrderOutcome>& callback) {
-                    later(latency, [callback] { callback(true); });
+                    kernel::callLater(this->context, latency, [callback] { callback(true); });
                 },
         });
     } };
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -106,7 +106,6 @@
     ports::LookOutcome look(const scheduling::UpstreamId& id, const ports::Look& look);
     ports::StartOutcome start(const scheduling::StartTask& order, ports::Term term, kernel::Duration lease);
     ports::OrderOutcome stop(const scheduling::StopTask& order, ports::Term term);
-    void later(kernel::Duration delay, std::function<void()> action);
     void waitForEnd(const scheduling::UpstreamId& id, const ports::Look& look, kernel::Instant until,
         store::Callback<ports::LookOutcome> callback);
 
