--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -103,7 +103,12 @@
             if (!entry) {
                 self->retryCancel(service, job, attempts, callback);
             } else if (!*entry) {
-                self->cancelElsewhere(service, job, attempts, callback);
+                self->findElsewhere(service, job,
+                    { [=](const model::ServiceId& other) {
+                         self->cancel(other, job, attempts - 1, callback);
+                     },
+                        [=] { callback(NoSuchJob {}); },
+                        [=] { self->retryCancel(service, job, attempts, callback); } });
             } else {
                 self->cancelRecord(service, job, attempts, **entry, callback);
             }
@@ -212,17 +217,20 @@
     }
 }
 
+std::function<bool()> Agent::ifKept(bool (Duties::*question)() const) const
+{
+    return [weak = std::weak_ptr<const Duties> { this->duties }, question] {
+        const auto kept = weak.lock();
+        return kept && (*kept.*question)();
+    };
+}
+
 void Agent::beginFleetDuty(ports::Term term)
 {
-    const std::weak_ptr<Duties> keeper = this->duties;
-    this->fleetAgent
-        = std::make_shared<FleetAgent>(FleetContext { this->environment.context, this->environment.store,
-                                           this->environment.fleet, this->environment.access.orderGap,
-                                           [keeper] {
-                                               const auto kept = keeper.lock();
-                                               return kept && kept->surelyHolds();
-                                           } },
-            term);
+    this->fleetAgent = std::make_shared<FleetAgent>(
+        FleetContext { this->environment.context, this->environment.store, this->environment.fleet,
+            this->environment.access.orderGap, ifKept(&Duties::surelyHolds) },
+        term);
     informFleetAgent();
     this->fleetAgent->start();
 }
@@ -234,18 +242,10 @@
         return;
     }
     const model::ServiceId service { duty.substr(keys::poolDuty.size()) };
-    const std::weak_ptr<Duties> keeper = this->duties;
     auto agent = std::make_shared<PoolAgent>(
         PoolContext { this->environment.context, this->environment.store, this->environment.upstreams,
-            this->environment.metrics, this->environment.access.taskLease,
-            [keeper] {
-                const auto kept = keeper.lock();
-                return kept && kept->mayAct();
-            },
-            [keeper] {
-                const auto kept = keeper.lock();
-                return kept && kept->surelyHolds();
-            } },
+            this->environment.metrics, this->environment.access.taskLease, ifKept(&Duties::mayAct),
+            ifKept(&Duties::surelyHolds) },
         service, term);
     this->pools.insert_or_assign(service, agent);
     agent->start();
@@ -299,7 +299,11 @@
             }
             if (!*entry) {
                 if (mayBeElsewhere) {
-                    self->readElsewhere(service, job, callback);
+                    self->findElsewhere(service, job,
+                        { [=](const model::ServiceId& other) {
+                             self->readState(other, job, false, callback);
+                         },
+                            [=] { callback(NoSuchJob {}); }, [=] { callback(Unavailable {}); } });
                 } else {
                     callback(NoSuchJob {});
                 }
@@ -310,34 +314,16 @@
         });
 }
 
-void Agent::readElsewhere(
-    const model::ServiceId& service, const jobs::JobId& job, const store::Callback<StateOutcome>& callback)
+void Agent::findElsewhere(const model::ServiceId& service, const jobs::JobId& job, const Elsewhere& elsewhere)
 {
     this->environment.store->read(keys::acceptance(job),
-        [self = shared_from_this(), service, job, callback](
-            const kernel::Expected<std::optional<store::Entry>>& entry) {
+        [service, elsewhere](const kernel::Expected<std::optional<store::Entry>>& entry) {
             if (!entry) {
-                callback(Unavailable {});
-            } else if (!*entry || (*entry)->value == service.text()) {
-                callback(NoSuchJob {});
-            } else {
-                self->readState(model::ServiceId { (*entry)->value }, job, false, callback);
-            }
-        });
-}
-
-void Agent::cancelElsewhere(const model::ServiceId& service, const jobs::JobId& job, int attempts,
-    const store::Callback<StateOutcome>& callback)
-{
-    this->environment.store->read(keys::acceptance(job),
-        [self = shared_from_this(), service, job, attempts, callback](
-            const kernel::Expected<std::optional<store::Entry>>& entry) {
-            if (!entry) {
-                self->retryCancel(service, job, attempts, callback);
+                elsewhere.unavailable();
             } else if (!*entry || (*entry)->value == service.text()) {
-                callback(NoSuchJob {});
+                elsewhere.missing();
             } else {
-                self->cancel(model::ServiceId { (*entry)->value }, job, attempts - 1, callback);
+                elsewhere.found(model::ServiceId { (*entry)->value });
             }
         });
 }
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -72,17 +72,22 @@
     void onOperator(const ports::OperatorOutcome& outcome);
     void adopt(const jobs::Configuration& configuration);
     void informFleetAgent();
+    std::function<bool()> ifKept(bool (Duties::*question)() const) const;
     void beginFleetDuty(ports::Term term);
     void beginDuty(const std::string& duty, ports::Term term);
     void endDuty(const std::string& duty);
     void readMembers();
     void readState(const model::ServiceId& service, const jobs::JobId& job, bool mayBeElsewhere,
         store::Callback<StateOutcome> callback);
+    /** What to do with a job that was accepted for another service, or for none. */
+    struct Elsewhere {
+        const std::function<void(const model::ServiceId&)> found;
+        const std::function<void()> missing;
+        const std::function<void()> unavailable;
+    };
+
     /** A queue may have moved to another service since the job was accepted. */
-    void readElsewhere(const model::ServiceId& service, const jobs::JobId& job,
-        const store::Callback<StateOutcome>& callback);
-    void cancelElsewhere(const model::ServiceId& service, const jobs::JobId& job, int attempts,
-        const store::Callback<StateOutcome>& callback);
+    void findElsewhere(const model::ServiceId& service, const jobs::JobId& job, const Elsewhere& elsewhere);
     void retryCancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
         const store::Callback<StateOutcome>& callback);
     void cancelRecord(const model::ServiceId& service, const jobs::JobId& job, int attempts,
--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -98,6 +98,12 @@
         });
 }
 
+void FleetAgent::removeDrain(const model::ServiceId& pool, const model::VmId& vm)
+{
+    // A removal that fails is repeated by `removeStaleDrains`.
+    change({}, { keys::drain(pool, vm), keys::emptied + vm.text() }, [](const store::ChangeOutcome&) {});
+}
+
 bool FleetAgent::isDraining(const model::VmId& vm) const
 {
     return this->moves.contains(vm) || std::ranges::any_of(this->waves, [&](const auto& entry) {
@@ -129,7 +135,7 @@
         if (!isDraining(vm)) {
             kernel::logEvent("stale-drain",
                 { { "vm", vm.text() }, { "pool", pool.text() }, { "revision", entry.revision.value } });
-            change({}, { entry.key, keys::emptied + vm.text() }, [](const store::ChangeOutcome&) {});
+            removeDrain(pool, vm);
         }
     }
 }
@@ -338,8 +344,7 @@
 {
     const auto& order = this->moves.at(vm).order;
     if (this->poolsWithJobs.contains(order.from)) {
-        change({}, { keys::drain(order.from, vm), keys::emptied + vm.text() },
-            [](const store::ChangeOutcome&) {});
+        removeDrain(order.from, vm);
     }
     this->moves.erase(vm);
 }
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -98,6 +98,7 @@
     /** Removes drains that nobody carries on: a former owner's, and those whose removal failed. */
     void removeStaleDrains();
     void removeStaleDrains(const model::ServiceId& pool, const store::Listing& drains);
+    void removeDrain(const model::ServiceId& pool, const model::VmId& vm);
     bool isDraining(const model::VmId& vm) const;
     bool hasOpenWave() const;
     void load(std::uint64_t number);
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -66,23 +66,15 @@
 
 void PoolAgent::start()
 {
-    const std::weak_ptr<PoolAgent> weak = weak_from_this();
-    const auto withSelf = [weak](auto function) {
-        return [weak, function](const auto&... arguments) {
-            if (const auto self = weak.lock(); self && !self->closed) {
-                function(*self, arguments...);
-            }
-        };
-    };
     this->writer = std::make_shared<RecordWriter>(this->environment.context, this->environment.store,
         this->service, this->term,
         RecordEvents {
-            withSelf([](PoolAgent& self, const jobs::JobId& job) { self.onJobEnded(job); }),
-            withSelf([](PoolAgent& self, const jobs::JobId& job) {
+            guarded([](PoolAgent& self, const jobs::JobId& job) { self.onJobEnded(job); }),
+            guarded([](PoolAgent& self, const jobs::JobId& job) {
                 self.apply(scheduling::JobCancelled { job });
             }),
-            withSelf([](PoolAgent& self) { self.superseded(); }),
-            withSelf([](PoolAgent& self, std::uint64_t batch) { self.onFlushed(batch); }),
+            guarded([](PoolAgent& self) { self.superseded(); }),
+            guarded([](PoolAgent& self, std::uint64_t batch) { self.onFlushed(batch); }),
         });
     load();
 }
@@ -391,39 +383,17 @@
 
 UpstreamEvents PoolAgent::upstreamEvents()
 {
-    const std::weak_ptr<PoolAgent> weak = weak_from_this();
     return {
-        .tasks =
-            [weak](const UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent) {
-                if (const auto self = weak.lock(); self && !self->closed) {
-                    self->onTasks(id, tasks, sent);
-                }
-            },
-        .silent =
-            [weak](const UpstreamId& id, kernel::Instant lastRenewal) {
-                if (const auto self = weak.lock(); self && !self->closed) {
-                    self->apply(scheduling::UpstreamSilent { id, lastRenewal });
-                }
-            },
-        .replaced =
-            [weak](const UpstreamId& id) {
-                if (const auto self = weak.lock(); self && !self->closed) {
-                    self->replaced(id);
-                }
-            },
-        .superseded =
-            [weak] {
-                if (const auto self = weak.lock(); self && !self->closed) {
-                    self->superseded();
-                }
-            },
-        .mayAct =
-            [weak] {
-                const auto self = weak.lock();
-                return self && !self->closed && self->environment.mayAct();
-            },
+        .tasks = guarded([](PoolAgent& self, const UpstreamId& id, const ports::Tasks& tasks,
+                             kernel::Instant sent) { self.onTasks(id, tasks, sent); }),
+        .silent = guarded([](PoolAgent& self, const UpstreamId& id, kernel::Instant lastRenewal) {
+            self.apply(scheduling::UpstreamSilent { id, lastRenewal });
+        }),
+        .replaced = guarded([](PoolAgent& self, const UpstreamId& id) { self.replaced(id); }),
+        .superseded = guarded([](PoolAgent& self) { self.superseded(); }),
+        .mayAct = this->environment.mayAct,
         .frequent =
-            [weak](const UpstreamId& id) {
+            [weak = weak_from_this()](const UpstreamId& id) {
                 const auto self = weak.lock();
                 return self && self->scheduler->needsFrequentLooks(id);
             },
@@ -448,14 +418,14 @@
     const auto last = this->scheduler->lastEnd(id);
     if (last != this->seenEnds[id] || !tasks.ended.empty()) {
         this->seenEnds[id] = last;
-        this->unrecordedEnds[0][id] = last;
+        this->openEnds[id] = last;
         planFlush();
     }
 }
 
 void PoolAgent::planFlush()
 {
-    if (!this->scheduler->hasChange() && !this->unrecordedEnds.contains(0)) {
+    if (!this->scheduler->hasChange() && this->openEnds.empty()) {
         return;
     }
     if (this->flushPlanned && !this->scheduler->hasUrgentChange()) {
@@ -472,13 +442,17 @@
     if (this->closed) {
         return;
     }
-    auto ends = std::move(this->unrecordedEnds[0]);
-    this->unrecordedEnds.erase(0);
+    auto ends = std::exchange(this->openEnds, {});
     const auto batch = this->writer->write(this->scheduler->takeChanges());
     if (this->writer->isBusy()) {
         this->unrecordedEnds[batch] = std::move(ends);
         return;
     }
+    acknowledge(ends);
+}
+
+void PoolAgent::acknowledge(const Ends& ends)
+{
     for (const auto& [id, number] : ends) {
         if (const auto link = this->links.find(id); link != this->links.end()) {
             link->second->acknowledge(number);
@@ -488,21 +462,11 @@
 
 void PoolAgent::onFlushed(std::uint64_t batch)
 {
-    while (!this->unrecordedEnds.empty()) {
-        auto first = this->unrecordedEnds.begin();
-        if (first->first == 0) {
-            first = std::next(first);
-        }
-        if (first == this->unrecordedEnds.end() || first->first > batch) {
-            return;
-        }
-        for (const auto& [id, number] : first->second) {
-            if (const auto link = this->links.find(id); link != this->links.end()) {
-                link->second->acknowledge(number);
-            }
-        }
-        this->unrecordedEnds.erase(first);
+    const auto later = this->unrecordedEnds.upper_bound(batch);
+    for (auto ends = this->unrecordedEnds.begin(); ends != later; ++ends) {
+        acknowledge(ends->second);
     }
+    this->unrecordedEnds.erase(this->unrecordedEnds.begin(), later);
 }
 
 void PoolAgent::tick()
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -50,6 +50,19 @@
     void close();
 
 private:
+    /** @brief Highest number of the ends of each upstream. */
+    using Ends = std::map<scheduling::UpstreamId, std::uint64_t>;
+
+    /** Makes a callback that does nothing once this term has ended. */
+    template <typename Function> auto guarded(Function function)
+    {
+        return [weak = weak_from_this(), function](const auto&... arguments) {
+            if (const auto self = weak.lock(); self && !self->closed) {
+                function(*self, arguments...);
+            }
+        };
+    }
+
     void load();
     void readRecords(const store::Listing& pool);
     void readUsed(const store::Listing& pool, const store::Listing& records);
@@ -72,6 +85,7 @@
     void planFlush();
     void flush();
     void onFlushed(std::uint64_t batch);
+    void acknowledge(const Ends& ends);
     void tick();
     void publishReport();
     void useMembers();
@@ -104,7 +118,10 @@
     bool loaded { false };
     bool closed { false };
     bool flushPlanned { false };
-    std::map<std::uint64_t, std::map<scheduling::UpstreamId, std::uint64_t>> unrecordedEnds {};
+    /** @brief Listed ends that no batch of records covers yet. */
+    Ends openEnds {};
+    /** @brief Listed ends by the batch of records that covers them. */
+    std::map<std::uint64_t, Ends> unrecordedEnds {};
     std::map<scheduling::UpstreamId, std::uint64_t> seenEnds {};
     metrics::Counter startCounter;
     metrics::Histogram jobTimes;
--- a/src/wasabiroad/jobs/job.cpp
+++ b/src/wasabiroad/jobs/job.cpp
@@ -1,7 +1,5 @@
 #include "wasabiroad/jobs/job.hpp"
 
-#include <algorithm>
-
 namespace wasabiroad::jobs {
 
 std::string_view name(JobState state)
@@ -29,18 +27,7 @@
 
 kernel::Duration longestChain(const std::vector<Step>& steps)
 {
-    kernel::Duration longest {};
-    std::vector<kernel::Duration> ends;
-    ends.reserve(steps.size());
-    for (const auto& step : steps) {
-        kernel::Duration start {};
-        for (const auto before : step.after) {
-            start = std::max(start, ends.at(before));
-        }
-        ends.push_back(start + step.estimate);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
+    return longestChain(steps, [&](std::size_t index) { return steps[index].estimate; });
 }
 
 } // namespace wasabiroad::jobs
--- a/src/wasabiroad/jobs/job.hpp
+++ b/src/wasabiroad/jobs/job.hpp
@@ -3,6 +3,7 @@
 #include "wasabiroad/kernel/clock.hpp"
 #include "wasabiroad/model/identifier.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -148,8 +149,27 @@
 
 /**
  * @brief Length of the longest chain of dependent steps.
- * @return The sum of the estimates along that chain.
+ * @param steps Steps; each depends on earlier ones only.
+ * @param lengthOf Returns the length of the step at an index.
+ * @return The sum of the lengths along that chain.
  */
+template <typename LengthOf> kernel::Duration longestChain(const std::vector<Step>& steps, LengthOf lengthOf)
+{
+    kernel::Duration longest {};
+    std::vector<kernel::Duration> ends;
+    ends.reserve(steps.size());
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        kernel::Duration start {};
+        for (const auto before : steps[index].after) {
+            start = std::max(start, ends.at(before));
+        }
+        ends.push_back(start + lengthOf(index));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+/** @return The longest chain by the estimates of the steps. */
 kernel::Duration longestChain(const std::vector<Step>& steps);
 
 } // namespace wasabiroad::jobs
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -33,18 +33,26 @@
 /** Estimates of the steps that are not done, along the longest chain of an occurrence. */
 Duration remainingChain(const jobs::Job& job, const std::vector<internal::StepRun>& steps)
 {
-    Duration longest {};
-    std::vector<Duration> ends;
-    for (std::size_t step = 0; step < steps.size(); ++step) {
-        Duration start {};
-        for (const auto before : job.steps[step].after) {
-            start = std::max(start, ends.at(before));
-        }
-        const bool done = steps[step].done == steps[step].tasks.size();
-        ends.push_back(start + (done ? Duration {} : job.steps[step].estimate));
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
+    return jobs::longestChain(job.steps, [&](std::size_t index) {
+        const bool done = steps[index].done == steps[index].tasks.size();
+        return done ? Duration {} : job.steps[index].estimate;
+    });
+}
+
+/** Whether a task may be started now, as far as it alone decides. */
+bool isStartable(const internal::Task& task, Moment now)
+{
+    return task.phase == Phase::Waiting && !task.unresolved && task.notBefore <= now.steady;
+}
+
+/** Order of steps: the smallest goes first. */
+auto rankOf(const PoolScheduler::Ready& item)
+{
+    const auto& job = item.job->job;
+    const bool longRunning = job.steps[item.step].longRunning;
+    return std::tuple<bool, bool, std::uint32_t, kernel::Instant, const jobs::JobId&, std::uint32_t,
+        std::uint32_t> { !longRunning, item.late, job.priority, item.job->due, job.id, item.occurrence,
+        item.step };
 }
 
 } // namespace
@@ -126,9 +134,8 @@
         for (std::uint32_t occurrence = 0; occurrence < run.occurrences.size(); ++occurrence) {
             for (std::uint32_t step = 0; step < run.job.steps.size(); ++step) {
                 const auto& tasks = run.occurrences[occurrence][step].tasks;
-                const bool waiting = std::ranges::any_of(tasks, [&](const Task& task) {
-                    return task.phase == Phase::Waiting && !task.unresolved && task.notBefore <= now.steady;
-                });
+                const bool waiting
+                    = std::ranges::any_of(tasks, [&](const Task& task) { return isStartable(task, now); });
                 if (!waiting || !isStepReady(run, occurrence, step, now)) {
                     continue;
                 }
@@ -140,14 +147,8 @@
             }
         }
     }
-    std::ranges::sort(ready, [](const Ready& left, const Ready& right) {
-        const auto key = [](const Ready& item) {
-            const auto& step = item.job->job.steps[item.step];
-            return std::tuple { !step.longRunning, item.late, item.job->job.priority, item.job->due,
-                item.job->job.id, item.occurrence, item.step };
-        };
-        return key(left) < key(right);
-    });
+    std::ranges::sort(
+        ready, [](const Ready& left, const Ready& right) { return rankOf(left) < rankOf(right); });
     return ready;
 }
 
@@ -167,7 +168,7 @@
     auto& tasks = ready.job->occurrences[ready.occurrence][ready.step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         auto& task = tasks[index];
-        if (task.phase != Phase::Waiting || task.unresolved || task.notBefore > now.steady) {
+        if (!isStartable(task, now)) {
             continue;
         }
         auto* const upstream = choose(ready, task, now, nullptr);
@@ -182,9 +183,7 @@
 {
     auto& step = ready.job->occurrences[ready.occurrence][ready.step];
     const auto& declared = ready.job->job.steps[ready.step];
-    if (!std::ranges::all_of(step.tasks, [&](const Task& task) {
-            return task.phase == Phase::Waiting && !task.unresolved && task.notBefore <= now.steady;
-        })) {
+    if (!std::ranges::all_of(step.tasks, [&](const Task& task) { return isStartable(task, now); })) {
         return;
     }
     std::vector<const model::RackId*> racks;
@@ -230,7 +229,6 @@
     const Ready& ready, std::uint32_t index, Upstream& upstream, jobs::Run run, Moment now)
 {
     auto& task = ready.job->occurrences[ready.occurrence][ready.step].tasks[index];
-    const auto& step = ready.job->job.steps[ready.step];
     const TaskId id { ready.job->job.id, { ready.occurrence, ready.step, index } };
     task.phase = Phase::Starting;
     task.upstream = upstream.facts->id;
@@ -240,10 +238,7 @@
     task.percent = 0;
     task.pace = 100;
     task.stopAnswered.reset();
-    upstream.tasks.insert(id);
-    upstream.cpu += step.filler ? 0 : step.resources.cpu;
-    upstream.memory += step.resources.memory;
-    upstream.accelerators += step.resources.accelerators;
+    attach(id, upstream);
     upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.leaseSpan);
     this->orders.push_back(StartTask { task.upstream, id, run, ready.job->job.payload, task.checkpoint });
 }
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -203,10 +203,7 @@
         eraseEnded();
         return;
     }
-    if (run->state == JobState::Pending) {
-        run->state = JobState::Running;
-        markChanged(run->job.id, false);
-    }
+    markRunning(*run);
     switch (end.kind) {
     case EndKind::Done:
         taskDone(*run, end.task, *task, now);
@@ -254,7 +251,6 @@
             return;
         }
         // A run of a former owner: it is adopted where it runs.
-        const auto& resources = stepOf(running.task).resources;
         task->upstream = id;
         task->run = running.run;
         task->unresolved = false;
@@ -263,10 +259,7 @@
         task->percent = running.percent;
         task->phase = Phase::Running;
         task->stopAnswered.reset();
-        upstream.tasks.insert(running.task);
-        upstream.cpu += stepOf(running.task).filler ? 0 : resources.cpu;
-        upstream.memory += resources.memory;
-        upstream.accelerators += resources.accelerators;
+        attach(running.task, upstream);
     }
     if (task->phase == Phase::Starting) {
         task->phase = Phase::Running;
@@ -279,10 +272,7 @@
     if (!running.checkpoint.empty()) {
         task->checkpoint = running.checkpoint;
     }
-    if (run->state == JobState::Pending) {
-        run->state = JobState::Running;
-        markChanged(run->job.id, false);
-    }
+    markRunning(*run);
 }
 
 void PoolScheduler::releaseAbsent(const TasksListed& event, Moment now)
@@ -313,10 +303,7 @@
     case StartResult::Started:
         task->phase = Phase::Running;
         task->lastProgress = now.steady;
-        if (run->state == JobState::Pending) {
-            run->state = JobState::Running;
-            markChanged(run->job.id, false);
-        }
+        markRunning(*run);
         return;
     case StartResult::Unknown:
         this->upstreams[event.upstream].suspectUntil = now.steady + this->policy.refusedDelay;
@@ -540,6 +527,23 @@
     this->passNeeded = true;
 }
 
+void PoolScheduler::markRunning(JobRun& run)
+{
+    if (run.state == JobState::Pending) {
+        run.state = JobState::Running;
+        markChanged(run.job.id, false);
+    }
+}
+
+void PoolScheduler::attach(const TaskId& id, Upstream& upstream)
+{
+    const auto& step = stepOf(id);
+    upstream.tasks.insert(id);
+    upstream.cpu += step.filler ? 0 : step.resources.cpu;
+    upstream.memory += step.resources.memory;
+    upstream.accelerators += step.resources.accelerators;
+}
+
 void PoolScheduler::detach(const TaskId& id, Task& task)
 {
     const auto found = this->upstreams.find(task.upstream);
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -20,6 +20,14 @@
  */
 class PoolScheduler {
 public:
+    /** @brief A step that has tasks to start. */
+    struct Ready {
+        internal::JobRun* job;
+        std::uint32_t occurrence;
+        std::uint32_t step;
+        bool late;
+    };
+
     /**
      * @param policy Limits and weights.
      * @param term Term of ownership; runs of a later term have higher numbers.
@@ -90,13 +98,6 @@
     using Task = internal::Task;
     using Upstream = internal::Upstream;
 
-    struct Ready {
-        JobRun* job;
-        std::uint32_t occurrence;
-        std::uint32_t step;
-        bool late;
-    };
-
     void on(const JobAdded& event, Moment now);
     void on(const JobCancelled& event, Moment now);
     void on(const MembersSeen& event, Moment now);
@@ -120,6 +121,8 @@
     void taskFailed(JobRun& run, const jobs::TaskId& id, Task& task, const UpstreamId& where, Moment now);
     void suspect(Upstream& upstream, Moment now);
     void toWaiting(Task& task, Moment now);
+    void markRunning(JobRun& run);
+    void attach(const jobs::TaskId& id, Upstream& upstream);
     void detach(const jobs::TaskId& id, Task& task);
     void stop(const jobs::TaskId& id, Task& task, Moment now, std::string_view reason);
     void stopForeign(
