Add only jobs that the watch has not shown when a pool is listed again

A job whose final record is written between the listing of the records and its use is gone from the scheduler, while the listing still shows it as running: it was added again.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -182,7 +182,8 @@
                 "job-unreadable", { { "key", entry.key }, { "revision", entry.revision.value } });
             continue;
         }
-        if (this->scheduler->stateOf(job->id) || jobs::isFinal(record->state)) {
+        // What the watch has shown was added then, and may have ended since these records were read.
+        if (entry.revision <= this->watched || jobs::isFinal(record->state)) {
             continue;
         }
         this->writer->setRevision(job->id, found->second->revision);
@@ -215,6 +216,7 @@
 
 void PoolAgent::watch(store::Revision after)
 {
+    this->watched = after;
     this->environment.store->watch(keys::pool(this->service), after, watchWait,
         [self = shared_from_this(), after](const store::WatchOutcome& outcome) {
             if (self->closed) {
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -115,6 +115,8 @@
     /** @brief VMs whose emptiness is written. */
     std::set<std::string> announced {};
     bool recordingUsed { false };
+    /** @brief Changes of the pool up to this revision have reached the scheduler. */
+    store::Revision watched {};
     bool loaded { false };
     bool closed { false };
     bool flushPlanned { false };
