--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -57,10 +57,19 @@
                     [this, key]() -> kernel::Expected<std::optional<store::Entry>> { return find(key); });
             },
         .list =
-            [this, reading](const std::string& prefix,
+            [this, faults, reading](const std::string& prefix,
                 const store::Callback<kernel::Expected<store::Listing>>& callback) {
+                const auto delayed
+                    = [this, faults, callback](const kernel::Expected<store::Listing>& listing) {
+                          if (faults->listDelay.milliseconds == 0) {
+                              callback(listing);
+                              return;
+                          }
+                          kernel::callLater(
+                              this->context, faults->listDelay, [callback, listing] { callback(listing); });
+                      };
                 reading(
-                    callback, [this, prefix]() -> kernel::Expected<store::Listing> { return list(prefix); });
+                    delayed, [this, prefix]() -> kernel::Expected<store::Listing> { return list(prefix); });
             },
         .watch =
             [this, faults](std::string prefix, store::Revision after, Duration wait,
--- a/test/wasabiroad/agent/jobs.cpp
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -132,6 +132,23 @@
     BOOST_TEST((site.state("a") == StateOutcome { JobState::Completed }));
 }
 
+/** Guards against a job that runs twice since it ended while old records of it were on their way. */
+BOOST_AUTO_TEST_CASE(job_that_ends_while_it_is_listed_again_runs_once)
+{
+    Site site { 1 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    site.submit(makeJob("a", 450));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
+    site.daemons[0]->storeFaults->listDelay = { 300 };
+    site.store.dropHistory();
+    // The first list is read at once, the records 300 ms later: the job ends before these arrive.
+    BOOST_REQUIRE(site.reaches("a", jobs::JobState::Completed));
+    site.runFor(1500);
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+    BOOST_TEST(site.workers.broken().empty());
+}
+
 /** Guards against counts of waiting jobs that only the owner knows. */
 BOOST_AUTO_TEST_CASE(every_daemon_counts_the_jobs_that_wait)
 {
