Read the settings again at a hangup

Cause: nothing handled SIGHUP, whose default ends the process. Change: the signal is ignored until the settings are read, then each one reads them again and logs what differs.

--- a/src/wasabiroad/daemon/main.cpp
+++ b/src/wasabiroad/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include "wasabiroad/daemon/reload.hpp"
 #include "wasabiroad/kernel/command.hpp"
 #include "wasabiroad/kernel/kernel.hpp"
 #include "wasabiroad/kernel/log.hpp"
@@ -105,7 +106,13 @@
     }
 }
 
-ResultCode serve(const settings::Settings& settings)
+/**
+ * Runs the daemon until it is told to stop.
+ * @param settings Settings in force.
+ * @param readAgain Reads the settings from where they came from.
+ */
+ResultCode serve(
+    const settings::Settings& settings, const std::function<kernel::Checked<settings::Settings>()>& readAgain)
 {
     kernel::startLogging();
     kernel::Kernel kernel { settings.trafficThreads };
@@ -123,6 +130,7 @@
             kernel.shutDown();
         }
     });
+    const daemon::Reload reload { kernel.threads().control(), settings, readAgain };
     boost::asio::co_spawn(kernel.threads().control(), flushLogRegularly(), boost::asio::detached);
     kernel.run();
     kernel::stopLogging();
@@ -163,18 +171,25 @@
         std::cerr << "wasabiroadd: --settings is required\n" << helpText(options);
         return ResultCode::InvalidArguments;
     }
-    const auto text = readText(*path);
-    if (!text) {
-        return report({ text.error() });
-    }
-    const auto settings = settings::read(*text, readOverrides(arguments));
-    return settings ? serve(*settings) : report(settings.error());
+    const auto overrides = readOverrides(arguments);
+    const auto read = [&]() -> kernel::Checked<settings::Settings> {
+        const auto text = readText(*path);
+        if (!text) {
+            return tl::unexpected(kernel::Errors { text.error() });
+        }
+        return settings::read(*text, overrides);
+    };
+    const auto settings = read();
+    return settings ? serve(*settings, read) : report(settings.error());
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
+    // A hangup before the settings are read needs no answer: they are read after it. The default would end
+    // the process.
+    std::signal(SIGHUP, SIG_IGN);
     try {
         return kernel::exitCode(run(argc, argv));
     } catch (const cxxopts::exceptions::exception& exception) {
