Size pools by the work that arrives, with learned run times

Ruled out: a rate over a fixed span (too slow for bursts of short jobs, too noisy for rare ones). Change: rate of the last eight jobs; run times fitted per queue; a pool gives VMs while less waits than fills one; reports, lists of VMs and of upstreams come more often, reports at once only while the need rises.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -18,7 +18,7 @@
 constexpr Duration retryInterval { 200 };
 
 /** Interval of reading the list of upstreams; a leaving one gets no new tasks after at most 2 s. */
-constexpr Duration membersInterval { 700 };
+constexpr Duration membersInterval { 200 };
 
 /** An entry without an answer of the store for this long sends callers elsewhere. */
 constexpr Duration contactLimit { 2500 };
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /** Interval of the scheduler's time-outs; the shortest of them is some hundred ms. */
-constexpr Duration tickInterval { 200 };
+constexpr Duration tickInterval { 100 };
 
 /** Time to gather records before a write when a job has ended, whose caller may be waiting. */
 constexpr Duration urgentFlushDelay { 8 };
@@ -22,9 +22,15 @@
 /** Time to gather other records: each write is paid for. */
 constexpr Duration flushDelay { 60 };
 
-/** Interval of reports: callers may see counts up to 2 s late, and VMs move by the demand. */
+/** Interval of reports while the need for VMs does not rise: callers may see counts up to 2 s late. */
 constexpr Duration reportInterval { 400 };
 
+/** Interval of reports while the need rises: a burst lasts some seconds and VMs take 2 s to come. */
+constexpr Duration risingReportInterval { 100 };
+
+/** A need that is larger by this part of the reported one is reported at once. */
+constexpr std::int64_t risingPart = 8;
+
 /** Wait of a watch; a silent connection hides cancelled jobs for this time and some slack. */
 constexpr Duration watchWait { 1000 };
 constexpr Duration retryInterval { 300 };
@@ -47,6 +53,17 @@
     return { .leaseSpan = span, .takeoverSpan = span + formerOwner };
 }
 
+/** @return Steps of a job for the log, as "COUNTxCPU@ESTIMATE" with thousandths of a core and ms. */
+std::string shapeOf(const jobs::Job& job)
+{
+    std::string shape;
+    for (const auto& step : job.steps) {
+        shape += (shape.empty() ? "" : "+") + std::to_string(step.count) + "x"
+            + std::to_string(step.resources.cpu) + "@" + std::to_string(step.estimate.milliseconds);
+    }
+    return shape;
+}
+
 } // namespace
 
 PoolAgent::PoolAgent(PoolContext context, model::ServiceId pool, ports::Term ownTerm)
@@ -273,7 +290,7 @@
                        }
                        kernel::logEvent("job-seen",
                            { { "job", job->id.text() }, { "pool", this->service.text() },
-                               { "revision", entry.revision.value }, { "steps", job->steps.size() } });
+                               { "revision", entry.revision.value }, { "steps", shapeOf(*job) } });
                        if (this->writer->revisionOf(job->id).value == 0) {
                            this->writer->setRevision(job->id, entry.revision);
                        }
@@ -486,29 +503,35 @@
 void PoolAgent::publishReport()
 {
     const auto at = now();
-    if (this->publishing || at.steady - this->lastPublished < reportInterval) {
+    const auto age = at.steady - this->lastPublished;
+    if (this->publishing || age < risingReportInterval) {
         return;
     }
     const auto demand = this->scheduler->demand(at);
+    const auto need = std::max(demand.wanted.cpu, demand.arriving);
+    if (age < reportInterval && need <= this->reportedNeed + this->reportedNeed / risingPart) {
+        return;
+    }
     kernel::logEvent("pool-state",
         { { "pool", this->service.text() }, { "members", this->members.size() },
             { "releasable", demand.releasable.size() }, { "jobs", this->scheduler->jobCount() },
             { "cpu_wanted", demand.wanted.cpu }, { "cpu_taken", demand.taken.cpu },
             { "cpu_room", demand.room.cpu }, { "memory_wanted", demand.wanted.memory },
             { "memory_taken", demand.taken.memory }, { "memory_room", demand.room.memory },
-            { "spread", demand.spread } });
+            { "cpu_arriving", demand.arriving }, { "spread", demand.spread } });
     std::vector<std::string> idle;
     idle.reserve(demand.releasable.size());
     for (const auto& id : demand.releasable) {
         idle.push_back(id.text());
     }
-    auto value = jobs::encode(jobs::PoolReport {
-        this->scheduler->pendingCounts(), demand.wanted, demand.taken, demand.spread, std::move(idle) });
+    auto value = jobs::encode(jobs::PoolReport { this->scheduler->pendingCounts(), demand.wanted,
+        demand.taken, demand.spread, std::move(idle), demand.arriving });
     if (value == this->publishedReport) {
         return;
     }
     this->publishing = true;
     this->lastPublished = at.steady;
+    this->reportedNeed = need;
     this->writer->put({ keys::report(this->service), value },
         [self = shared_from_this(), value](const store::ChangeOutcome& outcome) {
             self->publishing = false;
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -129,6 +129,8 @@
     metrics::Histogram jobTimes;
     std::string publishedReport {};
     bool publishing { false };
+    /** @brief Thousandths of a core that the last report asked for. */
+    std::int64_t reportedNeed { 0 };
     kernel::Instant lastPublished {};
     kernel::Timer tickTimer;
     kernel::Timer flushTimer;
--- a/src/wasabiroad/jobs/codec.cpp
+++ b/src/wasabiroad/jobs/codec.cpp
@@ -146,6 +146,7 @@
     target.set_taken_cpu(report.taken.cpu);
     target.set_taken_memory(report.taken.memory);
     target.set_spread(report.spread);
+    target.set_arriving_cpu(report.arriving);
     for (const auto& id : report.releasable) {
         target.add_releasable(id);
     }
@@ -164,7 +165,7 @@
     }
     return PoolReport { std::move(counts), { source.cpu(), source.memory(), source.accelerators() },
         { source.taken_cpu(), source.taken_memory() }, source.spread(),
-        { source.releasable().begin(), source.releasable().end() } };
+        { source.releasable().begin(), source.releasable().end() }, source.arriving_cpu() };
 }
 
 std::optional<Job> decodeJob(std::string_view bytes)
--- a/src/wasabiroad/jobs/codec.hpp
+++ b/src/wasabiroad/jobs/codec.hpp
@@ -33,6 +33,8 @@
     const std::uint32_t spread { 0 };
     /** @brief Upstreams that run out of tasks soon, the first of them first. */
     const std::vector<std::string> releasable {};
+    /** @brief Thousandths of a core that keep up with the work that arrives. */
+    const std::int64_t arriving { 0 };
 
     friend bool operator==(const PoolReport&, const PoolReport&) = default;
 };
--- a/src/wasabiroad/scheduling/move_plan.cpp
+++ b/src/wasabiroad/scheduling/move_plan.cpp
@@ -37,6 +37,8 @@
     const PoolView* view { nullptr };
     std::uint32_t needed { 0 };
     std::uint32_t have { 0 };
+    /** Thousandths of a core of one VM. */
+    std::int64_t vmCpu { 0 };
     std::vector<const MovableVm*> free {};
 };
 
@@ -70,16 +72,22 @@
         }
     }
     if (!view.spare && capacity != nullptr) {
+        balance.vmCpu = capacity->cpu;
         balance.needed = vmsNeeded(view, *capacity);
     }
     return balance;
 }
 
-/** A pool with tasks that wait keeps its VMs, though some may be on their way to it. */
-bool mayGive(const PoolView& view)
+/**
+ * A pool keeps its VMs while tasks that would fill one wait: some VMs may still be on their way to it. Fewer
+ * may wait for reasons that no VM cures, as a label or a doubtful upstream.
+ */
+bool mayGive(const Balance& balance)
 {
-    return view.spare
-        || (view.surplusFor >= givingPatience && view.demand.wanted.cpu <= view.demand.taken.cpu);
+    const auto& demand = balance.view->demand;
+    return balance.view->spare
+        || (balance.view->surplusFor >= givingPatience
+            && demand.wanted.cpu - demand.taken.cpu < balance.vmCpu);
 }
 
 /** Takes one VM: from the pool with the largest surplus, and from the reserve last. */
@@ -88,7 +96,7 @@
     Balance* best = nullptr;
     for (auto& balance : balances) {
         if (balance.view->pool == to || balance.free.empty() || balance.have <= balance.needed
-            || !mayGive(*balance.view)) {
+            || !mayGive(balance)) {
             continue;
         }
         const auto rank = [](const Balance& item) {
@@ -120,7 +128,7 @@
         return wanted - waiting + static_cast<std::int64_t>(waitingShare * static_cast<double>(waiting));
     };
     const auto load = std::max({ share(needed(demand.wanted.cpu, demand.taken.cpu) + growth, vm.cpu),
-        share(needed(demand.wanted.memory, demand.taken.memory), vm.memory),
+        share(demand.arriving, vm.cpu), share(needed(demand.wanted.memory, demand.taken.memory), vm.memory),
         share(demand.wanted.accelerators, vm.accelerators) });
     const auto forLoad = static_cast<std::uint32_t>(std::ceil(load * headroom)) + 1;
     return std::max({ leastVms, forLoad, demand.spread + spreadReserve });
--- a/src/wasabiroad/scheduling/move_plan.hpp
+++ b/src/wasabiroad/scheduling/move_plan.hpp
@@ -19,6 +19,8 @@
     const std::uint32_t spread { 0 };
     /** @brief Upstreams that run out of tasks soon, the first of them first. */
     const std::vector<UpstreamId> releasable {};
+    /** @brief Thousandths of a core that keep up with the work that arrives and with long-running tasks. */
+    const std::int64_t arriving { 0 };
 
     friend bool operator==(const PoolDemand&, const PoolDemand&) = default;
 };
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -26,16 +26,15 @@
 /** Upstreams whose tasks end within this time can leave the pool: a drain keeps their room from new tasks. */
 constexpr Duration releaseWithin { 900 };
 
-/** Share of the estimated remaining chain that must fit before a job is late; estimates are often too high.
- */
-constexpr double feasibleShare = 0.5;
+/** Share of the expected remaining chain that must fit before a job is late. */
+constexpr double feasibleShare = 0.8;
 
-/** Estimates of the steps that are not done, along the longest chain of an occurrence. */
-Duration remainingChain(const jobs::Job& job, const std::vector<internal::StepRun>& steps)
+/** Expected run time of the steps that are not done, along the longest chain of an occurrence. */
+Duration remainingChain(const internal::JobRun& run, const std::vector<internal::StepRun>& steps)
 {
-    return jobs::longestChain(job.steps, [&](std::size_t index) {
+    return jobs::longestChain(run.job.steps, [&](std::size_t index) {
         const bool done = steps[index].done == steps[index].tasks.size();
-        return done ? Duration {} : job.steps[index].estimate;
+        return done ? Duration {} : run.expected[index];
     });
 }
 
@@ -75,6 +74,7 @@
     std::int64_t cpu = 0;
     std::int64_t memory = 0;
     std::int64_t accelerators = 0;
+    std::int64_t longRunningCpu = 0;
     std::uint32_t spread = 0;
     for (const auto& [id, run] : this->jobRuns) {
         for (std::uint32_t occurrence = 0; occurrence < run.occurrences.size(); ++occurrence) {
@@ -86,6 +86,7 @@
                     return task.phase != Phase::Done && (ready || task.phase != Phase::Waiting);
                 });
                 cpu += step.filler ? 0 : counted * step.resources.cpu;
+                longRunningCpu += step.longRunning && !step.filler ? counted * step.resources.cpu : 0;
                 memory += counted * step.resources.memory;
                 accelerators += counted * step.resources.accelerators;
                 if (step.longRunning && step.maxPerUpstream > 0 && !jobs::isFinal(run.state)) {
@@ -121,7 +122,7 @@
         ids.push_back(id);
     }
     return { { cpu, memory, accelerators }, { roomCpu, roomMemory }, { takenCpu, takenMemory }, spread,
-        std::move(ids) };
+        std::move(ids), longRunningCpu + this->arrivals.cpu(now.steady) };
 }
 
 std::vector<PoolScheduler::Ready> PoolScheduler::readySteps(Moment now)
@@ -139,7 +140,7 @@
                 if (!waiting || !isStepReady(run, occurrence, step, now)) {
                     continue;
                 }
-                const auto left = remainingChain(run.job, run.occurrences[occurrence]).milliseconds;
+                const auto left = remainingChain(run, run.occurrences[occurrence]).milliseconds;
                 const auto needed
                     = Duration { static_cast<std::int64_t>(feasibleShare * static_cast<double>(left)) };
                 const auto due = run.due + run.job.interval * static_cast<std::int64_t>(occurrence);
@@ -235,6 +236,7 @@
     task.run = run;
     task.started = now.steady;
     task.lastProgress = now.steady;
+    task.resumed = !task.checkpoint.empty();
     task.percent = 0;
     task.pace = 100;
     task.stopAnswered.reset();
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -47,10 +47,25 @@
     return left;
 }
 
-kernel::Instant dueTime(const jobs::Job& job)
+/** @return Expected work of a job that ends by itself, in thousandths of a core times milliseconds. */
+std::int64_t expectedWork(const internal::JobRun& run)
+{
+    std::int64_t work = 0;
+    for (std::size_t index = 0; index < run.expected.size(); ++index) {
+        const auto& step = run.job.steps[index];
+        if (!step.longRunning && !step.filler) {
+            work += step.count * step.resources.cpu * run.expected[index].milliseconds;
+        }
+    }
+    return work;
+}
+
+kernel::Instant dueTime(const internal::JobRun& run)
 {
+    const auto& job = run.job;
     const auto begin = job.firstDue.milliseconds > 0 ? job.firstDue : job.accepted;
-    const auto stretched = job.stretch * static_cast<double>(jobs::longestChain(job.steps).milliseconds);
+    const auto chain = jobs::longestChain(job.steps, [&](std::size_t index) { return run.expected[index]; });
+    const auto stretched = job.stretch * static_cast<double>(chain.milliseconds);
     return begin + Duration { static_cast<std::int64_t>(stretched) } + job.allowance;
 }
 
@@ -80,7 +95,11 @@
     if (this->jobRuns.contains(event.job.id) || jobs::isFinal(event.record.state)) {
         return;
     }
-    JobRun run { .job = event.job, .state = event.record.state, .due = dueTime(event.job) };
+    JobRun run { .job = event.job, .state = event.record.state };
+    for (const auto& step : event.job.steps) {
+        run.expected.push_back(this->runTimes.expected(event.job.queue, step.estimate));
+    }
+    run.due = dueTime(run);
     run.occurrences.resize(std::max(event.job.occurrences, 1U));
     for (auto& steps : run.occurrences) {
         steps.resize(event.job.steps.size());
@@ -107,6 +126,10 @@
             ++step.done;
         }
     }
+    // Jobs that were there before this owner say nothing of the present rate.
+    if (!event.mayHaveStarted && event.job.firstDue == kernel::Instant {}) {
+        this->arrivals.add(expectedWork(run), now.steady);
+    }
     this->jobRuns.emplace(event.job.id, std::move(run));
     this->passNeeded = true;
 }
@@ -196,6 +219,9 @@
         task->checkpoint = end.checkpoint;
     }
     if (current) {
+        if (end.kind == EndKind::Done && !task->resumed) {
+            learnRunTime(*run, end.task.position.step, now.steady - task->started);
+        }
         detach(end.task, *task);
         toWaiting(*task, now);
     }
@@ -234,6 +260,17 @@
     }
 }
 
+void PoolScheduler::learnRunTime(JobRun& run, std::uint32_t step, Duration actual)
+{
+    // Tasks of one step run for about the same time, so the first stands for all.
+    if (run.job.steps[step].longRunning || !run.measured.insert(step).second) {
+        return;
+    }
+    this->runTimes.observe(run.job.queue, run.job.steps[step].estimate, actual);
+    run.expected[step] = actual;
+    run.due = dueTime(run);
+}
+
 void PoolScheduler::applyRunning(const UpstreamId& id, const RunningTask& running, Moment now)
 {
     const auto [run, task] = find(running.task);
@@ -255,6 +292,7 @@
         task->run = running.run;
         task->unresolved = false;
         task->started = now.steady;
+        task->resumed = true;
         task->lastProgress = now.steady;
         task->percent = running.percent;
         task->phase = Phase::Running;
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "wasabiroad/scheduling/arrivals.hpp"
 #include "wasabiroad/scheduling/move_plan.hpp"
 #include "wasabiroad/scheduling/policy.hpp"
+#include "wasabiroad/scheduling/run_times.hpp"
 #include "wasabiroad/scheduling/state.hpp"
 
 #include <map>
@@ -117,6 +119,7 @@
     void heardOf(const UpstreamId& id);
     void eraseEnded();
     void finish(JobRun& run, jobs::JobState state, Moment now, std::string_view reason);
+    void learnRunTime(JobRun& run, std::uint32_t step, kernel::Duration actual);
     void taskDone(JobRun& run, const jobs::TaskId& id, Task& task, Moment now);
     void taskFailed(JobRun& run, const jobs::TaskId& id, Task& task, const UpstreamId& where, Moment now);
     void suspect(Upstream& upstream, Moment now);
@@ -165,6 +168,8 @@
     std::map<UpstreamId, Upstream> upstreams {};
     std::set<jobs::JobId> changed {};
     std::vector<Order> orders {};
+    ArrivalRate arrivals {};
+    RunTimes runTimes {};
 };
 
 } // namespace wasabiroad::scheduling
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -38,6 +38,8 @@
     kernel::Instant notBefore {};
     kernel::Instant lastProgress {};
     kernel::Instant started {};
+    /** @brief The run began at a checkpoint, so its time says little of the whole task. */
+    bool resumed { false };
     kernel::Instant readySince {};
     kernel::Instant stopSent {};
     std::optional<kernel::Instant> stopAnswered {};
@@ -55,6 +57,10 @@
     jobs::JobState state { jobs::JobState::Pending };
     /** @brief Steps by occurrence. */
     std::vector<std::vector<StepRun>> occurrences {};
+    /** @brief Expected run time of a task of each step. */
+    std::vector<kernel::Duration> expected {};
+    /** @brief Steps of which a task was done, so that the run time is known. */
+    std::set<std::uint32_t> measured {};
     /** @brief Wall clock at which it is late. */
     kernel::Instant due {};
     kernel::Instant finished {};
--- /dev/null
+++ b/test/wasabiroad/scheduling/arrivals.cpp
@@ -0,0 +1,53 @@
+#include "wasabiroad/scheduling/arrivals.hpp"
+
+#include <ostream>
+#include <vector>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::scheduling {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/** Jobs of equal work that come at even intervals, and the rate that is seen some time after the last. */
+struct Row {
+    const char* title;
+    const std::int64_t jobs;
+    const std::int64_t intervalMs;
+    /** @brief Thousandths of a core times ms. */
+    const std::int64_t work;
+    const std::int64_t afterMs;
+    const std::int64_t least;
+    const std::int64_t most;
+
+    friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
+};
+
+const std::vector<Row> rows {
+    { "nothing has come", 0, 0, 0, 0, 0, 0 },
+    { "one job alone says nothing of a rate", 1, 0, 300000, 0, 0, 0 },
+    { "a steady stream is seen as it is", 100, 50, 1000000, 0, 18000, 22000 },
+    { "a burst shows after its first jobs", 8, 25, 1000000, 0, 20000, 40000 },
+    { "the rate falls when nothing comes", 100, 50, 1000000, 1600, 1000, 5000 },
+    { "old jobs say nothing", 100, 50, 1000000, 2500, 0, 0 },
+};
+
+/** Guards against a pool that is sized by its queue, which grows long after a burst began. */
+BOOST_DATA_TEST_CASE(rate_follows_the_arrivals, data::make(rows), row)
+{
+    ArrivalRate rate;
+    for (std::int64_t index = 0; index < row.jobs; ++index) {
+        rate.add(row.work, { index * row.intervalMs });
+    }
+    const auto seen = rate.cpu({ std::max<std::int64_t>(row.jobs - 1, 0) * row.intervalMs + row.afterMs });
+    BOOST_TEST(seen >= row.least);
+    BOOST_TEST(seen <= row.most);
+}
+
+} // namespace
+
+} // namespace wasabiroad::scheduling
