Record orders to VMs, so that the next owner of the fleet goes on at once

Cause: each new owner of the fleet duty waited 3.3 s before any order, for the rule that two daemons must not order one VM within the gap. Change: the VMs of orders are recorded before they are sent; the next owner waits with these only. VMs recorded as ordered to maintenance count as down until a list shows them up. A note that an upstream is empty counts only when it is younger than the owner's own drain, and a stale drain is removed only while it is unchanged.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace wasabiroad::agent {
 
@@ -14,8 +15,12 @@
 
 namespace {
 
-/** Interval of reading the list of VMs while a wave is open. */
-constexpr Duration tickInterval { 400 };
+/** Interval of reading the list of VMs, which has a page for each `vmsPerTick` VMs. */
+constexpr Duration tickInterval { 100 };
+
+/** So many more VMs make the interval longer by `tickInterval`: pages that are read a second stay below 20.
+ */
+constexpr std::size_t vmsPerTick = 100;
 
 /** Margin over the shortest time between orders of two daemons. */
 constexpr Duration orderGapMargin { 300 };
@@ -32,8 +37,8 @@
 /** Interval of looking for drains that nobody carries on; they keep room from tasks. */
 constexpr Duration drainsInterval { 2000 };
 
-/** Lists in a row without a VM after which it is gone for good. */
-constexpr std::uint32_t missingLimit = 8;
+/** Lists in a row without a VM, for 3 s or more, after which it is gone for good. */
+constexpr std::uint32_t missingLimit = 30;
 
 } // namespace
 
@@ -47,6 +52,7 @@
 void FleetAgent::start()
 {
     this->begun = kernel::bootNow();
+    loadRecentOrders();
     tick();
 }
 
@@ -59,13 +65,70 @@
 
 bool FleetAgent::mayOrder() const
 {
-    return !this->closed && this->environment.holdsDuties()
-        && kernel::bootNow() - this->begun > this->environment.orderGap + orderGapMargin;
+    return !this->closed && this->environment.holdsDuties() && this->recentOrdersLoaded;
 }
 
-bool FleetAgent::hasOpenWave() const
+bool FleetAgent::mayOrder(const model::VmId& vm) const
 {
-    return std::ranges::any_of(this->waves, [](const auto& entry) { return !entry.second.completed; });
+    return mayOrder()
+        && (!this->orderedBefore.contains(vm)
+            || kernel::bootNow() - this->begun > this->environment.orderGap + orderGapMargin);
+}
+
+void FleetAgent::loadRecentOrders()
+{
+    this->environment.store->read(keys::recentOrders,
+        [self = shared_from_this()](const kernel::Expected<std::optional<store::Entry>>& entry) {
+            if (self->closed) {
+                return;
+            }
+            if (!entry) {
+                kernel::callLater(
+                    self->environment.context, tickInterval, [self] { self->loadRecentOrders(); });
+                return;
+            }
+            std::vector<std::string> vms;
+            if (*entry) {
+                vms = jobs::decodeUpstreams((*entry)->value).value_or(std::vector<std::string> {});
+            }
+            for (const auto& vm : vms) {
+                self->orderedBefore.emplace(vm);
+                self->ordered.emplace(model::VmId { vm }, self->begun);
+            }
+            self->recentOrdersLoaded = true;
+            kernel::logEvent("recent-orders-loaded", { { "vms", vms.size() }, { "term", self->term.value } });
+        });
+}
+
+void FleetAgent::sendOrders()
+{
+    if (this->decided.empty()) {
+        return;
+    }
+    const auto now = kernel::bootNow();
+    const auto vmOf
+        = [](const Order& order) { return std::visit([](const auto& kind) { return kind.vm; }, order); };
+    std::erase_if(this->ordered,
+        [&](const auto& entry) { return now - entry.second > this->environment.orderGap + orderGapMargin; });
+    for (const auto& order : this->decided) {
+        this->ordered.insert_or_assign(vmOf(order), now);
+    }
+    std::vector<std::string> vms;
+    vms.reserve(this->ordered.size());
+    for (const auto& [vm, at] : this->ordered) {
+        vms.push_back(vm.text());
+    }
+    change({ { keys::recentOrders, jobs::encode(vms) } }, {},
+        [self = shared_from_this(), orders = std::exchange(this->decided, {})](
+            const store::ChangeOutcome& outcome) {
+            const bool recorded = std::holds_alternative<store::Committed>(outcome) && self->mayOrder();
+            if (!recorded) {
+                kernel::logEvent("orders-dropped", { { "orders", orders.size() } });
+            }
+            for (const auto& order : orders) {
+                std::visit([&](const auto& kind) { recorded ? self->send(kind) : self->drop(kind); }, order);
+            }
+        });
 }
 
 void FleetAgent::tick()
@@ -73,7 +136,8 @@
     if (this->closed) {
         return;
     }
-    this->timer.start(tickInterval, [self = shared_from_this()] { self->tick(); });
+    const Duration interval = tickInterval * (1 + static_cast<std::int64_t>(this->vmCount / vmsPerTick));
+    this->timer.start(interval, [self = shared_from_this()] { self->tick(); });
     if (this->listing || !this->environment.holdsDuties()) {
         return;
     }
@@ -132,10 +196,14 @@
 {
     for (const auto& entry : drains.entries) {
         const model::VmId vm { entry.key.substr(keys::drainsOf(pool).size()) };
-        if (!isDraining(vm)) {
+        if (!isDraining(vm) && mayOrder(vm)) {
             kernel::logEvent("stale-drain",
                 { { "vm", vm.text() }, { "pool", pool.text() }, { "revision", entry.revision.value } });
-            removeDrain(pool, vm);
+            // A drain that this owner begins in the meantime stays.
+            const store::Condition owner { keys::owner(keys::fleetDuty), { this->term.value } };
+            this->environment.store->change(
+                { { owner, { entry.key, entry.revision } }, {}, { entry.key, keys::emptied + vm.text() } },
+                [](const store::ChangeOutcome&) {});
         }
     }
 }
@@ -156,8 +224,10 @@
                 done = jobs::decodeUpstreams((*entry)->value).value_or(std::vector<std::string> {});
             }
             for (const auto& vm : wave.request.vms) {
-                const bool isDone = std::ranges::find(done, vm.text()) != done.end();
-                wave.vms[vm].stage = isDone ? WaveStage::Done : WaveStage::Waiting;
+                // It may still be in maintenance; a later list of VMs shows when it is back.
+                const bool wasOrdered = std::ranges::find(done, vm.text()) != done.end();
+                wave.vms[vm].stage = wasOrdered ? WaveStage::InMaintenance : WaveStage::Waiting;
+                wave.vms[vm].since = kernel::bootNow();
             }
             wave.loaded = true;
             kernel::logEvent("wave-loaded",
@@ -168,6 +238,7 @@
 
 void FleetAgent::onVms(const std::vector<ports::VmFacts>& facts)
 {
+    this->vmCount = facts.size();
     std::map<model::VmId, const ports::VmFacts*> byName;
     for (const auto& vm : facts) {
         byName[vm.vm] = &vm;
@@ -185,6 +256,8 @@
             });
         }
     }
+    repeatMoves();
+    sendOrders();
     readReports(facts);
     if (draining) {
         this->environment.store->list(
@@ -221,7 +294,8 @@
         if (!up && !isMoving && vm.condition != ports::VmCondition::Moving) {
             continue;
         }
-        const bool busy = isMoving || !up || isInWave(vm.vm) || this->unmovable.contains(vm.vm);
+        const bool busy
+            = isMoving || !up || isInWave(vm.vm) || this->unmovable.contains(vm.vm) || !mayOrder(vm.vm);
         vms.push_back(
             { vm.vm, isMoving ? moving->second.order.to : vm.pool, vm.upstream, vm.capacity, busy });
     }
@@ -258,7 +332,7 @@
             idle.emplace_back(id);
         }
         const scheduling::PoolDemand demand { report->wanted, {}, report->taken, report->spread,
-            std::move(idle) };
+            std::move(idle), report->arriving };
         auto& trend = this->trends[pool];
         trend.observe(now, report->wanted.cpu);
         const scheduling::PoolView view { pool, false, demand, trend.growth, {} };
@@ -280,13 +354,15 @@
 
 void FleetAgent::planMoves(const std::vector<ports::VmFacts>& facts, const store::Listing& reports)
 {
+    const auto vms = movableVms(facts);
+    const auto views = viewPools(reports, vms);
     if (!mayOrder()) {
         return;
     }
-    const auto vms = movableVms(facts);
-    for (const auto& order : scheduling::planMoves(viewPools(reports, vms), vms)) {
+    for (const auto& order : scheduling::planMoves(views, vms)) {
         beginMove(order);
     }
+    sendOrders();
 }
 
 void FleetAgent::beginMove(const scheduling::VmMove& order)
@@ -296,48 +372,84 @@
             { "upstream", order.upstream.text() } });
     this->moves.emplace(order.vm, Move { .order = order, .since = kernel::bootNow() });
     if (!this->poolsWithJobs.contains(order.from)) {
-        orderMove(order.vm);
+        decideMove(order.vm);
         return;
     }
     change(
         { { keys::drain(order.from, order.vm), jobs::encode(jobs::Drain { order.upstream.text(), false }) } },
         {}, [self = shared_from_this(), vm = order.vm](const store::ChangeOutcome& outcome) {
-            if (!std::holds_alternative<store::Committed>(outcome)) {
-                self->moves.erase(vm);
+            const auto move = self->moves.find(vm);
+            if (move == self->moves.end()) {
+                return;
+            }
+            if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
+                move->second.drained = committed->revision;
+            } else {
+                self->moves.erase(move);
             }
         });
 }
 
-void FleetAgent::orderMove(const model::VmId& vm)
+void FleetAgent::decideMove(const model::VmId& vm)
 {
     auto& move = this->moves.at(vm);
-    if (!mayOrder() || move.ordering || move.accepted) {
+    if (!mayOrder(vm) || move.ordering || move.accepted) {
         return;
     }
     move.ordering = true;
-    this->environment.fleet->move(
-        vm, move.order.to, this->term, [self = shared_from_this(), vm](ports::VmOrderResult result) {
-            auto& move = self->moves.at(vm);
-            move.ordering = false;
-            if (self->closed) {
-                return;
-            }
-            if (result == ports::VmOrderResult::Done) {
-                move.accepted = true;
-                move.since = kernel::bootNow();
-                return;
-            }
-            kernel::logEvent(
-                "vm-move-refused", { { "vm", vm.text() }, { "result", static_cast<int>(result) } });
-            if (result == ports::VmOrderResult::Fenced) {
-                self->close();
-            } else if (result == ports::VmOrderResult::Rejected) {
-                self->unmovable.insert(vm);
-                self->endMove(vm);
-            } else if (result == ports::VmOrderResult::Busy || result == ports::VmOrderResult::NotInWave) {
-                self->endMove(vm);
-            }
-        });
+    this->decided.emplace_back(MoveOrder { vm });
+}
+
+void FleetAgent::repeatMoves()
+{
+    for (const auto& [vm, move] : this->moves) {
+        if (!this->poolsWithJobs.contains(move.order.from)) {
+            decideMove(vm);
+        }
+    }
+}
+
+void FleetAgent::send(const MoveOrder& order)
+{
+    this->environment.fleet->move(order.vm, this->moves.at(order.vm).order.to, this->term,
+        [self = shared_from_this(), vm = order.vm](
+            ports::VmOrderResult result) { self->onMoved(vm, result); });
+}
+
+void FleetAgent::drop(const MoveOrder& order) { this->moves.at(order.vm).ordering = false; }
+
+void FleetAgent::onMoved(const model::VmId& vm, ports::VmOrderResult result)
+{
+    using ports::VmOrderResult;
+    auto& move = this->moves.at(vm);
+    move.ordering = false;
+    if (this->closed) {
+        return;
+    }
+    if (result != VmOrderResult::Done) {
+        kernel::logEvent("vm-move-refused", { { "vm", vm.text() }, { "result", static_cast<int>(result) } });
+    }
+    switch (result) {
+    case VmOrderResult::Done:
+        move.accepted = true;
+        move.since = kernel::bootNow();
+        return;
+    case VmOrderResult::Fenced:
+        close();
+        return;
+    case VmOrderResult::Rejected:
+        this->unmovable.insert(vm);
+        endMove(vm);
+        return;
+    case VmOrderResult::Busy:
+    case VmOrderResult::NotInWave:
+        endMove(vm);
+        return;
+    case VmOrderResult::Overloaded:
+    case VmOrderResult::Unknown:
+        // Ordered again with the next list, while the move is wanted.
+        return;
+    }
 }
 
 void FleetAgent::endMove(const model::VmId& vm)
@@ -450,7 +562,10 @@
     std::vector<scheduling::WaveVm> vms;
     vms.reserve(wave.vms.size());
     for (const auto& [name, vm] : wave.vms) {
-        vms.push_back({ name, vm.pool, vm.stage });
+        // A former owner's order may not show in the list yet.
+        const bool mayBeDown
+            = (vm.stage == WaveStage::Waiting || vm.stage == WaveStage::Away) && !mayOrder(name);
+        vms.push_back({ name, vm.pool, mayBeDown ? WaveStage::InMaintenance : vm.stage });
     }
     for (const auto& name : scheduling::nextOfWave(vms, pools, wave.request.parallelism)) {
         auto& vm = wave.vms.at(name);
@@ -459,21 +574,24 @@
         if (this->poolsWithJobs.contains(vm.pool)) {
             requestDrain(wave, name, vm);
         } else {
-            maintain(wave.request.number, name);
+            decideMaintenance(wave.request.number, name);
         }
     }
 }
 
 void FleetAgent::requestDrain(Wave& wave, const model::VmId& name, Vm& vm)
 {
+    vm.drained.reset();
     kernel::logEvent("wave-drain",
         { { "wave", wave.request.number }, { "vm", name.text() }, { "pool", vm.pool.text() },
             { "upstream", vm.upstream.text() } });
     change({ { keys::drain(vm.pool, name), jobs::encode(jobs::Drain { vm.upstream.text(), true }) } }, {},
         [self = shared_from_this(), number = wave.request.number, name](const store::ChangeOutcome& outcome) {
-            if (!std::holds_alternative<store::Committed>(outcome)) {
+            auto& vm = self->waves.at(number).vms.at(name);
+            if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
+                vm.drained = committed->revision;
+            } else {
                 // The next list shows whether it still waits.
-                auto& vm = self->waves.at(number).vms.at(name);
                 vm.stage = vm.stage == WaveStage::Draining ? WaveStage::Waiting : vm.stage;
             }
         });
@@ -481,45 +599,63 @@
 
 void FleetAgent::onEmptied(const store::Listing& listing)
 {
-    const auto isEmpty = [&](const model::VmId& vm, const scheduling::UpstreamId& upstream) {
-        return std::ranges::any_of(listing.entries, [&](const store::Entry& entry) {
-            return entry.key == keys::emptied + vm.text() && entry.value == upstream.text();
+    const auto isEmpty = [&](const model::VmId& vm, const scheduling::UpstreamId& upstream,
+                             const std::optional<store::Revision>& drained) {
+        return drained && std::ranges::any_of(listing.entries, [&](const store::Entry& entry) {
+            return entry.key == keys::emptied + vm.text() && entry.value == upstream.text()
+                && entry.revision > *drained;
         });
     };
     std::vector<model::VmId> ready;
     for (const auto& [name, move] : this->moves) {
-        if (!move.accepted && isEmpty(name, move.order.upstream)) {
+        if (!move.accepted && isEmpty(name, move.order.upstream, move.drained)) {
             ready.push_back(name);
         }
     }
     for (const auto& name : ready) {
-        orderMove(name);
+        decideMove(name);
     }
     for (auto& [number, wave] : this->waves) {
         for (auto& [name, vm] : wave.vms) {
-            if (vm.stage == WaveStage::Draining && !vm.ordering && isEmpty(name, vm.upstream)) {
-                maintain(number, name);
+            if (vm.stage == WaveStage::Draining && !vm.ordering && isEmpty(name, vm.upstream, vm.drained)) {
+                decideMaintenance(number, name);
             }
         }
     }
+    sendOrders();
 }
 
-void FleetAgent::maintain(std::uint64_t number, const model::VmId& name)
+void FleetAgent::decideMaintenance(std::uint64_t number, const model::VmId& name)
 {
     auto& vm = this->waves.at(number).vms.at(name);
-    if (!mayOrder() || vm.ordering) {
+    if (!mayOrder(name) || vm.ordering) {
         return;
     }
     vm.ordering = true;
+    this->decided.emplace_back(MaintenanceOrder { number, name });
+}
+
+void FleetAgent::send(const MaintenanceOrder& order)
+{
+    const auto& vm = this->waves.at(order.wave).vms.at(order.vm);
     kernel::logEvent("vm-maintenance",
-        { { "wave", number }, { "vm", name.text() }, { "upstream", vm.upstream.text() },
+        { { "wave", order.wave }, { "vm", order.vm.text() }, { "upstream", vm.upstream.text() },
             { "term", this->term.value } });
     this->environment.fleet->maintain(
-        name, number, this->term, [self = shared_from_this(), number, name](ports::VmOrderResult result) {
-            self->onMaintained(number, name, result);
+        order.vm, order.wave, this->term, [self = shared_from_this(), order](ports::VmOrderResult result) {
+            self->onMaintained(order.wave, order.vm, result);
         });
 }
 
+void FleetAgent::drop(const MaintenanceOrder& order)
+{
+    auto& vm = this->waves.at(order.wave).vms.at(order.vm);
+    vm.ordering = false;
+    if (!this->poolsWithJobs.contains(vm.pool)) {
+        vm.stage = WaveStage::Waiting;
+    }
+}
+
 void FleetAgent::onMaintained(std::uint64_t number, const model::VmId& name, ports::VmOrderResult result)
 {
     using ports::VmOrderResult;
--- a/src/wasabiroad/agent/keys.hpp
+++ b/src/wasabiroad/agent/keys.hpp
@@ -47,6 +47,9 @@
 /** VMs whose upstream runs nothing and gets nothing new; the value is that upstream. */
 inline const std::string emptied { "emptied/" };
 
+/** VMs that got orders within the gap that two daemons keep; written before the orders are sent. */
+inline const std::string recentOrders { "orders" };
+
 /** VMs that have had their maintenance in a wave. */
 inline std::string waveProgress(std::uint64_t wave) { return "wave/" + std::to_string(wave); }
 
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -94,19 +94,33 @@
 
 void Workers::crash(const std::string& name) { lose(*std::ranges::find(this->workers, name, &Worker::name)); }
 
+bool Workers::takeOrder(Worker& worker, std::uint64_t term)
+{
+    if (term < worker.vmFence) {
+        return false;
+    }
+    if (worker.vmFence != 0 && term != worker.vmFence && now() - worker.vmOrdered < this->orderGap) {
+        this->faults.push_back("two daemons gave orders to " + worker.name);
+    }
+    worker.vmFence = term;
+    worker.vmOrdered = now();
+    return true;
+}
+
 ports::VmOrderResult Workers::maintain(const model::VmId& vm, std::uint64_t term)
 {
     auto& worker = *std::ranges::find(this->workers, vm.text(), &Worker::name);
-    if (term < worker.vmFence) {
+    if (!takeOrder(worker, term)) {
         return ports::VmOrderResult::Fenced;
     }
-    worker.vmFence = term;
     if (this->maintainedVms.contains(vm)) {
         return ports::VmOrderResult::Done;
     }
     this->maintainedVms.insert(vm);
     takeDown(worker, "maintenance");
-    const auto down = std::ranges::count_if(this->workers, [](const auto& other) { return !other.up; });
+    worker.inMaintenance = true;
+    const auto down = std::ranges::count_if(
+        this->workers, [](const auto& other) { return !other.up && other.inMaintenance; });
     this->downAtMost = std::max(this->downAtMost, static_cast<std::size_t>(down));
     return ports::VmOrderResult::Done;
 }
@@ -114,14 +128,13 @@
 ports::VmOrderResult Workers::move(const model::VmId& vm, const model::ServiceId& pool, std::uint64_t term)
 {
     auto& worker = *std::ranges::find(this->workers, vm.text(), &Worker::name);
-    if (term < worker.vmFence) {
+    if (!takeOrder(worker, term)) {
         return ports::VmOrderResult::Fenced;
     }
-    worker.vmFence = term;
     if (worker.service == pool) {
         return ports::VmOrderResult::Done;
     }
-    ++this->moves;
+    this->movingTerms.push_back(term);
     worker.service = pool;
     takeDown(worker, "move");
     return ports::VmOrderResult::Done;
@@ -137,6 +150,7 @@
     kernel::callLater(this->context, downTime, [this, name = worker.name] {
         auto& back = *std::ranges::find(this->workers, name, &Worker::name);
         back.up = true;
+        back.inMaintenance = false;
         back.id = UpstreamId { back.name + "-" + std::to_string(++this->lives) };
     });
 }
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -51,7 +51,13 @@
     ports::VmOrderResult move(const model::VmId& vm, const model::ServiceId& pool, std::uint64_t term);
 
     /** @return Moves that were carried out. */
-    std::size_t moveCount() const { return this->moves; }
+    std::size_t moveCount() const { return this->movingTerms.size(); }
+
+    /** @return Terms of the daemons that ordered the moves, in order. */
+    const std::vector<std::uint64_t>& termsOfMoves() const { return this->movingTerms; }
+
+    /** @brief Sets the time within which orders of two daemons to one VM break a promise. */
+    void setOrderGap(kernel::Duration gap) { this->orderGap = gap; }
 
     /** @brief Lets an upstream lose all that it runs and start again. */
     void crash(const std::string& name);
@@ -86,8 +92,10 @@
         scheduling::UpstreamId id {};
         std::int64_t born { 0 };
         bool up { true };
+        bool inMaintenance { false };
         std::uint64_t fence { 0 };
         std::uint64_t vmFence { 0 };
+        kernel::Instant vmOrdered {};
         kernel::Instant leaseEnd {};
         /** @brief When its lease was last found to have ended. */
         kernel::Instant lapsed {};
@@ -97,6 +105,8 @@
         std::uint64_t nextEnd { 1 };
     };
 
+    /** @return Whether the order is not fenced. */
+    bool takeOrder(Worker& worker, std::uint64_t term);
     Worker* find(const scheduling::UpstreamId& id);
     void takeDown(Worker& worker, const std::string& reason);
     void advance(Worker& worker);
@@ -117,7 +127,8 @@
     std::map<jobs::TaskId, std::pair<std::string, kernel::Instant>> done {};
     std::set<model::VmId> maintainedVms {};
     std::size_t downAtMost { 0 };
-    std::size_t moves { 0 };
+    std::vector<std::uint64_t> movingTerms {};
+    kernel::Duration orderGap {};
     std::uint64_t lives { 0 };
 };
 
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -9,19 +9,22 @@
 
 namespace data = boost::unit_test::data;
 
+enum class Fate : unsigned char { Stays, Stops, Crashes };
+
 /** A wave, and what happens to the daemon that carries it out. */
 struct Row {
     const char* title;
     const std::uint32_t parallelism;
-    const bool ownerCrashes;
+    const Fate fate;
 
     friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
 };
 
 const std::vector<Row> rows {
-    { "one at a time", 1, false },
-    { "three at once", 3, false },
-    { "the owner crashes", 3, true },
+    { "one at a time", 1, Fate::Stays },
+    { "three at once", 3, Fate::Stays },
+    { "the owner crashes", 3, Fate::Crashes },
+    { "the owner stops", 3, Fate::Stops },
 };
 
 /** Guards against waves that end tasks, take down too many VMs, or are said to be completed too early. */
@@ -38,8 +41,10 @@
     site.submit(makeJob("a", 700, 8));
     BOOST_REQUIRE(site.runUntil([&] { return !site.workers.maintained().empty(); }));
     const std::size_t owner = site.store.find("owner/fleet")->value.starts_with("entry-0") ? 0 : 1;
-    if (row.ownerCrashes) {
+    if (row.fate == Fate::Crashes) {
         site.daemons[owner]->agent->abandon();
+    } else if (row.fate == Fate::Stops) {
+        site.daemons[owner]->agent->stop([] {});
     }
     BOOST_REQUIRE(site.runUntil([&] {
         const auto status = site.store.find("status/1");
@@ -66,6 +71,47 @@
     BOOST_TEST(site.store.list("pool/checks/drain/").entries.empty());
 }
 
+/** Guards against tasks that end with a VM whose former owner noted, before they began, that it is empty. */
+BOOST_AUTO_TEST_CASE(notes_of_former_owners_do_not_empty_an_upstream)
+{
+    Site site { 1, 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.submit(makeJob("a", 900, 8));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 8; }));
+    std::vector<model::VmId> vms;
+    for (const auto& vm : site.workers.vms()) {
+        site.store.put("emptied/" + vm.vm.text(), vm.upstream.text());
+        vms.push_back(vm.vm);
+    }
+    site.waves.push_back({ model::WaveId { "1" }, 1, vms, { 20000 }, 2 });
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.maintained().size() == vms.size(); }));
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+    BOOST_TEST(site.reaches("a", jobs::JobState::Completed));
+}
+
+/** Guards against a burst that waits for VMs since the owner of the fleet has changed. */
+BOOST_AUTO_TEST_CASE(next_owner_orders_other_vms_at_once)
+{
+    constexpr kernel::Duration gap { 4000 };
+    Site site { 2, 3, gap };
+    for (const auto* const name : { "r0", "r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9" }) {
+        site.workers.add(name, spare, 4000);
+    }
+    BOOST_REQUIRE(site.hasOwner());
+    site.submit(makeJob("wide", 6000, 20));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.moveCount() > 0; }));
+    const auto moved = site.workers.moveCount();
+    const auto term = site.workers.termsOfMoves().front();
+    const std::size_t owner = site.store.find("owner/fleet")->value.starts_with("entry-0") ? 0 : 1;
+    site.daemons[owner]->agent->stop([] {});
+    site.submit(makeJob("wider", 6000, 60), 1 - owner);
+    const auto changed = kernel::now(kernel::SteadyClock {});
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.termsOfMoves().back() != term; }));
+    BOOST_TEST((kernel::now(kernel::SteadyClock {}) - changed < gap));
+    BOOST_TEST(site.workers.moveCount() > moved);
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 /** Guards against a pool that gets no VMs of the reserve, and against moves that end tasks. */
 BOOST_AUTO_TEST_CASE(vms_of_the_reserve_come_when_tasks_wait)
 {
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -47,10 +47,12 @@
         Intake intake;
     };
 
-    explicit Site(std::size_t daemons, std::size_t upstreams = 4)
-        : store(context)
+    explicit Site(std::size_t daemons, std::size_t upstreams = 4, kernel::Duration gapBetweenOrders = { 100 })
+        : orderGap(gapBetweenOrders)
+        , store(context)
         , workers(context)
     {
+        this->workers.setOrderGap(this->orderGap);
         for (std::size_t index = 0; index < upstreams; ++index) {
             this->workers.add("vm" + std::to_string(index), service, 4000);
         }
@@ -75,7 +77,9 @@
     {
         const auto number = this->daemons.size();
         auto daemon = std::make_unique<Daemon>();
-        const settings::FleetAccess access { .readiness = {}, .vms = {}, .advice = {}, .orderGap = { 100 } };
+        const settings::FleetAccess access {
+            .readiness = {}, .vms = {}, .advice = {}, .orderGap = this->orderGap
+        };
         auto agent = std::make_shared<Agent>(AgentContext {
             .context = this->context,
             .entry = model::EntryId { "entry-" + std::to_string(number) },
@@ -169,6 +173,7 @@
         return runUntil([&] { return owner().has_value(); });
     }
 
+    const kernel::Duration orderGap;
     boost::asio::io_context context { 1 };
     standin::KeyValue store;
     standin::Workers workers;
