--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -89,7 +89,16 @@
             }
             std::vector<std::string> vms;
             if (*entry) {
-                vms = jobs::decodeUpstreams((*entry)->value).value_or(std::vector<std::string> {});
+                const auto known = jobs::decodeUpstreams((*entry)->value);
+                if (!known) {
+                    // Without the list every VM may have an order; the next order replaces it.
+                    kernel::logEvent(
+                        "recent-orders-unreadable", { { "revision", (*entry)->revision.value } });
+                    kernel::callLater(self->environment.context, self->environment.orderGap + orderGapMargin,
+                        [self] { self->recentOrdersLoaded = true; });
+                    return;
+                }
+                vms = *known;
             }
             for (const auto& vm : vms) {
                 self->orderedBefore.emplace(vm);
@@ -199,7 +208,7 @@
         if (!isDraining(vm) && mayOrder(vm)) {
             kernel::logEvent("stale-drain",
                 { { "vm", vm.text() }, { "pool", pool.text() }, { "revision", entry.revision.value } });
-            // A drain that this owner begins in the meantime stays.
+            // A drain that this owner begins in the meantime stays; a removal that fails is tried again.
             const store::Condition owner { keys::owner(keys::fleetDuty), { this->term.value } };
             this->environment.store->change(
                 { { owner, { entry.key, entry.revision } }, {}, { entry.key, keys::emptied + vm.text() } },
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -112,6 +112,18 @@
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
 }
 
+/** Guards against a fleet whose VMs never move again since a former owner's list cannot be read. */
+BOOST_AUTO_TEST_CASE(unreadable_list_of_orders_only_delays_them)
+{
+    Site site { 1, 3 };
+    site.store.put("orders", "\xff\xff");
+    site.workers.add("r0", spare, 4000);
+    BOOST_REQUIRE(site.hasOwner());
+    site.submit(makeJob("wide", 1500, 20));
+    BOOST_TEST(site.runUntil([&] { return site.workers.moveCount() > 0; }));
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 /** Guards against a pool that gets no VMs of the reserve, and against moves that end tasks. */
 BOOST_AUTO_TEST_CASE(vms_of_the_reserve_come_when_tasks_wait)
 {
