Hold the proxy's faults for their whole time

The age of a fault is the difference of two readings that are cut to whole ms, so it may be 1 ms too large. Ruled out: load, which makes the wait longer. Change: the proxy takes 1 ms off the age.

--- a/src/wasabiroad/standin/proxy.cpp
+++ b/src/wasabiroad/standin/proxy.cpp
@@ -40,6 +40,9 @@
 
 namespace {
 
+/** Two readings of the clock may be this much closer than they show, since each is cut to whole ms. */
+constexpr kernel::Duration clockStep { 1 };
+
 const kernel::Clock clock { kernel::SteadyClock {} };
 constexpr std::size_t pieceBytes = 16384;
 
@@ -94,7 +97,7 @@
         if (failed) {
             break;
         }
-        const Piece arrived { direction, forwarded, size, kernel::now(clock) - state->set };
+        const Piece arrived { direction, forwarded, size, kernel::now(clock) - state->set - clockStep };
         const auto step = plan(faultOf(*state, *pair), arrived);
         co_await pause(step.delay);
         if (step.forward > 0) {
