--- a/src/wasabiroad/http/channel.cpp
+++ b/src/wasabiroad/http/channel.cpp
@@ -1,6 +1,7 @@
 #include "wasabiroad/http/channel.hpp"
 
 #include "wasabiroad/http/endpoint.hpp"
+#include "wasabiroad/http/transfer.hpp"
 
 #include <deque>
 #include <optional>
@@ -9,10 +10,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 namespace wasabiroad::http {
 
@@ -85,24 +82,14 @@
             co_return failure(ResultCode::PlatformUnreachable, std::move(reason));
         }
         this->stream->expires_after(left(call).chrono());
-        boost::system::error_code failed;
-        co_await beast::http::async_write(
-            *this->stream, call.request, asio::redirect_error(asio::use_awaitable, failed));
-        if (!failed) {
-            beast::http::response_parser<beast::http::string_body> parser;
-            parser.body_limit(responseLimit);
-            co_await beast::http::async_read(
-                *this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
-            if (!failed) {
-                auto response = parser.release();
-                if (!response.keep_alive()) {
-                    this->stream.reset();
-                }
-                co_return response;
-            }
+        auto response = co_await transfer(*this->stream, this->buffer, call.request, responseLimit);
+        if (!response || !response->keep_alive()) {
+            this->stream.reset();
+        }
+        if (!response) {
+            co_return failure(ResultCode::PlatformTimeout, response.error().message());
         }
-        this->stream.reset();
-        co_return failure(ResultCode::PlatformTimeout, failed.message());
+        co_return std::move(*response);
     }
 
     asio::awaitable<void> work(std::shared_ptr<State> self)
--- a/src/wasabiroad/http/client.cpp
+++ b/src/wasabiroad/http/client.cpp
@@ -1,14 +1,11 @@
 #include "wasabiroad/http/client.hpp"
 
 #include "wasabiroad/http/endpoint.hpp"
+#include "wasabiroad/http/transfer.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 namespace wasabiroad::http {
 
@@ -33,18 +30,12 @@
         co_return kernel::fail(ResultCode::PlatformUnreachable, toText(endpoint), failed.message());
     }
     request.keep_alive(false);
-    co_await beast::http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failed));
-    if (!failed) {
-        beast::flat_buffer buffer;
-        beast::http::response_parser<beast::http::string_body> parser;
-        parser.body_limit(responseLimit);
-        co_await beast::http::async_read(
-            stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
-        if (!failed) {
-            co_return parser.release();
-        }
+    beast::flat_buffer buffer;
+    auto response = co_await transfer(stream, buffer, request, responseLimit);
+    if (!response) {
+        co_return kernel::fail(ResultCode::PlatformTimeout, toText(endpoint), response.error().message());
     }
-    co_return kernel::fail(ResultCode::PlatformTimeout, toText(endpoint), failed.message());
+    co_return std::move(*response);
 }
 
 } // namespace wasabiroad::http
--- a/src/wasabiroad/http/message.cpp
+++ b/src/wasabiroad/http/message.cpp
@@ -25,4 +25,11 @@
     return request;
 }
 
+Request makeJsonPost(std::string_view target, std::string body)
+{
+    auto request = makeRequest(beast::http::verb::post, target, std::move(body));
+    request.set(beast::http::field::content_type, "application/json");
+    return request;
+}
+
 } // namespace wasabiroad::http
--- /dev/null
+++ b/src/wasabiroad/http/transfer.cpp
@@ -0,0 +1,31 @@
+#include "wasabiroad/http/transfer.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace wasabiroad::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+asio::awaitable<tl::expected<Response, boost::system::error_code>> transfer(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer, const Request& request, std::uint64_t bodyLimit)
+{
+    boost::system::error_code failed;
+    co_await beast::http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failed));
+    if (failed) {
+        co_return tl::unexpected(failed);
+    }
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(bodyLimit);
+    co_await beast::http::async_read(
+        stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+    if (failed) {
+        co_return tl::unexpected(failed);
+    }
+    co_return parser.release();
+}
+
+} // namespace wasabiroad::http
