--- a/src/wasabiroad/operations/plugin.cpp
+++ b/src/wasabiroad/operations/plugin.cpp
@@ -1,10 +1,7 @@
 #include "wasabiroad/control/snapshots.hpp"
 #include "wasabiroad/http/server.hpp"
-#include "wasabiroad/kernel/kernel.hpp"
-#include "wasabiroad/kernel/log.hpp"
-#include "wasabiroad/metrics/metrics.hpp"
+#include "wasabiroad/operations/listener.hpp"
 #include "wasabiroad/operations/status.hpp"
-#include "wasabiroad/settings/settings.hpp"
 
 namespace wasabiroad::operations {
 
@@ -44,22 +41,19 @@
     http::Response route(const http::Request& request) const
     {
         constexpr std::string_view json { "application/json" };
-        constexpr std::string_view plain { "text/plain; version=0.0.4" };
+        using internal::plainText;
         const auto target = request.target();
-        if (target == "/metrics") {
-            return http::respond(request, 200, plain, this->kernel.find<metrics::Metrics>()->text());
-        }
         if (target == "/live") {
-            return http::respond(request, 200, plain, "live\n");
+            return http::respond(request, 200, plainText, "live\n");
         }
         if (target == "/ready") {
             const bool ready = status().ready;
-            return http::respond(request, ready ? 200 : 503, plain, ready ? "ready\n" : "not ready\n");
+            return http::respond(request, ready ? 200 : 503, plainText, ready ? "ready\n" : "not ready\n");
         }
         if (target == "/status") {
             return http::respond(request, 200, json, toJson(status()));
         }
-        return http::respond(request, 404, plain, "not found\n");
+        return internal::answerMetrics(request, *this->kernel.find<metrics::Metrics>());
     }
 
     boost::asio::awaitable<http::Response> handle(http::Request request) { co_return route(request); }
@@ -69,18 +63,6 @@
     bool stopping { false };
 };
 
-kernel::Expected<void> start(kernel::Kernel& kernel)
-{
-    auto listener = std::make_shared<Listener>(kernel);
-    const auto address = listener->listen(kernel.find<const settings::Settings>()->operators);
-    if (!address) {
-        return tl::unexpected(address.error());
-    }
-    kernel::logEvent("listening", { { "listener", "operators" }, { "address", *address } });
-    kernel.provide(std::move(listener));
-    return {};
-}
-
 void drain(kernel::Kernel& kernel, std::function<void()> done)
 {
     kernel.find<Listener>()->stopBeingReady();
@@ -93,7 +75,7 @@
     .name = "operations",
     .version = { 1, 0 },
     .dependencies = { "control", "metrics", "traffic" },
-    .start = start,
+    .start = internal::startListener<Listener>,
     .drain = drain,
     .stop = stop,
 } };
