Take and give back room in one function, without copies of all upstreams

Placing a gang copied the map of upstreams for each rack to restore three numbers, and tried a rack once for each of its upstreams. The checks of each tick copied the tasks of every upstream, though nothing changes them there.

--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -190,36 +190,31 @@
     std::vector<const model::RackId*> racks;
     if (declared.sameRack) {
         for (const auto& [id, upstream] : this->upstreams) {
-            if (upstream.facts) {
+            const auto known = [&](const auto* rack) { return *rack == upstream.facts->rack; };
+            if (upstream.facts && std::ranges::none_of(racks, known)) {
                 racks.push_back(&upstream.facts->rack);
             }
         }
     }
     racks.push_back(nullptr);
     for (const auto* const rack : racks) {
-        const auto usage = this->upstreams;
-        std::vector<UpstreamId> chosen;
+        std::vector<Upstream*> chosen;
         for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
             auto* const upstream = choose(ready, step.tasks[index], now, rack);
             if (upstream == nullptr) {
                 break;
             }
             // The room is taken while the rest of the gang is placed.
-            upstream->cpu += declared.resources.cpu;
-            upstream->memory += declared.resources.memory;
-            upstream->accelerators += declared.resources.accelerators;
-            chosen.push_back(upstream->facts->id);
+            internal::takeRoom(*upstream, declared, 1);
+            chosen.push_back(upstream);
         }
-        for (auto& [id, upstream] : this->upstreams) {
-            const auto& before = usage.at(id);
-            upstream.cpu = before.cpu;
-            upstream.memory = before.memory;
-            upstream.accelerators = before.accelerators;
+        for (auto* const upstream : chosen) {
+            internal::takeRoom(*upstream, declared, -1);
         }
         if (chosen.size() == step.tasks.size()) {
             const jobs::Run run { (this->term << runBits) + ++this->starts };
             for (std::uint32_t index = 0; index < chosen.size(); ++index) {
-                startOn(ready, index, this->upstreams.at(chosen[index]), run, now);
+                startOn(ready, index, *chosen[index], run, now);
             }
             return;
         }
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -428,8 +428,7 @@
         if (!upstream.listed) {
             continue;
         }
-        const auto tasks = upstream.tasks;
-        for (const auto& id : tasks) {
+        for (const auto& id : upstream.tasks) {
             const auto [run, task] = find(id);
             const auto& step = stepOf(id);
             if (task->phase == Phase::Stopping && !task->stopAnswered
@@ -465,8 +464,7 @@
         }
         const bool patient = emptied
             && (!drain->second.stopsTasks || now.steady - drain->second.since < this->policy.drainPatience);
-        const auto tasks = upstream.tasks;
-        for (const auto& id : tasks) {
+        for (const auto& id : upstream.tasks) {
             const auto [run, task] = find(id);
             if (task->phase != Phase::Running) {
                 continue;
@@ -575,21 +573,15 @@
 
 void PoolScheduler::attach(const TaskId& id, Upstream& upstream)
 {
-    const auto& step = stepOf(id);
     upstream.tasks.insert(id);
-    upstream.cpu += step.filler ? 0 : step.resources.cpu;
-    upstream.memory += step.resources.memory;
-    upstream.accelerators += step.resources.accelerators;
+    internal::takeRoom(upstream, stepOf(id), 1);
 }
 
 void PoolScheduler::detach(const TaskId& id, Task& task)
 {
     const auto found = this->upstreams.find(task.upstream);
     if (found != this->upstreams.end() && found->second.tasks.erase(id) != 0) {
-        const auto& step = stepOf(id);
-        found->second.cpu -= step.filler ? 0 : step.resources.cpu;
-        found->second.memory -= step.resources.memory;
-        found->second.accelerators -= step.resources.accelerators;
+        internal::takeRoom(found->second, stepOf(id), -1);
     }
 }
 
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -95,4 +95,16 @@
     bool hasForeign { false };
 };
 
+/**
+ * @brief Takes the room of tasks of a step on an upstream.
+ * @param tasks Number of tasks; negative to give the room back.
+ */
+inline void takeRoom(Upstream& upstream, const jobs::Step& step, std::int64_t tasks)
+{
+    // Fillers use only cpu that others leave.
+    upstream.cpu += step.filler ? 0 : tasks * step.resources.cpu;
+    upstream.memory += tasks * step.resources.memory;
+    upstream.accelerators += tasks * step.resources.accelerators;
+}
+
 } // namespace wasabiroad::scheduling::internal
