Report entries of the store that cannot be read

A read whose answer could not be decoded was taken for an absent key, and unreadable lists of a wave's progress and of used upstreams for empty ones without a log line.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -228,7 +228,13 @@
             }
             std::vector<std::string> done;
             if (*entry) {
-                done = jobs::decodeUpstreams((*entry)->value).value_or(std::vector<std::string> {});
+                if (auto known = jobs::decodeUpstreams((*entry)->value)) {
+                    done = std::move(*known);
+                } else {
+                    // The platform answers that it is done when a VM is ordered again.
+                    kernel::logEvent("wave-progress-unreadable",
+                        { { "wave", number }, { "revision", (*entry)->revision.value } });
+                }
             }
             for (const auto& vm : wave.request.vms) {
                 // It may still be in maintenance; a later list of VMs shows when it is back.
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -148,6 +148,10 @@
                 return;
             }
             const auto ids = *entry ? jobs::decodeUpstreams((*entry)->value) : std::nullopt;
+            if (*entry && !ids) {
+                kernel::logEvent("used-upstreams-unreadable",
+                    { { "pool", self->service.text() }, { "revision", (*entry)->revision.value } });
+            }
             self->begin(pool, records, ids.value_or(std::vector<std::string> {}),
                 *entry ? (*entry)->revision : store::Revision {});
         });
--- /dev/null
+++ b/test/platform/store_client.cpp
@@ -0,0 +1,63 @@
+#include "platform/store_client.hpp"
+
+#include "wasabiroad/http/endpoint.hpp"
+#include "wasabiroad/http/server.hpp"
+
+#include <ostream>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::platform {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+enum class Found : unsigned char { Entry, Nothing, Error };
+
+/** What the store answers to a read, and what the reader learns. */
+struct Row {
+    const char* title;
+    const unsigned status;
+    const std::string body;
+    const Found found;
+
+    friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
+};
+
+const std::vector<Row> rows {
+    { "an entry", 200, R"({"key":"a","value":"YQ==","revision":2,"created":1})", Found::Entry },
+    { "no such key", 404, "{}", Found::Nothing },
+    { "an entry without a key", 200, R"({"value":"YQ=="})", Found::Error },
+    { "a value that is no base64", 200, R"({"key":"a","value":"%"})", Found::Error },
+    { "no JSON", 200, "<", Found::Error },
+    { "busy", 503, "{}", Found::Error },
+};
+
+/** Guards against an entry that cannot be read and is taken for one that does not exist. */
+BOOST_DATA_TEST_CASE(only_a_missing_key_is_absent, data::make(rows), row)
+{
+    boost::asio::io_context context { 1 };
+    http::Server server { context, [&](http::Request request) -> boost::asio::awaitable<http::Response> {
+                             co_return http::respond(request, row.status, "application/json", row.body);
+                         } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address);
+    const auto client = std::make_shared<StoreClient>(context, *http::parseEndpoint(*address));
+    std::optional<Found> found;
+    client->makeStore().read("a", [&](const kernel::Expected<std::optional<store::Entry>>& entry) {
+        found = !entry ? Found::Error : *entry ? Found::Entry : Found::Nothing;
+        context.stop();
+    });
+    context.run_for(std::chrono::seconds { 20 });
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST((*found == row.found));
+}
+
+} // namespace
+
+} // namespace wasabiroad::platform
