--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -189,10 +189,11 @@
     }
     std::vector<const model::RackId*> racks;
     if (declared.sameRack) {
-        for (const auto& [id, upstream] : this->upstreams) {
-            const auto known = [&](const auto* rack) { return *rack == upstream.facts->rack; };
-            if (upstream.facts && std::ranges::none_of(racks, known)) {
-                racks.push_back(&upstream.facts->rack);
+        for (const auto& entry : this->upstreams) {
+            const auto& facts = entry.second.facts;
+            const auto known = [&](const auto* rack) { return *rack == facts->rack; };
+            if (facts && std::ranges::none_of(racks, known)) {
+                racks.push_back(&facts->rack);
             }
         }
     }
