--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -122,21 +122,30 @@
         const auto found = counts.find(queue);
         return found != counts.end() ? found->second : 0;
     };
+    const auto log
+        = [service, queue](std::string_view source, store::Revision revision, std::uint64_t count) {
+              kernel::logEvent("pending-answered",
+                  { { "queue", queue.text() }, { "pool", service.text() }, { "source", source },
+                      { "revision", revision.value }, { "count", count } });
+          };
     const auto own = this->pools.find(service);
     if (own != this->pools.end() && this->duties->mayAct()) {
         if (const auto counts = own->second->pendingCounts()) {
+            log("owner", own->second->watchedUpTo(), countOf(*counts));
             callback(countOf(*counts));
             return;
         }
     }
     this->environment.store->read(keys::report(service),
-        [countOf, callback = std::move(callback)](
+        [countOf, log, callback = std::move(callback)](
             const kernel::Expected<std::optional<store::Entry>>& entry) {
             if (!entry) {
                 callback(std::nullopt);
                 return;
             }
             const auto report = *entry ? jobs::decodePoolReport((*entry)->value) : std::nullopt;
+            log(report ? "report" : "no report", *entry ? (*entry)->revision : store::Revision {},
+                report ? countOf(report->pending) : 0);
             callback(report ? countOf(report->pending) : 0);
         });
 }
@@ -275,14 +284,17 @@
     }
     this->membersTimer.start(membersInterval, [self = shared_from_this()] { self->readMembers(); });
     this->environment.fleet->listUpstreams(
-        [self = shared_from_this()](const kernel::Expected<std::vector<scheduling::UpstreamFacts>>& members) {
+        [self = shared_from_this(), asked = kernel::bootNow()](
+            const kernel::Expected<std::vector<scheduling::UpstreamFacts>>& members) {
             if (!members) {
+                kernel::logEvent("upstreams-not-listed",
+                    { { "code", number(members.error().code) }, { "reason", members.error().found } });
                 return;
             }
             self->contact = kernel::bootNow();
             const auto pools = self->pools;
             for (const auto& [service, agent] : pools) {
-                agent->setMembers(*members);
+                agent->setMembers(*members, asked);
             }
         });
 }
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -93,6 +93,7 @@
             guarded([](PoolAgent& self) { self.superseded(); }),
             guarded([](PoolAgent& self, std::uint64_t batch) { self.onFlushed(batch); }),
         });
+    this->begun = kernel::bootNow();
     load();
 }
 
@@ -175,7 +176,8 @@
     kernel::logEvent("pool-loaded",
         { { "pool", this->service.text() }, { "term", this->term.value },
             { "jobs", this->scheduler->jobCount() }, { "used", usedBefore.size() },
-            { "used_revision", usedRevision.value }, { "revision", pool.asOf.value } });
+            { "used_revision", usedRevision.value }, { "revision", pool.asOf.value },
+            { "load_ms", (kernel::bootNow() - this->begun).milliseconds } });
     useMembers();
     watch(pool.asOf);
     tick();
@@ -238,6 +240,7 @@
 void PoolAgent::watch(store::Revision after)
 {
     this->watched = after;
+    this->watchAnswered = kernel::bootNow();
     this->environment.store->watch(keys::pool(this->service), after, watchWait,
         [self = shared_from_this(), after](const store::WatchOutcome& outcome) {
             if (self->closed) {
@@ -346,9 +349,11 @@
         { { "task", jobs::toText(order.task) }, { "run", order.run.value },
             { "upstream", order.upstream.text() }, { "resumes", order.checkpoint.empty() ? "no" : "yes" } });
     this->startCounter.increment();
+    ++this->startsInFlight;
     upstream.orders().start(order, this->term, this->taskLease,
         [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run](
             const ports::StartOutcome& outcome) {
+            --self->startsInFlight;
             if (self->closed) {
                 return;
             }
@@ -522,7 +527,10 @@
             { "cpu_wanted", demand.wanted.cpu }, { "cpu_taken", demand.taken.cpu },
             { "cpu_room", demand.room.cpu }, { "memory_wanted", demand.wanted.memory },
             { "memory_taken", demand.taken.memory }, { "memory_room", demand.room.memory },
-            { "cpu_arriving", demand.arriving }, { "spread", demand.spread } });
+            { "cpu_arriving", demand.arriving }, { "spread", demand.spread },
+            { "starting", this->startsInFlight },
+            { "watch_age_ms", (at.steady - this->watchAnswered).milliseconds },
+            { "members_age_ms", (at.steady - this->membersAsked).milliseconds } });
     std::vector<std::string> idle;
     idle.reserve(demand.releasable.size());
     for (const auto& id : demand.releasable) {
@@ -545,8 +553,9 @@
         });
 }
 
-void PoolAgent::setMembers(const std::vector<scheduling::UpstreamFacts>& all)
+void PoolAgent::setMembers(const std::vector<scheduling::UpstreamFacts>& all, kernel::Instant asked)
 {
+    this->membersAsked = asked;
     std::vector<scheduling::UpstreamFacts> own;
     std::ranges::copy_if(
         all, std::back_inserter(own), [&](const auto& facts) { return facts.service == this->service; });
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -38,7 +38,8 @@
     void start();
 
     /** @brief Uses the current list of upstreams of all pools. */
-    void setMembers(const std::vector<scheduling::UpstreamFacts>& members);
+    /** @param asked When the list was asked for. */
+    void setMembers(const std::vector<scheduling::UpstreamFacts>& members, kernel::Instant asked);
 
     /** @return State of a job, or nothing when it is not known here. */
     std::optional<jobs::JobState> stateOf(const jobs::JobId& job) const;
@@ -46,6 +47,9 @@
     /** @return Numbers of jobs that have not begun, or nothing while they are not known. */
     std::optional<jobs::PendingCounts> pendingCounts() const;
 
+    /** @return Revision up to which this owner has seen the changes of the pool. */
+    store::Revision watchedUpTo() const { return this->watched; }
+
     /** @brief Ends the term: no order is given any more. */
     void close();
 
@@ -117,6 +121,14 @@
     bool recordingUsed { false };
     /** @brief Changes of the pool up to this revision have reached the scheduler. */
     store::Revision watched {};
+    /** @brief When the term began. */
+    kernel::Instant begun {};
+    /** @brief When the watch of the pool last answered. */
+    kernel::Instant watchAnswered {};
+    /** @brief When the list of upstreams that is in use was asked for. */
+    kernel::Instant membersAsked {};
+    /** @brief Starts that have no answer yet. */
+    std::size_t startsInFlight { 0 };
     bool loaded { false };
     bool closed { false };
     bool flushPlanned { false };
--- a/src/wasabiroad/json/reader.hpp
+++ b/src/wasabiroad/json/reader.hpp
@@ -32,6 +32,12 @@
         return value != nullptr ? value->to_number<std::int64_t>() : fallback;
     }
 
+    double number(std::string_view key, double fallback = 0) const
+    {
+        const auto* const value = find(key);
+        return value != nullptr ? value->to_number<double>() : fallback;
+    }
+
     std::uint32_t count(std::string_view key, std::uint32_t fallback = 0) const
     {
         return static_cast<std::uint32_t>(integer(key, fallback));
--- a/src/wasabiroad/settings/settings.cpp
+++ b/src/wasabiroad/settings/settings.cpp
@@ -5,6 +5,7 @@
 #include "wasabiroad/settings/schema_text.hpp"
 
 #include <charconv>
+#include <cmath>
 #include <set>
 
 #include <boost/asio/ip/address.hpp>
@@ -149,6 +150,21 @@
         reader.list<PeerEntry>("entries", readPeerEntry) };
 }
 
+VmCapacity readVm(const boost::json::value* value)
+{
+    if (value == nullptr) {
+        return {};
+    }
+    const Reader reader { *value };
+    const VmCapacity defaults {};
+    constexpr double thousandths = 1000;
+    return {
+        .cpu
+        = std::llround(thousandths * reader.number("cores", static_cast<double>(defaults.cpu) / thousandths)),
+        .linkMbps = std::llround(reader.number("link-mbps", static_cast<double>(defaults.linkMbps))),
+    };
+}
+
 std::optional<FleetAccess> readFleet(const boost::json::value* value)
 {
     if (value == nullptr) {
@@ -211,6 +227,7 @@
         .limits = readLimits(reader.find("limits")),
         .peers = peers ? std::optional { withoutSelf(*peers, entry) } : std::nullopt,
         .fleet = readFleet(reader.find("fleet")),
+        .vm = readVm(reader.find("vm")),
     };
 }
 
--- a/src/wasabiroad/settings/settings.hpp
+++ b/src/wasabiroad/settings/settings.hpp
@@ -72,6 +72,15 @@
     friend auto operator<=>(const FleetAccess&, const FleetAccess&) = default;
 };
 
+/** @brief What the VM of a daemon offers it. */
+struct VmCapacity {
+    /** @brief Thousandths of a core. */
+    const std::int64_t cpu { 1000 };
+    const std::int64_t linkMbps { 1000 };
+
+    friend auto operator<=>(const VmCapacity&, const VmCapacity&) = default;
+};
+
 /** @brief Settings of one daemon. */
 struct Settings {
     const model::EntryId entry;
@@ -88,6 +97,7 @@
     const std::optional<Peers> peers {};
     /** @brief Present when the daemon runs jobs on a fleet. */
     const std::optional<FleetAccess> fleet {};
+    const VmCapacity vm {};
 
     friend auto operator<=>(const Settings&, const Settings&) = default;
 };
