--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -58,6 +60,37 @@
     BOOST_TEST((*found == row.found));
 }
 
+/** Guards against a lease that ends while its renewal waits behind long lists. */
+BOOST_AUTO_TEST_CASE(renewal_does_not_wait_behind_lists)
+{
+    boost::asio::io_context context { 1 };
+    http::Server server { context,
+        [&](http::Request request) -> boost::asio::awaitable<http::Response> {
+            const std::string_view target { request.target().data(), request.target().size() };
+            if (target.starts_with("/kv-range")) {
+                boost::asio::steady_timer timer { context, std::chrono::milliseconds { 600 } };
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
+            co_return http::respond(request, 200, "application/json", R"({"items":[],"asOf":1})");
+        } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address);
+    const auto client = std::make_shared<StoreClient>(context, *http::parseEndpoint(*address));
+    constexpr std::size_t lists = 8;
+    std::size_t listed = 0;
+    for (std::size_t index = 0; index < lists; ++index) {
+        client->makeStore().list("a", [&](const auto&) { ++listed; });
+    }
+    std::optional<bool> renewed;
+    client->makeStore().renew({ 1 }, [&](const kernel::Expected<bool>& alive) {
+        renewed = alive && *alive;
+        BOOST_TEST(listed == 0);
+        context.stop();
+    });
+    context.run_for(std::chrono::seconds { 20 });
+    BOOST_TEST(renewed.value_or(false));
+}
+
 } // namespace
 
 } // namespace wasabiroad::platform
