Follow the upstreams by a watch in place of overlapping lists

Callers saw too little served, and accepted jobs that did not run (SHORT, LOST). cause: the owner of a pool read the list of all upstreams each 200 ms, whether or not the last read had ended.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -5,6 +5,8 @@
 #include "wasabiroad/kernel/log.hpp"
 #include "wasabiroad/kernel/overloaded.hpp"
 
+#include <algorithm>
+
 namespace wasabiroad::agent {
 
 using kernel::Duration;
@@ -17,9 +19,6 @@
 
 constexpr Duration retryInterval { 200 };
 
-/** Interval of reading the list of upstreams; a leaving one gets no new tasks after at most 2 s. */
-constexpr Duration membersInterval { 200 };
-
 /** An entry without an answer of the store for this long sends callers elsewhere. */
 constexpr Duration contactLimit { 2500 };
 
@@ -31,13 +30,18 @@
 Agent::Agent(AgentContext agentEnvironment)
     : environment(std::move(agentEnvironment))
     , submissions(std::make_shared<Submissions>(environment.context, environment.store, environment.metrics))
-    , membersTimer(environment.context)
 {
 }
 
 void Agent::start()
 {
     const std::weak_ptr<Agent> weak = weak_from_this();
+    this->directory
+        = std::make_shared<UpstreamDirectory>(this->environment.context, this->environment.fleet, [weak] {
+              if (const auto self = weak.lock()) {
+                  self->onUpstreams();
+              }
+          });
     this->duties = std::make_shared<Duties>(this->environment.context, this->environment.store,
         this->environment.entry, this->environment.incarnation,
         DutyHandlers {
@@ -62,7 +66,7 @@
 {
     this->abandoned = true;
     this->duties->abandon();
-    this->membersTimer.cancel();
+    this->directory->stop();
     for (const auto& [service, agent] : this->pools) {
         agent->close();
     }
@@ -74,7 +78,7 @@
 bool Agent::isReady() const
 {
     return this->environment.configurations->current() != nullptr
-        && kernel::bootNow() - this->contact < contactLimit;
+        && kernel::bootNow() - std::max(this->contact, this->directory->knownAt()) < contactLimit;
 }
 
 void Agent::submit(jobs::Job job, Duration deadline, store::Callback<SubmitOutcome> callback)
@@ -254,13 +258,14 @@
     auto agent = std::make_shared<PoolAgent>(
         PoolContext { this->environment.context, this->environment.store, this->environment.upstreams,
             this->environment.metrics, this->environment.access.taskLease, ifKept(&Duties::mayAct),
-            ifKept(&Duties::surelyHolds) },
+            ifKept(&Duties::surelyHolds), [known = this->directory] { return known->knownAt(); } },
         service, term);
     this->pools.insert_or_assign(service, agent);
     agent->start();
-    if (this->pools.size() == 1) {
-        readMembers();
+    if (this->directory->isKnown()) {
+        agent->setMembers(this->directory->upstreams());
     }
+    this->directory->start();
 }
 
 void Agent::endDuty(const std::string& duty)
@@ -275,28 +280,18 @@
         found->second->close();
         this->pools.erase(found);
     }
+    if (this->pools.empty()) {
+        this->directory->stop();
+    }
 }
 
-void Agent::readMembers()
+void Agent::onUpstreams()
 {
-    if (this->pools.empty() || this->abandoned) {
-        return;
+    const auto upstreams = this->directory->upstreams();
+    const auto owned = this->pools;
+    for (const auto& [service, agent] : owned) {
+        agent->setMembers(upstreams);
     }
-    this->membersTimer.start(membersInterval, [self = shared_from_this()] { self->readMembers(); });
-    this->environment.fleet->listUpstreams(
-        [self = shared_from_this(), asked = kernel::bootNow()](
-            const kernel::Expected<std::vector<scheduling::UpstreamFacts>>& members) {
-            if (!members) {
-                kernel::logEvent("upstreams-not-listed",
-                    { { "code", number(members.error().code) }, { "reason", members.error().found } });
-                return;
-            }
-            self->contact = kernel::bootNow();
-            const auto pools = self->pools;
-            for (const auto& [service, agent] : pools) {
-                agent->setMembers(*members, asked);
-            }
-        });
 }
 
 void Agent::readState(const model::ServiceId& service, const jobs::JobId& job, bool mayBeElsewhere,
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -5,6 +5,7 @@
 #include "wasabiroad/agent/intake.hpp"
 #include "wasabiroad/agent/pool_agent.hpp"
 #include "wasabiroad/agent/submissions.hpp"
+#include "wasabiroad/agent/upstream_directory.hpp"
 #include "wasabiroad/kernel/publisher.hpp"
 #include "wasabiroad/metrics/metrics.hpp"
 #include "wasabiroad/settings/settings.hpp"
@@ -76,7 +77,7 @@
     void beginFleetDuty(ports::Term term);
     void beginDuty(const std::string& duty, ports::Term term);
     void endDuty(const std::string& duty);
-    void readMembers();
+    void onUpstreams();
     void readState(const model::ServiceId& service, const jobs::JobId& job, bool mayBeElsewhere,
         store::Callback<StateOutcome> callback);
     /** What to do with a job that was accepted for another service, or for none. */
@@ -102,7 +103,7 @@
     std::map<std::uint64_t, ports::WaveRequest> waves {};
     std::map<model::ServiceId, std::shared_ptr<PoolAgent>> pools {};
     std::shared_ptr<FleetAgent> fleetAgent {};
-    kernel::Timer membersTimer;
+    std::shared_ptr<UpstreamDirectory> directory {};
     kernel::Instant contact {};
     bool abandoned { false };
 };
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -35,6 +35,9 @@
 constexpr Duration watchWait { 1000 };
 constexpr Duration retryInterval { 300 };
 
+/** Interval of recording which upstreams are used, and of using those that have been recorded. */
+constexpr Duration membersInterval { 200 };
+
 /** Upstream clocks may run slow by this part of a hundred; a lease then lasts longer on ours. */
 constexpr std::int64_t clockSlowPercent = 2;
 
@@ -504,6 +507,9 @@
     }
     this->tickTimer.start(tickInterval, [self = shared_from_this()] { self->tick(); });
     apply(scheduling::Tick {});
+    if (kernel::bootNow() - this->membersUsed >= membersInterval) {
+        useMembers();
+    }
     closeUnused();
     announceEmptied();
     publishReport();
@@ -530,7 +536,7 @@
             { "cpu_arriving", demand.arriving }, { "spread", demand.spread },
             { "starting", this->startsInFlight },
             { "watch_age_ms", (at.steady - this->watchAnswered).milliseconds },
-            { "members_age_ms", (at.steady - this->membersAsked).milliseconds } });
+            { "members_age_ms", (at.steady - this->environment.upstreamsKnownAt()).milliseconds } });
     std::vector<std::string> idle;
     idle.reserve(demand.releasable.size());
     for (const auto& id : demand.releasable) {
@@ -553,9 +559,8 @@
         });
 }
 
-void PoolAgent::setMembers(const std::vector<scheduling::UpstreamFacts>& all, kernel::Instant asked)
+void PoolAgent::setMembers(const std::vector<scheduling::UpstreamFacts>& all)
 {
-    this->membersAsked = asked;
     std::vector<scheduling::UpstreamFacts> own;
     std::ranges::copy_if(
         all, std::back_inserter(own), [&](const auto& facts) { return facts.service == this->service; });
@@ -567,6 +572,7 @@
 
 void PoolAgent::useMembers()
 {
+    this->membersUsed = kernel::bootNow();
     openLinks();
     std::vector<scheduling::UpstreamFacts> usable;
     std::ranges::copy_if(this->members, std::back_inserter(usable),
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -27,6 +27,8 @@
     const std::function<bool()> mayAct;
     /** @brief Whether the daemon surely holds its duties, so that nobody else starts the same tasks. */
     const std::function<bool()> mayStart;
+    /** @brief Boot clock at which the list of upstreams was last known to be complete. */
+    const std::function<kernel::Instant()> upstreamsKnownAt;
 };
 
 /** @brief Owns the scheduling of one pool for one term: feeds the scheduler and carries out its orders. */
@@ -38,8 +40,7 @@
     void start();
 
     /** @brief Uses the current list of upstreams of all pools. */
-    /** @param asked When the list was asked for. */
-    void setMembers(const std::vector<scheduling::UpstreamFacts>& members, kernel::Instant asked);
+    void setMembers(const std::vector<scheduling::UpstreamFacts>& members);
 
     /** @return State of a job, or nothing when it is not known here. */
     std::optional<jobs::JobState> stateOf(const jobs::JobId& job) const;
@@ -125,8 +126,8 @@
     kernel::Instant begun {};
     /** @brief When the watch of the pool last answered. */
     kernel::Instant watchAnswered {};
-    /** @brief When the list of upstreams that is in use was asked for. */
-    kernel::Instant membersAsked {};
+    /** @brief When the upstreams were last compared with those in use. */
+    kernel::Instant membersUsed {};
     /** @brief Starts that have no answer yet. */
     std::size_t startsInFlight { 0 };
     bool loaded { false };
--- a/src/wasabiroad/ports/fleet.hpp
+++ b/src/wasabiroad/ports/fleet.hpp
@@ -39,6 +39,28 @@
 
 using OperatorOutcome = std::variant<OperatorState, store::HistoryGone, kernel::Error>;
 
+/** @brief The upstreams that have registered. */
+struct UpstreamListing {
+    const std::vector<scheduling::UpstreamFacts> upstreams {};
+    /** @brief Changes after this revision may be missing; a watch continues from here. */
+    const store::Revision asOf {};
+
+    friend bool operator==(const UpstreamListing&, const UpstreamListing&) = default;
+};
+
+/** @brief Changes of the upstreams that have registered. */
+struct UpstreamChanges {
+    /** @brief Upstreams that have registered or reported, each as it was last. */
+    const std::vector<scheduling::UpstreamFacts> reported {};
+    /** @brief Upstreams that have left, or whose entry cannot be read. */
+    const std::vector<scheduling::UpstreamId> gone {};
+    const store::Revision asOf {};
+
+    friend bool operator==(const UpstreamChanges&, const UpstreamChanges&) = default;
+};
+
+using UpstreamOutcome = std::variant<UpstreamChanges, store::HistoryGone, kernel::Error>;
+
 enum class VmCondition : unsigned char { Up, Moving, Maintenance, Down };
 
 /** @brief A VM as the platform sees it. */
@@ -62,8 +84,11 @@
     /** @brief Waits for changes by the operator. */
     const std::function<void(store::Revision after, kernel::Duration wait, store::Callback<OperatorOutcome>)>
         watchOperator;
-    const std::function<void(store::Callback<kernel::Expected<std::vector<scheduling::UpstreamFacts>>>)>
-        listUpstreams;
+    /** @brief Reads all upstreams; the answer is long, so changes are watched for afterwards. */
+    const std::function<void(store::Callback<kernel::Expected<UpstreamListing>>)> listUpstreams;
+    /** @brief Waits for changes of the upstreams. */
+    const std::function<void(store::Revision after, kernel::Duration wait, store::Callback<UpstreamOutcome>)>
+        watchUpstreams;
     const std::function<void(store::Callback<kernel::Expected<std::vector<VmFacts>>>)> listVms;
     /** @brief Takes a VM down for maintenance; its tasks end at once. */
     const std::function<void(model::VmId, std::uint64_t wave, Term, store::Callback<VmOrderResult>)> maintain;
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -5,8 +5,10 @@
 #include "wasabiroad/standin/key_value.hpp"
 #include "wasabiroad/standin/workers.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -182,6 +184,8 @@
     standin::Workers workers;
     std::vector<std::unique_ptr<Daemon>> daemons {};
     std::vector<ports::WaveRequest> waves {};
+    /** @brief Reads of the whole list of upstreams by all daemons. */
+    std::size_t upstreamLists { 0 };
 
 private:
     ports::Fleet makeFleet(const std::shared_ptr<standin::StoreFaults>& faults)
@@ -197,6 +201,7 @@
                 this->context, std::chrono::milliseconds { 10 });
             timer->async_wait([timer, callback, result](boost::system::error_code) { callback(result); });
         };
+        const auto seen = std::make_shared<std::set<scheduling::UpstreamId>>();
         const kernel::Error away { kernel::ResultCode::PlatformTimeout, "store", "no answer" };
         return {
             .readOperator =
@@ -209,17 +214,36 @@
                     answer(callback, faults->silent ? ports::OperatorOutcome { away } : operatorState(after));
                 },
             .listUpstreams =
-                [=, this](const store::Callback<kernel::Expected<std::vector<scheduling::UpstreamFacts>>>&
-                        callback) {
+                [=, this](const store::Callback<kernel::Expected<ports::UpstreamListing>>& callback) {
+                    ++this->upstreamLists;
                     if (faults->silent) {
-                        answer(callback,
-                            kernel::Expected<std::vector<scheduling::UpstreamFacts>> {
-                                tl::unexpected(away) });
+                        answer(callback, kernel::Expected<ports::UpstreamListing> { tl::unexpected(away) });
                     } else {
                         answer(callback,
-                            kernel::Expected<std::vector<scheduling::UpstreamFacts>> {
-                                this->workers.members() });
+                            kernel::Expected<ports::UpstreamListing> { { this->workers.members(), {} } });
+                    }
+                },
+            .watchUpstreams =
+                [=, this](store::Revision after, kernel::Duration,
+                    const store::Callback<ports::UpstreamOutcome>& callback) {
+                    if (faults->silent) {
+                        answer(callback, ports::UpstreamOutcome { away });
+                        return;
+                    }
+                    // All that is up reports each time; what was up before and is not now has left.
+                    const auto members = this->workers.members();
+                    std::vector<scheduling::UpstreamId> gone;
+                    for (const auto& id : *seen) {
+                        if (std::ranges::find(members, id, &scheduling::UpstreamFacts::id) == members.end()) {
+                            gone.push_back(id);
+                        }
+                    }
+                    for (const auto& member : members) {
+                        seen->insert(member.id);
                     }
+                    answer(callback,
+                        ports::UpstreamOutcome {
+                            ports::UpstreamChanges { members, std::move(gone), after } });
                 },
             .listVms =
                 [=, this](const store::Callback<kernel::Expected<std::vector<ports::VmFacts>>>& callback) {
--- /dev/null
+++ b/test/wasabiroad/agent/upstream_directory.cpp
@@ -0,0 +1,105 @@
+#include "wasabiroad/agent/upstream_directory.hpp"
+
+#include "wasabiroad/agent/site.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace wasabiroad::agent::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+using scheduling::UpstreamFacts;
+using scheduling::UpstreamId;
+
+UpstreamFacts makeFacts(const std::string& id, bool draining = false)
+{
+    return { .id = UpstreamId { id }, .service = service, .draining = draining };
+}
+
+/** What a watch answers after a list of "a" and "b", and what is known then. */
+struct Row {
+    const char* title;
+    const ports::UpstreamOutcome outcome;
+    const std::vector<UpstreamFacts> known;
+    /** @brief Times that a change is reported, the list included. */
+    const std::size_t changes;
+    const std::size_t lists;
+
+    friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
+};
+
+const std::vector<UpstreamFacts> both { makeFacts("a"), makeFacts("b") };
+
+const std::vector<Row> rows {
+    { "reports without a change", ports::UpstreamChanges { both, {}, { 2 } }, both, 1, 1 },
+    { "one leaves", ports::UpstreamChanges { {}, { UpstreamId { "a" } }, { 2 } }, { makeFacts("b") }, 2, 1 },
+    { "one drains", ports::UpstreamChanges { { makeFacts("a", true) }, {}, { 2 } },
+        { makeFacts("a", true), makeFacts("b") }, 2, 1 },
+    { "one comes", ports::UpstreamChanges { { makeFacts("c") }, {}, { 2 } },
+        { makeFacts("a"), makeFacts("b"), makeFacts("c") }, 2, 1 },
+    { "the history is gone", store::HistoryGone {}, both, 2, 2 },
+    { "no answer", kernel::Error { kernel::ResultCode::PlatformTimeout, "store", "" }, both, 1, 1 },
+};
+
+/** @brief Upstreams whose answers a test gives by hand, and the calls that wait for them. */
+struct Calls {
+    std::size_t lists { 0 };
+    std::vector<store::Callback<kernel::Expected<ports::UpstreamListing>>> listings {};
+    std::vector<store::Callback<ports::UpstreamOutcome>> watches {};
+
+    std::shared_ptr<const ports::Fleet> makeFleet()
+    {
+        return std::make_shared<const ports::Fleet>(ports::Fleet {
+            .readOperator = {},
+            .watchOperator = {},
+            .listUpstreams =
+                [this](auto callback) {
+                    ++this->lists;
+                    this->listings.push_back(std::move(callback));
+                },
+            .watchUpstreams = [this](store::Revision, kernel::Duration,
+                                  auto callback) { this->watches.push_back(std::move(callback)); },
+            .listVms = {},
+            .maintain = {},
+            .move = {},
+            .waveStatus = {},
+        });
+    }
+};
+
+/** Guards against upstreams that are known wrongly after a change. */
+BOOST_DATA_TEST_CASE(directory_follows_changes, data::make(rows), row)
+{
+    boost::asio::io_context context { 1 };
+    Calls calls;
+    std::size_t changes = 0;
+    const auto directory
+        = std::make_shared<UpstreamDirectory>(context, calls.makeFleet(), [&] { ++changes; });
+    directory->start();
+    BOOST_REQUIRE_EQUAL(calls.listings.size(), 1);
+    calls.listings.at(0)(ports::UpstreamListing { both, { 1 } });
+    BOOST_REQUIRE_EQUAL(calls.watches.size(), 1);
+    calls.watches.at(0)(row.outcome);
+    if (calls.listings.size() > 1) {
+        calls.listings.at(1)(ports::UpstreamListing { both, { 3 } });
+    }
+    BOOST_TEST((directory->upstreams() == row.known));
+    BOOST_TEST(changes == row.changes);
+    BOOST_TEST(calls.lists == row.lists);
+    directory->stop();
+}
+
+/** Guards against reads of the list that fill a slow link and hold up the renewal of the owner's lease. */
+BOOST_AUTO_TEST_CASE(list_of_upstreams_is_read_once_by_its_user)
+{
+    Site site { 3 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(2500);
+    BOOST_TEST(site.upstreamLists == 1);
+}
+
+} // namespace
+
+} // namespace wasabiroad::agent::test
