--- a/src/wasabiroad/agent/upstream_directory.cpp
+++ b/src/wasabiroad/agent/upstream_directory.cpp
@@ -19,12 +19,11 @@
 
 } // namespace
 
-UpstreamDirectory::UpstreamDirectory(boost::asio::io_context& ioContext,
+UpstreamDirectory::UpstreamDirectory(boost::asio::io_context& context,
     std::shared_ptr<const ports::Fleet> fleetCalls, std::function<void()> changeHandler)
-    : context(ioContext)
-    , fleet(std::move(fleetCalls))
+    : fleet(std::move(fleetCalls))
     , onChange(std::move(changeHandler))
-    , timer(ioContext)
+    , timer(context)
 {
 }
 
--- a/src/wasabiroad/agent/upstream_directory.hpp
+++ b/src/wasabiroad/agent/upstream_directory.hpp
@@ -42,7 +42,6 @@
     void watch(store::Revision after);
     void onChanges(const ports::UpstreamChanges& changes);
 
-    boost::asio::io_context& context;
     const std::shared_ptr<const ports::Fleet> fleet;
     const std::function<void()> onChange;
     std::map<scheduling::UpstreamId, std::shared_ptr<const scheduling::UpstreamFacts>> facts {};
