--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -527,6 +527,10 @@
     if (age < reportInterval && need <= this->reportedNeed + this->reportedNeed / risingPart) {
         return;
     }
+    const auto effort = this->scheduler->effort();
+    const auto looks = effort - this->countedEffort.value_or(scheduling::Effort {});
+    this->countedEffort.emplace(effort);
+    countLooks(looks);
     kernel::logEvent("pool-state",
         { { "pool", this->service.text() }, { "members", this->members.size() },
             { "releasable", demand.releasable.size() }, { "jobs", this->scheduler->jobCount() },
@@ -534,7 +538,8 @@
             { "cpu_room", demand.room.cpu }, { "memory_wanted", demand.wanted.memory },
             { "memory_taken", demand.taken.memory }, { "memory_room", demand.room.memory },
             { "cpu_arriving", demand.arriving }, { "spread", demand.spread },
-            { "starting", this->startsInFlight },
+            { "starting", this->startsInFlight }, { "job_looks", looks.jobs }, { "step_looks", looks.steps },
+            { "upstream_looks", looks.upstreams },
             { "watch_age_ms", (at.steady - this->watchAnswered).milliseconds },
             { "members_age_ms", (at.steady - this->environment.upstreamsKnownAt()).milliseconds } });
     std::vector<std::string> idle;
@@ -559,6 +564,17 @@
         });
 }
 
+void PoolAgent::countLooks(const scheduling::Effort& looks)
+{
+    const auto count = [&](const char* what, std::uint64_t amount) {
+        this->environment.metrics->count("wasabiroad_scheduler_looks_total",
+            { { "pool", this->service.text() }, { "at", what } }, static_cast<double>(amount));
+    };
+    count("jobs", looks.jobs);
+    count("steps", looks.steps);
+    count("upstreams", looks.upstreams);
+}
+
 void PoolAgent::setMembers(const std::vector<scheduling::UpstreamFacts>& all)
 {
     std::vector<scheduling::UpstreamFacts> own;
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -93,6 +93,7 @@
     void acknowledge(const Ends& ends);
     void tick();
     void publishReport();
+    void countLooks(const scheduling::Effort& looks);
     void useMembers();
     void openLinks();
     void closeUnused();
@@ -145,6 +146,8 @@
     /** @brief Thousandths of a core that the last report asked for. */
     std::int64_t reportedNeed { 0 };
     kernel::Instant lastPublished {};
+    /** @brief Effort of the scheduler that the metrics hold. */
+    std::optional<scheduling::Effort> countedEffort {};
     kernel::Timer tickTimer;
     kernel::Timer flushTimer;
 };
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -129,11 +129,13 @@
 {
     std::vector<Ready> ready;
     for (auto& [id, run] : this->jobRuns) {
+        ++this->jobLooks;
         if (jobs::isFinal(run.state)) {
             continue;
         }
         for (std::uint32_t occurrence = 0; occurrence < run.occurrences.size(); ++occurrence) {
             for (std::uint32_t step = 0; step < run.job.steps.size(); ++step) {
+                ++this->stepLooks;
                 const auto& tasks = run.occurrences[occurrence][step].tasks;
                 const bool waiting
                     = std::ranges::any_of(tasks, [&](const Task& task) { return isStartable(task, now); });
@@ -307,6 +309,7 @@
     Upstream* best = nullptr;
     std::tuple<bool, bool, std::uint32_t, bool, double> bestKey {};
     for (auto& [id, upstream] : this->upstreams) {
+        ++this->upstreamLooks;
         if (!usable(upstream, ready, now)) {
             continue;
         }
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -627,6 +627,7 @@
 {
     for (auto entry = this->jobRuns.begin(); entry != this->jobRuns.end();) {
         auto& run = entry->second;
+        ++this->jobLooks;
         bool keep = !jobs::isFinal(run.state) || !run.written;
         if (!keep) {
             eachTask(run, [&](const TaskId&, const Task& task) { keep = keep || isActive(task); });
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wasabiroad/scheduling/arrivals.hpp"
+#include "wasabiroad/scheduling/effort.hpp"
 #include "wasabiroad/scheduling/move_plan.hpp"
 #include "wasabiroad/scheduling/policy.hpp"
 #include "wasabiroad/scheduling/run_times.hpp"
@@ -94,6 +95,9 @@
 
     std::size_t jobCount() const { return this->jobRuns.size(); }
 
+    /** @return What was looked at since the term began. */
+    Effort effort() const { return { this->jobLooks, this->stepLooks, this->upstreamLooks }; }
+
 private:
     using JobRun = internal::JobRun;
     using StepRun = internal::StepRun;
@@ -157,6 +161,9 @@
     const std::uint64_t term;
     const Moment begun;
     std::uint64_t starts { 0 };
+    std::uint64_t jobLooks { 0 };
+    std::uint64_t stepLooks { 0 };
+    std::uint64_t upstreamLooks { 0 };
     bool active { true };
     bool passNeeded { false };
     bool urgent { false };
