Index waiting steps and open upstreams instead of walking them at each event

`RoomIndex` holds open upstreams by room, equal ones together. Times at which a step turns late, due or free to be tried again are kept in order. `demand()` still walks the jobs, each 100 ms.

--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -26,32 +26,15 @@
 /** Upstreams whose tasks end within this time can leave the pool: a drain keeps their room from new tasks. */
 constexpr Duration releaseWithin { 900 };
 
-/** Share of the expected remaining chain that must fit before a job is late. */
-constexpr double feasibleShare = 0.8;
-
-/** Expected run time of the steps that are not done, along the longest chain of an occurrence. */
-Duration remainingChain(const internal::JobRun& run, const std::vector<internal::StepRun>& steps)
-{
-    return jobs::longestChain(run.job.steps, [&](std::size_t index) {
-        const bool done = steps[index].done == steps[index].tasks.size();
-        return done ? Duration {} : run.expected[index];
-    });
-}
-
-/** Whether a task may be started now, as far as it alone decides. */
-bool isStartable(const internal::Task& task, Moment now)
+/** Load of an upstream with one more task, as a share of its capacity. */
+double loadWith(const jobs::Step& step, const Room& room, const jobs::Resources& capacity)
 {
-    return task.phase == Phase::Waiting && !task.unresolved && task.notBefore <= now.steady;
-}
-
-/** Order of steps: the smallest goes first. */
-auto rankOf(const PoolScheduler::Ready& item)
-{
-    const auto& job = item.job->job;
-    const bool longRunning = job.steps[item.step].longRunning;
-    return std::tuple<bool, bool, std::uint32_t, kernel::Instant, const jobs::JobId&, std::uint32_t,
-        std::uint32_t> { !longRunning, item.late, job.priority, item.job->due, job.id, item.occurrence,
-        item.step };
+    const auto share = [](std::int64_t left, std::int64_t taken, std::int64_t whole) {
+        return whole > 0 ? static_cast<double>(whole - left + taken) / static_cast<double>(whole) : 0.0;
+    };
+    const auto memoryLoad = share(room.left.memory, step.resources.memory, capacity.memory);
+    const auto cpuLoad = share(room.left.cpu, step.resources.cpu, capacity.cpu);
+    return step.filler ? memoryLoad : std::max(cpuLoad, memoryLoad);
 }
 
 } // namespace
@@ -63,6 +46,11 @@
         && now.wall < run.job.firstDue + run.job.interval * static_cast<std::int64_t>(occurrence)) {
         return false;
     }
+    return areEarlierDone(run, occurrence, step);
+}
+
+bool PoolScheduler::areEarlierDone(const JobRun& run, std::uint32_t occurrence, std::uint32_t step) const
+{
     return std::ranges::all_of(run.job.steps[step].after, [&](auto before) {
         const auto& earlier = run.occurrences[occurrence][before];
         return earlier.done == earlier.tasks.size();
@@ -101,14 +89,14 @@
     std::int64_t takenCpu = 0;
     std::int64_t takenMemory = 0;
     for (const auto& [id, upstream] : this->upstreams) {
-        if (isOpen(upstream, now)) {
+        if (isOpen(id, upstream, now)) {
             roomCpu += upstream.facts->capacity.cpu;
             roomMemory += upstream.facts->capacity.memory;
             takenCpu += upstream.cpu;
             takenMemory += upstream.memory;
         }
         if (upstream.member && upstream.listed && !upstream.hasForeign && !this->drains.contains(id)
-            && !hasLongRunning(upstream)) {
+            && upstream.longRunningTasks == 0) {
             const auto left = timeToEmpty(upstream, now);
             if (left < releaseWithin) {
                 releasable.emplace_back(left.milliseconds, id);
@@ -125,112 +113,112 @@
         std::move(ids), longRunningCpu + this->arrivals.cpu(now.steady) };
 }
 
-std::vector<PoolScheduler::Ready> PoolScheduler::readySteps(Moment now)
-{
-    std::vector<Ready> ready;
-    for (auto& [id, run] : this->jobRuns) {
-        ++this->jobLooks;
-        if (jobs::isFinal(run.state)) {
-            continue;
-        }
-        for (std::uint32_t occurrence = 0; occurrence < run.occurrences.size(); ++occurrence) {
-            for (std::uint32_t step = 0; step < run.job.steps.size(); ++step) {
-                ++this->stepLooks;
-                const auto& tasks = run.occurrences[occurrence][step].tasks;
-                const bool waiting
-                    = std::ranges::any_of(tasks, [&](const Task& task) { return isStartable(task, now); });
-                if (!waiting || !isStepReady(run, occurrence, step, now)) {
-                    continue;
-                }
-                const auto left = remainingChain(run, run.occurrences[occurrence]).milliseconds;
-                const auto needed
-                    = Duration { static_cast<std::int64_t>(feasibleShare * static_cast<double>(left)) };
-                const auto due = run.due + run.job.interval * static_cast<std::int64_t>(occurrence);
-                ready.push_back({ &run, occurrence, step, now.wall + needed > due });
-            }
-        }
-    }
-    std::ranges::sort(
-        ready, [](const Ready& left, const Ready& right) { return rankOf(left) < rankOf(right); });
-    return ready;
-}
-
 void PoolScheduler::schedule(Moment now)
 {
-    for (const auto& ready : readySteps(now)) {
-        if (ready.job->job.steps[ready.step].gang) {
-            placeGang(ready, now);
-        } else {
-            place(ready, now);
+    wake(now);
+    refresh(now);
+    while (const auto* const first = this->waiting.first()) {
+        const auto id = *first;
+        ++this->stepLooks;
+        const Ready ready { &this->jobRuns.at(id.job), id.occurrence, id.step };
+        const auto& step = ready.job->occurrences[id.occurrence][id.step];
+        const auto needs = step.waiting->needs;
+        const auto startsBefore = this->starts;
+        const bool placed = ready.job->job.steps[id.step].gang ? placeGang(ready, now) : place(ready, now);
+        if (placed || this->starts != startsBefore) {
+            refreshSteps(*ready.job, id.occurrence, now);
+        }
+        if (!placed && step.waiting && step.waiting->needs == needs) {
+            this->waiting.setAside(needs);
         }
     }
 }
 
-void PoolScheduler::place(const Ready& ready, Moment now)
+bool PoolScheduler::place(const Ready& ready, Moment now)
 {
     auto& tasks = ready.job->occurrences[ready.occurrence][ready.step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         auto& task = tasks[index];
-        if (!isStartable(task, now)) {
+        if (!internal::isStartable(task, now)) {
             continue;
         }
-        auto* const upstream = choose(ready, task, now, nullptr);
+        const auto* const upstream = choose(ready, task, now, nullptr);
         if (upstream == nullptr) {
-            return;
+            return false;
         }
         startOn(ready, index, *upstream, { (this->term << runBits) + ++this->starts }, now);
     }
+    return true;
 }
 
-void PoolScheduler::placeGang(const Ready& ready, Moment now)
+const std::vector<model::RackId>& PoolScheduler::racksInOrder()
+{
+    if (this->racks.empty()) {
+        for (const auto& [id, upstream] : this->upstreams) {
+            if (upstream.facts && std::ranges::find(this->racks, upstream.facts->rack) == this->racks.end()) {
+                this->racks.push_back(upstream.facts->rack);
+            }
+        }
+    }
+    return this->racks;
+}
+
+bool PoolScheduler::placeGang(const Ready& ready, Moment now)
 {
     auto& step = ready.job->occurrences[ready.occurrence][ready.step];
     const auto& declared = ready.job->job.steps[ready.step];
-    if (!std::ranges::all_of(step.tasks, [&](const Task& task) { return isStartable(task, now); })) {
-        return;
-    }
-    std::vector<const model::RackId*> racks;
+    std::vector<const model::RackId*> candidates;
     if (declared.sameRack) {
-        for (const auto& entry : this->upstreams) {
-            const auto& facts = entry.second.facts;
-            const auto known = [&](const auto* rack) { return *rack == facts->rack; };
-            if (facts && std::ranges::none_of(racks, known)) {
-                racks.push_back(&facts->rack);
-            }
+        for (const auto& rack : racksInOrder()) {
+            candidates.push_back(&rack);
         }
     }
-    racks.push_back(nullptr);
-    for (const auto* const rack : racks) {
-        std::vector<Upstream*> chosen;
-        for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-            auto* const upstream = choose(ready, step.tasks[index], now, rack);
-            if (upstream == nullptr) {
-                break;
-            }
-            // The room is taken while the rest of the gang is placed.
-            internal::takeRoom(*upstream, declared, 1);
-            chosen.push_back(upstream);
-        }
-        for (auto* const upstream : chosen) {
-            internal::takeRoom(*upstream, declared, -1);
-        }
+    candidates.push_back(nullptr);
+    for (const auto* const rack : candidates) {
+        const auto chosen = chooseGang(ready, now, rack);
         if (chosen.size() == step.tasks.size()) {
             const jobs::Run run { (this->term << runBits) + ++this->starts };
             for (std::uint32_t index = 0; index < chosen.size(); ++index) {
-                startOn(ready, index, *chosen[index], run, now);
+                startOn(ready, index, chosen[index], run, now);
             }
-            return;
+            return true;
         }
     }
+    return false;
+}
+
+std::vector<UpstreamId> PoolScheduler::chooseGang(
+    const Ready& ready, Moment now, const model::RackId* onlyRack)
+{
+    const auto& declared = ready.job->job.steps[ready.step];
+    // The room is taken while the rest of the gang is placed.
+    const auto take = [&](const UpstreamId& id, std::int64_t tasks) {
+        auto& upstream = this->upstreams.at(id);
+        internal::takeRoom(upstream, declared, tasks);
+        index(id, upstream, now);
+    };
+    std::vector<UpstreamId> chosen;
+    for (const auto& task : ready.job->occurrences[ready.occurrence][ready.step].tasks) {
+        const auto* const found = choose(ready, task, now, onlyRack);
+        if (found == nullptr) {
+            break;
+        }
+        chosen.push_back(*found);
+        take(chosen.back(), 1);
+    }
+    for (const auto& id : chosen) {
+        take(id, -1);
+    }
+    return chosen;
 }
 
 void PoolScheduler::startOn(
-    const Ready& ready, std::uint32_t index, Upstream& upstream, jobs::Run run, Moment now)
+    const Ready& ready, std::uint32_t number, UpstreamId where, jobs::Run run, Moment now)
 {
-    auto& task = ready.job->occurrences[ready.occurrence][ready.step].tasks[index];
-    const TaskId id { ready.job->job.id, { ready.occurrence, ready.step, index } };
+    auto& task = ready.job->occurrences[ready.occurrence][ready.step].tasks[number];
+    const TaskId id { ready.job->job.id, { ready.occurrence, ready.step, number } };
     task.phase = Phase::Starting;
-    task.upstream = upstream.facts->id;
+    task.upstream = std::move(where);
     task.run = run;
     task.started = now.steady;
     task.lastProgress = now.steady;
@@ -238,38 +226,17 @@
     task.percent = 0;
     task.pace = 100;
     task.stopAnswered.reset();
-    attach(id, upstream);
+    attach(id, task);
+    auto& upstream = this->upstreams.at(task.upstream);
+    index(task.upstream, upstream, now);
     upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.leaseSpan);
     this->orders.push_back(StartTask { task.upstream, id, run, ready.job->job.payload, task.checkpoint });
 }
 
-bool PoolScheduler::fits(const Upstream& upstream, const jobs::Step& step) const
-{
-    const auto& capacity = upstream.facts->capacity;
-    return (step.filler || upstream.cpu + step.resources.cpu <= capacity.cpu)
-        && upstream.memory + step.resources.memory <= capacity.memory
-        && upstream.accelerators + step.resources.accelerators <= capacity.accelerators;
-}
-
-bool PoolScheduler::isOpen(const Upstream& upstream, Moment now) const
+bool PoolScheduler::isOpen(const UpstreamId& id, const Upstream& upstream, Moment now) const
 {
     return upstream.facts && upstream.member && upstream.listed && !upstream.hasForeign
-        && !this->drains.contains(upstream.facts->id) && !upstream.facts->draining
-        && upstream.suspectUntil <= now.steady;
-}
-
-bool PoolScheduler::usable(const Upstream& upstream, const Ready& ready, Moment now) const
-{
-    if (!isOpen(upstream, now)) {
-        return false;
-    }
-    const auto& step = ready.job->job.steps[ready.step];
-    const auto& labels = upstream.facts->labels;
-    if (!step.label.empty() && std::ranges::find(labels, step.label) == labels.end()) {
-        return false;
-    }
-    return fits(upstream, step)
-        && (step.maxPerUpstream == 0 || countOfStep(upstream, ready) < step.maxPerUpstream);
+        && !this->drains.contains(id) && !upstream.facts->draining && upstream.suspectUntil <= now.steady;
 }
 
 Duration PoolScheduler::timeToEmpty(const Upstream& upstream, Moment now) const
@@ -287,11 +254,6 @@
     return longest;
 }
 
-bool PoolScheduler::hasLongRunning(const Upstream& upstream) const
-{
-    return std::ranges::any_of(upstream.tasks, [&](const TaskId& id) { return stepOf(id).longRunning; });
-}
-
 std::uint32_t PoolScheduler::countOfStep(const Upstream& upstream, const Ready& ready) const
 {
     const TaskId first { ready.job->job.id, { ready.occurrence, ready.step, 0 } };
@@ -301,38 +263,61 @@
         std::distance(upstream.tasks.lower_bound(first), upstream.tasks.upper_bound(last)));
 }
 
-internal::Upstream* PoolScheduler::choose(
-    const Ready& ready, const Task& task, Moment now, const model::RackId* onlyRack)
+bool PoolScheduler::admits(const Ready& ready, const Room& room) const
 {
     const auto& step = ready.job->job.steps[ready.step];
-    const bool waitForRack = !step.dataRack.empty() && now.steady - task.readySince < step.estimate;
-    Upstream* best = nullptr;
-    std::tuple<bool, bool, std::uint32_t, bool, double> bestKey {};
-    for (auto& [id, upstream] : this->upstreams) {
+    const auto& labels = this->rooms.kind(room.kind).labels;
+    return step.resources.memory <= room.left.memory && step.resources.accelerators <= room.left.accelerators
+        && (step.label.empty() || std::ranges::find(labels, step.label) != labels.end());
+}
+
+std::vector<const UpstreamId*> PoolScheduler::candidates(
+    const Ready& ready, const Task& task, const std::set<UpstreamId>& group)
+{
+    const auto& step = ready.job->job.steps[ready.step];
+    std::vector<const UpstreamId*> found;
+    const bool counts = step.longRunning || step.maxPerUpstream > 0;
+    for (const auto& id : group) {
         ++this->upstreamLooks;
-        if (!usable(upstream, ready, now)) {
-            continue;
+        if (step.maxPerUpstream == 0 || countOfStep(this->upstreams.at(id), ready) < step.maxPerUpstream) {
+            found.push_back(&id);
+        }
+        // The others are equal to the first that has not failed the task.
+        if (!counts && !task.failedOn.contains(id)) {
+            break;
         }
-        const auto& facts = *upstream.facts;
-        const bool far = !step.dataRack.empty() && facts.rack.text() != step.dataRack;
-        if ((onlyRack != nullptr && facts.rack != *onlyRack) || (far && waitForRack)) {
+    }
+    return found;
+}
+
+const UpstreamId* PoolScheduler::choose(
+    const Ready& ready, const Task& task, Moment now, const model::RackId* onlyRack)
+{
+    const auto& step = ready.job->job.steps[ready.step];
+    const bool waitForRack = internal::waitsForRack(step, task, now);
+    using Key = std::tuple<bool, bool, std::uint32_t, bool, double, UpstreamId>;
+    const UpstreamId* best = nullptr;
+    std::optional<Key> bestKey;
+    for (auto group = this->rooms.from(internal::countedCpu(step)); group != this->rooms.end(); ++group) {
+        ++this->upstreamLooks;
+        const auto& room = group->first;
+        const auto& kind = this->rooms.kind(room.kind);
+        const bool far = !step.dataRack.empty() && kind.rack.text() != step.dataRack;
+        if (!admits(ready, room) || (onlyRack != nullptr && kind.rack != *onlyRack) || (far && waitForRack)) {
             continue;
         }
-        const auto share = [](std::int64_t used, std::int64_t room) {
-            return room > 0 ? static_cast<double>(used) / static_cast<double>(room) : 0.0;
-        };
-        const auto memoryLoad = share(upstream.memory + step.resources.memory, facts.capacity.memory);
-        const auto cpuLoad = share(upstream.cpu + step.resources.cpu, facts.capacity.cpu);
-        const auto load = step.filler ? memoryLoad : std::max(cpuLoad, memoryLoad);
-        const std::tuple key { task.failedOn.contains(id), far,
-            step.longRunning ? countOfStep(upstream, ready) / tasksPerVm(step) : 0U,
-            // Long-running tasks share VMs, so that the other VMs can change their pool.
-            step.longRunning && !hasLongRunning(upstream),
-            // Other tasks fill the most loaded VMs first, so that the rest can be released.
-            step.longRunning || step.filler ? load : -load };
-        if (best == nullptr || key < bestKey) {
-            best = &upstream;
-            bestKey = key;
+        const auto load = loadWith(step, room, kind.capacity);
+        for (const auto* const id : candidates(ready, task, group->second)) {
+            Key key { task.failedOn.contains(*id), far,
+                step.longRunning ? countOfStep(this->upstreams.at(*id), ready) / tasksPerVm(step) : 0U,
+                // Long-running tasks share VMs, so that the other VMs can change their pool.
+                step.longRunning && !room.hasLongRunning,
+                // Other tasks fill the most loaded VMs first, so that the rest can be released.
+                step.longRunning || step.filler ? load : -load, *id };
+            if (!bestKey || key < *bestKey) {
+                best = id;
+                bestKey.emplace(std::move(key));
+            }
         }
     }
     return best;
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -130,7 +130,7 @@
     if (!event.mayHaveStarted && event.job.firstDue == kernel::Instant {}) {
         this->arrivals.add(expectedWork(run), now.steady);
     }
-    this->jobRuns.emplace(event.job.id, std::move(run));
+    touch(this->jobRuns.emplace(event.job.id, std::move(run)).first->second);
     this->passNeeded = true;
 }
 
@@ -145,23 +145,37 @@
     run.written = true;
     this->changed.erase(event.job);
     eachTask(run, [&](const TaskId& id, Task& task) { stop(id, task, now, "cancelled"); });
-    eraseEnded();
+    touch(run);
+    forgetIfEnded(event.job);
     this->passNeeded = true;
 }
 
 void PoolScheduler::on(const MembersSeen& event, Moment now)
 {
-    for (auto& [id, upstream] : this->upstreams) {
-        upstream.member = false;
-    }
+    std::set<UpstreamId> present;
     for (const auto& facts : event.members) {
+        present.insert(facts.id);
         auto& upstream = this->upstreams[facts.id];
-        upstream.facts.emplace(facts);
-        upstream.member = true;
+        if (!upstream.member || upstream.facts != facts) {
+            upstream.facts.emplace(facts);
+            upstream.member = true;
+            this->racks.clear();
+            touch(facts.id);
+        }
+    }
+    std::vector<UpstreamId> unused;
+    for (auto& [id, upstream] : this->upstreams) {
+        if (upstream.member && !present.contains(id)) {
+            upstream.member = false;
+            touch(id);
+        }
+        if (!upstream.member && !upstream.listed && upstream.tasks.empty()) {
+            unused.push_back(id);
+        }
+    }
+    for (const auto& id : unused) {
+        forgetUpstream(id);
     }
-    std::erase_if(this->upstreams, [](const auto& entry) {
-        return !entry.second.member && !entry.second.listed && entry.second.tasks.empty();
-    });
     emptyUpstreams(now);
     this->passNeeded = true;
 }
@@ -173,6 +187,10 @@
         const auto known = this->drains.find(drain.upstream);
         const auto since = known != this->drains.end() ? known->second.since : now.steady;
         wanted.emplace(drain.upstream, internal::Draining { since, drain.stopsTasks });
+        touch(drain.upstream);
+    }
+    for (const auto& [id, drain] : this->drains) {
+        touch(id);
     }
     this->drains = std::move(wanted);
     emptyUpstreams(now);
@@ -192,6 +210,7 @@
     }
     upstream.listed = true;
     upstream.hasForeign = false;
+    touch(event.upstream);
     upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.leaseSpan);
     for (const auto& end : event.ended) {
         if (end.number > upstream.lastEnd) {
@@ -223,10 +242,10 @@
             learnRunTime(*run, end.task.position.step, now.steady - task->started);
         }
         detach(end.task, *task);
-        toWaiting(*task, now);
+        toWaiting(end.task, *task, now);
     }
     if (jobs::isFinal(run->state) || task->done) {
-        eraseEnded();
+        forgetIfEnded(end.task.job);
         return;
     }
     markRunning(*run);
@@ -269,6 +288,7 @@
     this->runTimes.observe(run.job.queue, run.job.steps[step].estimate, actual);
     run.expected[step] = actual;
     run.due = dueTime(run);
+    touch(run);
 }
 
 void PoolScheduler::applyRunning(const UpstreamId& id, const RunningTask& running, Moment now)
@@ -297,7 +317,8 @@
         task->percent = running.percent;
         task->phase = Phase::Running;
         task->stopAnswered.reset();
-        attach(running.task, upstream);
+        attach(running.task, *task);
+        touch(running.task.job, running.task.position.occurrence);
     }
     if (task->phase == Phase::Starting) {
         task->phase = Phase::Running;
@@ -325,10 +346,10 @@
         if (task != nullptr && task->phase == Phase::Stopping && task->stopAnswered
             && *task->stopAnswered <= event.sent && !present.contains(id)) {
             detach(id, *task);
-            toWaiting(*task, now);
+            toWaiting(id, *task, now);
+            forgetIfEnded(id.job);
         }
     }
-    eraseEnded();
 }
 
 void PoolScheduler::on(const StartAnswered& event, Moment now)
@@ -345,18 +366,19 @@
         return;
     case StartResult::Unknown:
         this->upstreams[event.upstream].suspectUntil = now.steady + this->policy.refusedDelay;
+        touch(event.upstream);
         stop(event.task, *task, now, "start without an answer");
         return;
     case StartResult::NoRoom:
     case StartResult::Refused:
     case StartResult::NotSent:
-        suspect(this->upstreams[event.upstream], now);
+        suspect(event.upstream, now);
         [[fallthrough]];
     case StartResult::StaleRun:
         detach(event.task, *task);
-        toWaiting(*task, now);
+        toWaiting(event.task, *task, now);
         task->notBefore = now.steady + this->policy.refusedDelay;
-        eraseEnded();
+        forgetIfEnded(event.task.job);
         this->passNeeded = true;
         return;
     }
@@ -376,12 +398,13 @@
     auto& upstream = this->upstreams[event.upstream];
     upstream.listed = false;
     upstream.leaseEnd = std::max(upstream.leaseEnd, event.lastRenewal + this->policy.leaseSpan);
+    touch(event.upstream);
 }
 
 void PoolScheduler::on(const UpstreamReplaced& event, Moment now)
 {
     releaseAll(event.upstream, now, false);
-    this->upstreams.erase(event.upstream);
+    forgetUpstream(event.upstream);
     heardOf(event.upstream);
     this->passNeeded = true;
 }
@@ -397,6 +420,7 @@
 {
     for (auto& [id, run] : this->jobRuns) {
         eachTask(run, [](const TaskId&, Task& task) { task.unresolved = false; });
+        touch(run);
     }
     this->passNeeded = true;
 }
@@ -418,7 +442,6 @@
     }
     checkStalls(now);
     emptyUpstreams(now);
-    eraseEnded();
     this->passNeeded = true;
 }
 
@@ -446,7 +469,7 @@
                 && now.steady - task->lastProgress > this->policy.stallLimit;
             if (stalled || notAtWork) {
                 task->failedOn.insert(upstreamId);
-                suspect(upstream, now);
+                suspect(upstreamId, now);
                 stop(id, *task, now, "no progress");
             }
         }
@@ -508,6 +531,7 @@
         task.phase = Phase::Done;
     }
     ++run.occurrences[id.position.occurrence][id.position.step].done;
+    touch(id.job, id.position.occurrence);
     if (const auto upstream = this->upstreams.find(task.upstream); upstream != this->upstreams.end()) {
         upstream->second.failedJobs.clear();
         upstream->second.suspicions = 0;
@@ -526,7 +550,7 @@
     if (const auto upstream = this->upstreams.find(where); upstream != this->upstreams.end()) {
         upstream->second.failedJobs.insert(id.job);
         if (upstream->second.failedJobs.size() >= failedJobsLimit) {
-            suspect(upstream->second, now);
+            suspect(where, now);
         }
     }
     if (!stepOf(id).longRunning && task.failedRuns.size() >= run.job.maxAttempts) {
@@ -539,11 +563,13 @@
     run.state = state;
     run.finished = now.wall;
     eachTask(run, [&](const TaskId& id, Task& task) { stop(id, task, now, reason); });
+    touch(run);
     markChanged(run.job.id, true);
 }
 
-void PoolScheduler::suspect(Upstream& upstream, Moment now)
+void PoolScheduler::suspect(const UpstreamId& id, Moment now)
 {
+    auto& upstream = this->upstreams[id];
     if (upstream.suspectUntil > now.steady) {
         return;
     }
@@ -551,15 +577,17 @@
     upstream.suspectUntil = now.steady + this->policy.suspicion * (std::int64_t { 1 } << doublings);
     ++upstream.suspicions;
     upstream.failedJobs.clear();
+    touch(id);
 }
 
-void PoolScheduler::toWaiting(Task& task, Moment now)
+void PoolScheduler::toWaiting(const TaskId& id, Task& task, Moment now)
 {
     task.phase = task.done ? Phase::Done : Phase::Waiting;
     task.percent = 0;
     task.pace = 100;
     task.stopAnswered.reset();
     task.readySince = now.steady;
+    touch(id.job, id.position.occurrence);
     this->passNeeded = true;
 }
 
@@ -571,17 +599,27 @@
     }
 }
 
-void PoolScheduler::attach(const TaskId& id, Upstream& upstream)
+void PoolScheduler::attach(const TaskId& id, const Task& task)
 {
+    auto& upstream = this->upstreams[task.upstream];
+    const auto& step = stepOf(id);
     upstream.tasks.insert(id);
-    internal::takeRoom(upstream, stepOf(id), 1);
+    upstream.longRunningTasks += step.longRunning ? 1 : 0;
+    internal::takeRoom(upstream, step, 1);
+    ++this->jobRuns.at(id.job).active;
+    touch(task.upstream);
 }
 
 void PoolScheduler::detach(const TaskId& id, Task& task)
 {
     const auto found = this->upstreams.find(task.upstream);
     if (found != this->upstreams.end() && found->second.tasks.erase(id) != 0) {
-        internal::takeRoom(found->second, stepOf(id), -1);
+        const auto& step = stepOf(id);
+        found->second.longRunningTasks -= step.longRunning ? 1 : 0;
+        found->second.gaveRoom = true;
+        internal::takeRoom(found->second, step, -1);
+        --this->jobRuns.at(id.job).active;
+        touch(task.upstream);
     }
 }
 
@@ -618,22 +656,41 @@
             continue;
         }
         detach(taskId, *task);
-        toWaiting(*task, now);
+        toWaiting(taskId, *task, now);
+        forgetIfEnded(taskId.job);
     }
-    eraseEnded();
 }
 
-void PoolScheduler::eraseEnded()
+void PoolScheduler::forgetIfEnded(const jobs::JobId& job)
 {
-    for (auto entry = this->jobRuns.begin(); entry != this->jobRuns.end();) {
-        auto& run = entry->second;
-        ++this->jobLooks;
-        bool keep = !jobs::isFinal(run.state) || !run.written;
-        if (!keep) {
-            eachTask(run, [&](const TaskId&, const Task& task) { keep = keep || isActive(task); });
+    const auto found = this->jobRuns.find(job);
+    ++this->jobLooks;
+    if (found == this->jobRuns.end() || !jobs::isFinal(found->second.state) || !found->second.written
+        || found->second.active > 0) {
+        return;
+    }
+    auto& occurrences = found->second.occurrences;
+    for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
+        for (std::uint32_t step = 0; step < occurrences[occurrence].size(); ++step) {
+            const StepId id { found->first, occurrence, step };
+            setWaiting(occurrences[occurrence][step], std::nullopt);
+            setWakes(id, occurrences[occurrence][step], std::nullopt, std::nullopt);
         }
-        entry = keep ? std::next(entry) : this->jobRuns.erase(entry);
     }
+    this->jobRuns.erase(found);
+}
+
+void PoolScheduler::forgetUpstream(const UpstreamId& id)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end()) {
+        return;
+    }
+    if (found->second.room) {
+        this->rooms.erase(id, *found->second.room);
+    }
+    this->upstreams.erase(found);
+    this->racks.clear();
 }
 
 void PoolScheduler::recordWritten(const jobs::JobId& job)
@@ -641,7 +698,7 @@
     if (const auto found = this->jobRuns.find(job);
         found != this->jobRuns.end() && jobs::isFinal(found->second.state)) {
         found->second.written = true;
-        eraseEnded();
+        forgetIfEnded(job);
     }
 }
 
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -23,14 +23,6 @@
  */
 class PoolScheduler {
 public:
-    /** @brief A step that has tasks to start. */
-    struct Ready {
-        internal::JobRun* job;
-        std::uint32_t occurrence;
-        std::uint32_t step;
-        bool late;
-    };
-
     /**
      * @param policy Limits and weights.
      * @param term Term of ownership; runs of a later term have higher numbers.
@@ -121,15 +113,16 @@
     void releaseAll(const UpstreamId& id, Moment now, bool reborn);
     void resolveStarts();
     void heardOf(const UpstreamId& id);
-    void eraseEnded();
+    void forgetIfEnded(const jobs::JobId& job);
+    void forgetUpstream(const UpstreamId& id);
     void finish(JobRun& run, jobs::JobState state, Moment now, std::string_view reason);
     void learnRunTime(JobRun& run, std::uint32_t step, kernel::Duration actual);
     void taskDone(JobRun& run, const jobs::TaskId& id, Task& task, Moment now);
     void taskFailed(JobRun& run, const jobs::TaskId& id, Task& task, const UpstreamId& where, Moment now);
-    void suspect(Upstream& upstream, Moment now);
-    void toWaiting(Task& task, Moment now);
+    void suspect(const UpstreamId& id, Moment now);
+    void toWaiting(const jobs::TaskId& id, Task& task, Moment now);
     void markRunning(JobRun& run);
-    void attach(const jobs::TaskId& id, Upstream& upstream);
+    void attach(const jobs::TaskId& id, const Task& task);
     void detach(const jobs::TaskId& id, Task& task);
     void stop(const jobs::TaskId& id, Task& task, Moment now, std::string_view reason);
     void stopForeign(
@@ -139,18 +132,43 @@
     void emptyUpstreams(Moment now);
     void controlPace(Upstream& upstream, Moment now);
 
+    /** @brief A step that has tasks to start. */
+    struct Ready {
+        JobRun* job;
+        std::uint32_t occurrence;
+        std::uint32_t step;
+    };
+
+    void touch(const jobs::JobId& job, std::uint32_t occurrence)
+    {
+        this->touchedSteps.emplace(job, occurrence);
+    }
+    void touch(const JobRun& run);
+    void touch(const UpstreamId& upstream) { this->touchedUpstreams.insert(upstream); }
+    void wake(Moment now);
+    void refresh(Moment now);
+    void refreshSteps(JobRun& run, std::uint32_t occurrence, Moment now);
+    void refreshUpstream(const UpstreamId& id, Moment now);
+    void index(const UpstreamId& id, Upstream& upstream, Moment now);
+    void setWaiting(StepRun& step, const std::optional<internal::Waiting>& waiting);
+    void setWakes(const StepId& id, StepRun& step, std::optional<kernel::Instant> wall,
+        std::optional<kernel::Instant> steady);
+    Needs needsOf(const JobRun& run, const StepId& id, Moment now) const;
+
     void schedule(Moment now);
-    std::vector<Ready> readySteps(Moment now);
-    void place(const Ready& ready, Moment now);
-    void placeGang(const Ready& ready, Moment now);
-    void startOn(const Ready& ready, std::uint32_t index, Upstream& upstream, jobs::Run run, Moment now);
-    Upstream* choose(const Ready& ready, const Task& task, Moment now, const model::RackId* onlyRack);
-    bool fits(const Upstream& upstream, const jobs::Step& step) const;
-    bool isOpen(const Upstream& upstream, Moment now) const;
-    bool usable(const Upstream& upstream, const Ready& ready, Moment now) const;
+    bool place(const Ready& ready, Moment now);
+    bool placeGang(const Ready& ready, Moment now);
+    std::vector<UpstreamId> chooseGang(const Ready& ready, Moment now, const model::RackId* onlyRack);
+    void startOn(const Ready& ready, std::uint32_t number, UpstreamId where, jobs::Run run, Moment now);
+    bool admits(const Ready& ready, const Room& room) const;
+    std::vector<const UpstreamId*> candidates(
+        const Ready& ready, const Task& task, const std::set<UpstreamId>& group);
+    const UpstreamId* choose(const Ready& ready, const Task& task, Moment now, const model::RackId* onlyRack);
+    const std::vector<model::RackId>& racksInOrder();
+    bool isOpen(const UpstreamId& id, const Upstream& upstream, Moment now) const;
     kernel::Duration timeToEmpty(const Upstream& upstream, Moment now) const;
-    bool hasLongRunning(const Upstream& upstream) const;
     std::uint32_t countOfStep(const Upstream& upstream, const Ready& ready) const;
+    bool areEarlierDone(const JobRun& run, std::uint32_t occurrence, std::uint32_t step) const;
     bool isStepReady(const JobRun& run, std::uint32_t occurrence, std::uint32_t step, Moment now) const;
     std::uint32_t awayBeside(const JobRun& run, const jobs::TaskId& id) const;
 
@@ -175,6 +193,16 @@
     std::map<UpstreamId, Upstream> upstreams {};
     std::set<jobs::JobId> changed {};
     std::vector<Order> orders {};
+    /** @brief Occurrences whose steps may have to be indexed anew, and upstreams. */
+    std::set<std::pair<jobs::JobId, std::uint32_t>> touchedSteps {};
+    std::set<UpstreamId> touchedUpstreams {};
+    std::set<std::pair<kernel::Instant, StepId>> wallWakes {};
+    std::set<std::pair<kernel::Instant, StepId>> steadyWakes {};
+    std::set<std::pair<kernel::Instant, UpstreamId>> suspicionEnds {};
+    WaitingIndex waiting {};
+    RoomIndex rooms {};
+    /** @brief Racks in the order of their first upstreams; empty when it has to be made anew. */
+    std::vector<model::RackId> racks {};
     ArrivalRate arrivals {};
     RunTimes runTimes {};
 };
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "wasabiroad/scheduling/event.hpp"
+#include "wasabiroad/scheduling/room_index.hpp"
+#include "wasabiroad/scheduling/waiting_index.hpp"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,10 +48,22 @@
     std::optional<kernel::Instant> stopAnswered {};
 };
 
+/** @brief How a step is held in the index of waiting steps. */
+struct Waiting {
+    const Rank rank {};
+    const Needs needs {};
+
+    friend auto operator<=>(const Waiting&, const Waiting&) = default;
+};
+
 /** @brief Tasks of one step of one occurrence. */
 struct StepRun {
     std::vector<Task> tasks {};
     std::uint32_t done { 0 };
+    std::optional<Waiting> waiting {};
+    /** @brief When time alone changes whether and how it waits, on the wall clock and the monotonic one. */
+    std::optional<kernel::Instant> wallWake {};
+    std::optional<kernel::Instant> steadyWake {};
 };
 
 /** @brief Scheduling state of a job. */
@@ -64,6 +79,8 @@
     /** @brief Wall clock at which it is late. */
     kernel::Instant due {};
     kernel::Instant finished {};
+    /** @brief Tasks that count against an upstream. */
+    std::size_t active { 0 };
     /** @brief The record of its final state is in the store. */
     bool written { false };
 };
@@ -90,11 +107,34 @@
     std::int64_t memory { 0 };
     std::int64_t accelerators { 0 };
     std::set<jobs::TaskId> tasks {};
+    std::size_t longRunningTasks { 0 };
+    /** @brief How it is held in the index of open upstreams. */
+    std::optional<Room> room {};
+    /** @brief A task has left it since it was last indexed. */
+    bool gaveRoom { false };
     std::uint64_t lastEnd { 0 };
     /** @brief It runs tasks of jobs that are not known here, so its room is not known. */
     bool hasForeign { false };
 };
 
+/** @return Whether a task may be started now, as far as it alone decides. */
+inline bool isStartable(const Task& task, Moment now)
+{
+    return task.phase == Phase::Waiting && !task.unresolved && task.notBefore <= now.steady;
+}
+
+/** @return Whether a task still waits for room on the rack of its data. */
+inline bool waitsForRack(const jobs::Step& step, const Task& task, Moment now)
+{
+    return !step.dataRack.empty() && now.steady - task.readySince < step.estimate;
+}
+
+/** @return Thousandths of a core that an upstream must have left; fillers use only cpu that others leave. */
+inline std::int64_t countedCpu(const jobs::Step& step)
+{
+    return step.filler ? std::numeric_limits<std::int64_t>::min() : step.resources.cpu;
+}
+
 /**
  * @brief Takes the room of tasks of a step on an upstream.
  * @param tasks Number of tasks; negative to give the room back.
--- /dev/null
+++ b/test/wasabiroad/scheduling/effort.cpp
@@ -0,0 +1,145 @@
+#include "wasabiroad/scheduling/fixture.hpp"
+
+#include <functional>
+#include <utility>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::scheduling::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/** Looks at what an event names. */
+constexpr std::uint64_t looksPerEvent = 8;
+
+/** Looks for each task that is placed. */
+constexpr std::uint64_t looksPerPlacement = 8;
+
+/** Events that are measured; what a single one costs may be a look that was put off. */
+constexpr std::uint64_t measuredEvents = 20;
+
+/** Sizes of the tasks that wait. */
+constexpr std::int64_t sizes = 4;
+
+/** Looks for each size when room appears: whether it may fit, its first step, and the room. */
+constexpr std::uint64_t looksPerSize = 3;
+
+constexpr std::int64_t upstreamCpu = 4000;
+
+/** A pool whose upstreams are full while jobs wait. */
+struct CrowdRow {
+    const std::size_t waitingJobs;
+    const std::size_t fullUpstreams;
+
+    friend std::ostream& operator<<(std::ostream& out, const CrowdRow& row)
+    {
+        return out << row.waitingJobs << " jobs wait for " << row.fullUpstreams << " full upstreams";
+    }
+};
+
+const std::vector<CrowdRow> crowds { { 10, 4 }, { 1000, 4 }, { 10, 300 }, { 1000, 300 } };
+
+/** @brief A full pool, and the events that the rows measure. */
+class Crowd {
+public:
+    explicit Crowd(const CrowdRow& row)
+        : site(members(row.fullUpstreams))
+    {
+        for (std::size_t index = 0; index < row.fullUpstreams; ++index) {
+            add("running", 1, upstreamCpu);
+        }
+        for (const auto& start : this->site.starts) {
+            this->site.apply(
+                StartAnswered { start.upstream, start.task, start.run, StartResult::Started }, 20);
+        }
+        for (std::size_t index = 0; index < row.waitingJobs; ++index) {
+            add("waiting", 1, upstreamCpu - static_cast<std::int64_t>(index) % sizes);
+        }
+        this->placed = this->site.starts.size();
+    }
+
+    void add(const std::string& name, std::uint32_t tasks, std::int64_t cpu)
+    {
+        this->site.apply(
+            JobAdded { makeJob(name + std::to_string(++this->added), { makeStep(tasks, cpu) }) }, 10);
+    }
+
+    /** @return Looks of all kinds since the last call, and the tasks that were placed. */
+    std::pair<std::uint64_t, std::size_t> since()
+    {
+        const auto effort = this->site.scheduler.effort();
+        const auto all = effort.jobs + effort.steps + effort.upstreams;
+        const auto starts = this->site.starts.size();
+        return { all - std::exchange(this->looks, all), starts - std::exchange(this->placed, starts) };
+    }
+
+    Site site;
+
+private:
+    static std::vector<UpstreamFacts> members(std::size_t count)
+    {
+        std::vector<UpstreamFacts> facts;
+        for (std::size_t index = 0; index < count; ++index) {
+            facts.push_back(makeUpstream("u" + std::to_string(index), upstreamCpu));
+        }
+        return facts;
+    }
+
+    std::size_t added { 0 };
+    std::uint64_t looks { 0 };
+    std::size_t placed { 0 };
+};
+
+/** What happens in a full pool. */
+struct EventRow {
+    const char* title;
+    const std::function<void(Crowd&, std::uint64_t number)> happen;
+
+    friend std::ostream& operator<<(std::ostream& out, const EventRow& row) { return out << row.title; }
+};
+
+const std::vector<EventRow> eventRows {
+    { "a job is added", [](Crowd& crowd, std::uint64_t) { crowd.add("late", 1, upstreamCpu); } },
+    { "an upstream lists its task",
+        [](Crowd& crowd, std::uint64_t) {
+            const auto& start = crowd.site.starts.front();
+            crowd.site.list(start.upstream.text(), { { start.task, start.run, "", 50 } }, {}, 30);
+        } },
+    { "time passes", [](Crowd& crowd, std::uint64_t) { crowd.site.apply(Tick {}, 30); } },
+    { "a task ends and another takes its place",
+        [](Crowd& crowd, std::uint64_t number) {
+            const auto start = crowd.site.starts[number % crowd.site.starts.size()];
+            crowd.site.list(
+                start.upstream.text(), {}, { { number + 1, start.task, start.run, EndKind::Done, "" } }, 30);
+            crowd.site.scheduler.recordWritten(start.task.job);
+        } },
+    { "a start is refused",
+        [](Crowd& crowd, std::uint64_t) {
+            const auto start = crowd.site.starts.back();
+            crowd.site.apply(
+                StartAnswered { start.upstream, start.task, start.run, StartResult::NoRoom }, 30);
+        } },
+};
+
+/** Guards against events whose cost grows with the jobs that wait and the upstreams that are full. */
+BOOST_DATA_TEST_CASE(effort_of_an_event_does_not_grow_with_the_crowd,
+    data::make(crowds) * data::make(eventRows), crowdRow, eventRow)
+{
+    Crowd crowd { crowdRow };
+    BOOST_REQUIRE_EQUAL(crowd.site.starts.size(), crowdRow.fullUpstreams);
+    crowd.since();
+    for (std::uint64_t number = 0; number < measuredEvents; ++number) {
+        eventRow.happen(crowd, number);
+    }
+    const auto [looks, placements] = crowd.since();
+    BOOST_TEST(
+        looks <= looksPerEvent * measuredEvents + (looksPerPlacement + looksPerSize * sizes) * placements);
+}
+
+} // namespace
+
+} // namespace wasabiroad::scheduling::test
