Let the daemons with the most capacity take vacant duties

The decision is a pure function of the VM, the duties held and the time vacant. Daemons that are due at the same moment begin with different duties. A refused or unanswered attempt is repeated after 300 ms; it was repeated at once.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -43,7 +43,7 @@
               }
           });
     this->duties = std::make_shared<Duties>(this->environment.context, this->environment.store,
-        this->environment.entry, this->environment.incarnation,
+        this->environment.entry, this->environment.incarnation, this->environment.vm,
         DutyHandlers {
             [weak](const std::string& duty, ports::Term term) {
                 if (const auto self = weak.lock()) {
--- a/src/wasabiroad/agent/duties.cpp
+++ b/src/wasabiroad/agent/duties.cpp
@@ -1,9 +1,12 @@
 #include "wasabiroad/agent/duties.hpp"
 
 #include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/agent/vacancy.hpp"
 #include "wasabiroad/kernel/log.hpp"
 #include "wasabiroad/kernel/overloaded.hpp"
 
+#include <algorithm>
+
 namespace wasabiroad::agent {
 
 using kernel::Duration;
@@ -25,17 +28,15 @@
 
 constexpr Duration retryInterval { 300 };
 
-/** Delay before a vacant duty is taken, for each duty that is held already: spreads duties over daemons. */
-constexpr Duration delayPerHeldDuty { 250 };
-
 } // namespace
 
 Duties::Duties(boost::asio::io_context& ioContext, std::shared_ptr<const store::Store> dutyStore,
-    model::EntryId self, std::uint64_t run, DutyHandlers dutyHandlers)
+    model::EntryId self, std::uint64_t run, settings::VmCapacity capacity, DutyHandlers dutyHandlers)
     : context(ioContext)
     , store(std::move(dutyStore))
     , entry(std::move(self))
     , incarnation(run)
+    , vm(capacity)
     , handlers(std::move(dutyHandlers))
     , leaseTimer(ioContext)
     , retryTimer(ioContext)
@@ -179,6 +180,8 @@
 
 void Duties::onOwner(const std::string& duty, const std::string& owner, store::Revision created)
 {
+    const auto since = this->vacantSince.find(duty);
+    const auto vacant = since != this->vacantSince.end() ? kernel::bootNow() - since->second : Duration {};
     this->owners[duty] = owner;
     this->vacantSince.erase(duty);
     const auto mine = this->held.find(duty);
@@ -186,7 +189,10 @@
         if (mine == this->held.end() && this->lease) {
             const ports::Term term { created.value };
             this->held.emplace(duty, term);
-            kernel::logEvent("duty-taken", { { "duty", duty }, { "term", term.value } });
+            kernel::logEvent("duty-taken",
+                { { "duty", duty }, { "term", term.value }, { "vacant_ms", vacant.milliseconds },
+                    { "held", this->held.size() }, { "cpu", this->vm.cpu },
+                    { "link_mbps", this->vm.linkMbps } });
             this->handlers.begin(duty, term);
         }
     } else if (mine != this->held.end()) {
@@ -208,23 +214,40 @@
     if (this->stopping) {
         return;
     }
-    bool vacant = false;
-    const auto now = kernel::bootNow();
+    std::vector<std::string> vacant;
     for (const auto& duty : this->wanted) {
-        const auto since = this->vacantSince.find(duty);
-        if (since == this->vacantSince.end() || this->taking.contains(duty)) {
-            continue;
-        }
-        vacant = true;
-        const auto delay
-            = delayPerHeldDuty * static_cast<std::int64_t>(this->held.size() + this->taking.size());
-        if (this->informed && this->lease && now < this->validUntil && now - since->second >= delay) {
-            tryTake(duty);
+        if (this->vacantSince.contains(duty) && !this->taking.contains(duty)) {
+            vacant.push_back(duty);
         }
     }
-    if (vacant) {
-        this->retryTimer.start(delayPerHeldDuty, [self = shared_from_this()] { self->tryVacant(); });
+    if (vacant.empty()) {
+        return;
+    }
+    // Daemons of one capacity are due at the same moment: each begins with another duty.
+    const auto first = std::hash<std::string> {}(this->entry.text()) % vacant.size();
+    std::rotate(vacant.begin(), vacant.begin() + static_cast<std::ptrdiff_t>(first), vacant.end());
+    auto next = retryInterval;
+    for (const auto& duty : vacant) {
+        next = std::min(next, consider(duty, this->vacantSince.at(duty)));
     }
+    this->retryTimer.start(next, [self = shared_from_this()] { self->tryVacant(); });
+}
+
+Duration Duties::consider(const std::string& duty, Instant since)
+{
+    const auto now = kernel::bootNow();
+    if (!this->informed || !this->lease || now >= this->validUntil) {
+        return retryInterval;
+    }
+    const auto decision = decideVacancy({ this->vm, this->held.size() + this->taking.size() }, now - since);
+    return std::visit(kernel::Overloaded {
+                          [&](const TakeDuty&) {
+                              tryTake(duty);
+                              return retryInterval;
+                          },
+                          [](const LeaveDuty& leave) { return leave.remaining; },
+                      },
+        decision);
 }
 
 void Duties::tryTake(const std::string& duty)
@@ -237,6 +260,7 @@
             if (self->stopping) {
                 return;
             }
+            bool answered = true;
             std::visit(kernel::Overloaded {
                            [&](const store::Committed& committed) {
                                if (self->lease == lease) {
@@ -253,11 +277,15 @@
                                self->loseAll("lease ended");
                            },
                            // The watch shows whether it was taken.
-                           [&](const store::NotDone&) {},
-                           [&](const store::OutcomeUnknown&) {},
+                           [&](const store::NotDone&) { answered = false; },
+                           [&](const store::OutcomeUnknown&) { answered = false; },
                        },
                 outcome);
-            self->tryVacant();
+            if (answered) {
+                self->tryVacant();
+            } else {
+                self->retryTimer.start(retryInterval, [self] { self->tryVacant(); });
+            }
         });
 }
 
--- a/src/wasabiroad/agent/duties.hpp
+++ b/src/wasabiroad/agent/duties.hpp
@@ -3,6 +3,7 @@
 #include "wasabiroad/kernel/timer.hpp"
 #include "wasabiroad/model/identifier.hpp"
 #include "wasabiroad/ports/upstreams.hpp"
+#include "wasabiroad/settings/settings.hpp"
 #include "wasabiroad/store/store.hpp"
 
 #include <functional>
@@ -34,9 +35,11 @@
      * @param store Store.
      * @param entry Name of this daemon.
      * @param incarnation Number of this run of the daemon.
+     * @param vm What the VM of this daemon offers; those with more take vacant duties first.
+     * @param handlers Calls when duties begin and end.
      */
     Duties(boost::asio::io_context& context, std::shared_ptr<const store::Store> store, model::EntryId entry,
-        std::uint64_t incarnation, DutyHandlers handlers);
+        std::uint64_t incarnation, settings::VmCapacity vm, DutyHandlers handlers);
 
     /** @brief Begins to compete for the duties that are wanted. */
     void start();
@@ -66,7 +69,10 @@
     void watchOwners(store::Revision after);
     void onOwner(const std::string& duty, const std::string& owner, store::Revision created);
     void onVacant(const std::string& duty);
+    /** Takes what is due among the vacant duties, and comes back for the rest. */
     void tryVacant();
+    /** @return Time until the duty is looked at again. */
+    kernel::Duration consider(const std::string& duty, kernel::Instant vacantSince);
     void tryTake(const std::string& duty);
     void loseAll(std::string_view reason);
     void lose(const std::string& duty, std::string_view reason);
@@ -76,6 +82,7 @@
     const std::shared_ptr<const store::Store> store;
     const model::EntryId entry;
     const std::uint64_t incarnation;
+    const settings::VmCapacity vm;
     const DutyHandlers handlers;
     std::optional<store::LeaseId> lease {};
     bool granting { false };
--- a/src/wasabiroad/agent/plugin.cpp
+++ b/src/wasabiroad/agent/plugin.cpp
@@ -19,6 +19,7 @@
         .metrics = kernel.find<metrics::Metrics>(),
         .configurations = configurations,
         .incarnation = static_cast<std::uint64_t>(kernel::now(kernel::WallClock {}).milliseconds),
+        .vm = settings->vm,
     });
     kernel.provide(std::move(configurations));
     kernel.provide(agent);
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -75,7 +75,7 @@
     Site(const Site&) = delete;
     Site& operator=(const Site&) = delete;
 
-    Daemon& addDaemon()
+    Daemon& addDaemon(settings::VmCapacity vm = {})
     {
         const auto number = this->daemons.size();
         auto daemon = std::make_unique<Daemon>();
@@ -93,6 +93,7 @@
             .metrics = std::make_shared<metrics::Metrics>(),
             .configurations = std::make_shared<kernel::Publisher<jobs::Configuration>>(),
             .incarnation = number + 1,
+            .vm = vm,
         });
         daemon->agent = agent;
         auto started = std::make_unique<Daemon>(
