Write log lines in batches

cause: each log line was a message to spdlog's thread pool, so each line woke the writer thread, and a thread of spdlog woke each second to flush.

--- a/src/wasabiroad/daemon/main.cpp
+++ b/src/wasabiroad/daemon/main.cpp
@@ -93,7 +93,7 @@
     return errors.front().code;
 }
 
-/** Lines are written in batches of this interval, which spares a system call for each request. */
+/** Lines are written in batches of this interval, which spares a wake-up and a system call for each. */
 constexpr kernel::Duration logInterval { 50 };
 
 boost::asio::awaitable<void> flushLogRegularly()
@@ -114,7 +114,7 @@
 ResultCode serve(
     const settings::Settings& settings, const std::function<kernel::Checked<settings::Settings>()>& readAgain)
 {
-    kernel::startLogging();
+    kernel::startLogging(std::cout);
     kernel::Kernel kernel { settings.trafficThreads };
     kernel.provide(std::make_shared<const settings::Settings>(settings));
     kernel::logEvent(
--- a/src/wasabiroad/kernel/log.hpp
+++ b/src/wasabiroad/kernel/log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <iosfwd>
 #include <string>
 #include <string_view>
 
@@ -29,13 +30,16 @@
     const std::string value;
 };
 
-/** @brief Sends log lines to the standard output through a bounded queue and one writer thread. */
-void startLogging();
+/**
+ * @brief Gathers log lines in a bounded buffer from which one writer thread writes them.
+ * @param output Where lines are written; it must outlive `stopLogging`.
+ */
+void startLogging(std::ostream& output);
 
-/** @brief Asks the writer thread to write all lines that it has formatted; does not wait for it. */
+/** @brief Hands all lines that wait to the writer thread as one batch; does not wait for it. */
 void flushLog();
 
-/** @brief Writes queued lines and stops the writer thread. */
+/** @brief Writes the lines that wait and stops the writer thread. */
 void stopLogging();
 
 /**
