Give counts of waiting jobs only from views of a known age

cause: a daemon that does not own a pool gave the owner's last report whatever it held, 0 without one and 0 for one that could not be decoded; the owner gave what its watch had shown. The pool that was asked for then (xale91a) had the same owner from -13 to 13 s, and its report was being rewritten (revision 5461 at 10.1 s), but the owner was seconds behind: at 10.09 s its watch had shown the pool up to revision 3435, and a job submitted at 3.38 s was seen at 6.09 s. So neither a missing report nor a takeover made these, but reports that were new and said old things. The age of a report's key would not have shown it.

change: each daemon notes the revisions that answers of the store name, with the time at which their calls were sent (RevisionClock): a bound for the age of any view that says up to which revision it is complete. Reports say so. A count is given from the owner's view or its report only when it misses nothing from before 2 s ago, else from the jobs and records in the store (one pool at a time, shared by all callers, reused for 500 ms), else the answer is 503. Reports that say the same are written once a second, so that idle pools are answered from reports too. A report that cannot be decoded is logged. `pending-answered` gives the revision of the view and its age.

Tests, failing before (6 checks in pending.cpp): jobs_are_counted_while_the_owner_is_silent (3 rows): 0 != 2 owner_without_a_watch_does_not_count_from_its_own_view: source=owner revision=3 count=0, source=report count=0 callers_that_ask_together_share_a_count: [0 != 20], source="no report" count=0

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -22,14 +22,26 @@
 /** An entry without an answer of the store for this long sends callers elsewhere. */
 constexpr Duration contactLimit { 2500 };
 
+/** Callers may see counts up to 2 s late (the platform's interface for jobs). */
+constexpr Duration countAgeLimit { 2000 };
+
 /** Attempts to cancel a job whose record changes at the same time. */
 constexpr int cancelAttempts = 6;
 
+AgentContext withObservedStore(AgentContext given, const std::shared_ptr<RevisionClock>& revisions)
+{
+    return { given.context, given.entry, given.access,
+        std::make_shared<const store::Store>(observed(given.store, revisions)), given.fleet, given.upstreams,
+        given.metrics, given.configurations, given.incarnation };
+}
+
 } // namespace
 
 Agent::Agent(AgentContext agentEnvironment)
-    : environment(std::move(agentEnvironment))
+    : revisions(std::make_shared<RevisionClock>())
+    , environment(withObservedStore(std::move(agentEnvironment), revisions))
     , submissions(std::make_shared<Submissions>(environment.context, environment.store, environment.metrics))
+    , pendingCounter(std::make_shared<PendingCounter>(environment.store))
 {
 }
 
@@ -122,38 +134,58 @@
 void Agent::pending(const model::ServiceId& service, const jobs::QueueId& queue,
     store::Callback<std::optional<std::uint64_t>> callback)
 {
-    const auto countOf = [queue](const jobs::PendingCounts& counts) {
-        const auto found = counts.find(queue);
-        return found != counts.end() ? found->second : 0;
+    const auto answer = [self = shared_from_this(), service, queue, callback = std::move(callback)](
+                            std::string_view source, const PendingCounter::Counted& counted) {
+        if (!counted) {
+            kernel::logEvent("pending-unknown",
+                { { "queue", queue.text() }, { "pool", service.text() }, { "source", source },
+                    { "code", number(counted.error().code) }, { "reason", counted.error().found } });
+            callback(std::nullopt);
+            return;
+        }
+        const auto age = self->revisions->ageOf(counted->upTo, kernel::bootNow());
+        kernel::logEvent("pending-answered",
+            { { "queue", queue.text() }, { "pool", service.text() }, { "source", source },
+                { "revision", counted->upTo.value },
+                { "age_ms", age ? std::to_string(age->milliseconds) : "unknown" },
+                { "count", counted->of(queue) } });
+        callback(counted->of(queue));
     };
-    const auto log
-        = [service, queue](std::string_view source, store::Revision revision, std::uint64_t count) {
-              kernel::logEvent("pending-answered",
-                  { { "queue", queue.text() }, { "pool", service.text() }, { "source", source },
-                      { "revision", revision.value }, { "count", count } });
-          };
     const auto own = this->pools.find(service);
     if (own != this->pools.end() && this->duties->mayAct()) {
-        if (const auto counts = own->second->pendingCounts()) {
-            log("owner", own->second->watchedUpTo(), countOf(*counts));
-            callback(countOf(*counts));
+        if (const auto counts = own->second->pendingCounts();
+            counts && isCurrent(own->second->watchedUpTo())) {
+            answer("owner", PendingView { *counts, own->second->watchedUpTo() });
             return;
         }
     }
     this->environment.store->read(keys::report(service),
-        [countOf, log, callback = std::move(callback)](
+        [self = shared_from_this(), service, answer](
             const kernel::Expected<std::optional<store::Entry>>& entry) {
             if (!entry) {
-                callback(std::nullopt);
+                answer("report", tl::unexpected(entry.error()));
                 return;
             }
             const auto report = *entry ? jobs::decodePoolReport((*entry)->value) : std::nullopt;
-            log(report ? "report" : "no report", *entry ? (*entry)->revision : store::Revision {},
-                report ? countOf(report->pending) : 0);
-            callback(report ? countOf(report->pending) : 0);
+            if (*entry && !report) {
+                kernel::logEvent("report-unreadable",
+                    { { "key", (*entry)->key }, { "revision", (*entry)->revision.value } });
+            }
+            if (report && self->isCurrent({ report->seenUpTo })) {
+                answer("report", PendingView { report->pending, { report->seenUpTo } });
+                return;
+            }
+            self->pendingCounter->count(
+                service, [answer](const PendingCounter::Counted& counted) { answer("store", counted); });
         });
 }
 
+bool Agent::isCurrent(store::Revision upTo) const
+{
+    const auto age = this->revisions->ageOf(upTo, kernel::bootNow());
+    return age && *age <= countAgeLimit;
+}
+
 void Agent::readOperator()
 {
     this->environment.fleet->readOperator(
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -3,7 +3,9 @@
 #include "wasabiroad/agent/duties.hpp"
 #include "wasabiroad/agent/fleet_agent.hpp"
 #include "wasabiroad/agent/intake.hpp"
+#include "wasabiroad/agent/pending_counter.hpp"
 #include "wasabiroad/agent/pool_agent.hpp"
+#include "wasabiroad/agent/revision_clock.hpp"
 #include "wasabiroad/agent/submissions.hpp"
 #include "wasabiroad/agent/upstream_directory.hpp"
 #include "wasabiroad/kernel/publisher.hpp"
@@ -60,7 +62,12 @@
     void cancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
         store::Callback<StateOutcome> callback);
 
-    /** @brief Counts the jobs of a queue that have not begun. */
+    /**
+     * @brief Counts the jobs of a queue that have not begun.
+     *
+     * The owner of the pool answers from what it has seen, others from its report, as long as these are
+     * current; else the jobs are counted in the store.
+     */
     void pending(const model::ServiceId& service, const jobs::QueueId& queue,
         store::Callback<std::optional<std::uint64_t>> callback);
 
@@ -94,8 +101,13 @@
     void cancelRecord(const model::ServiceId& service, const jobs::JobId& job, int attempts,
         const store::Entry& entry, const store::Callback<StateOutcome>& callback);
 
+    /** @return Whether a view with all changes up to a revision may answer callers. */
+    bool isCurrent(store::Revision upTo) const;
+
+    const std::shared_ptr<RevisionClock> revisions;
     const AgentContext environment;
     const std::shared_ptr<Submissions> submissions;
+    const std::shared_ptr<PendingCounter> pendingCounter;
     std::shared_ptr<Duties> duties {};
     std::set<std::string> wanted {};
     std::set<model::ServiceId> poolsWithJobs {};
--- a/src/wasabiroad/agent/fwd.hpp
+++ b/src/wasabiroad/agent/fwd.hpp
@@ -4,8 +4,10 @@
 
 struct Intake;
 class Duties;
+class PendingCounter;
 class PoolAgent;
 class RecordWriter;
+class RevisionClock;
 class Submissions;
 class UpstreamAgent;
 
--- /dev/null
+++ b/src/wasabiroad/agent/pending_counter.cpp
@@ -0,0 +1,111 @@
+#include "wasabiroad/agent/pending_counter.hpp"
+
+#include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/kernel/log.hpp"
+
+namespace wasabiroad::agent {
+
+using kernel::Duration;
+using kernel::Instant;
+
+namespace {
+
+/** Time for which a count is used again: short against the 2 s that counts may be late. */
+constexpr Duration reuseTime { 500 };
+
+} // namespace
+
+std::uint64_t PendingView::of(const jobs::QueueId& queue) const
+{
+    const auto found = this->counts.find(queue);
+    return found != this->counts.end() ? found->second : 0;
+}
+
+PendingView countPending(
+    const model::ServiceId& service, const store::Listing& open, const store::Listing& records)
+{
+    std::map<std::string_view, const store::Entry*> recordOf;
+    for (const auto& entry : records.entries) {
+        recordOf.emplace(std::string_view { entry.key }.substr(keys::recordsOf(service).size()), &entry);
+    }
+    jobs::PendingCounts counts;
+    for (const auto& entry : open.entries) {
+        const auto found = recordOf.find(std::string_view { entry.key }.substr(keys::jobsOf(service).size()));
+        // A job and its record are stored together: one without a record has ended since it was listed.
+        if (found == recordOf.end()) {
+            continue;
+        }
+        const auto job = jobs::decodeJob(entry.value);
+        const auto record = jobs::decodeRecord(found->second->value);
+        if (!job || !record) {
+            kernel::logEvent(
+                "job-unreadable", { { "key", entry.key }, { "revision", entry.revision.value } });
+            continue;
+        }
+        if (record->state == jobs::JobState::Pending && job->firstDue == Instant {}) {
+            ++counts[job->queue];
+        }
+    }
+    return { std::move(counts), open.asOf };
+}
+
+PendingCounter::PendingCounter(std::shared_ptr<const store::Store> jobStore)
+    : store(std::move(jobStore))
+{
+}
+
+void PendingCounter::count(const model::ServiceId& service, store::Callback<Counted> callback)
+{
+    const auto last = this->recent.find(service);
+    if (last != this->recent.end() && kernel::bootNow() - last->second.sent < reuseTime) {
+        callback(last->second.view);
+        return;
+    }
+    auto& callers = this->waiting[service];
+    callers.push_back(std::move(callback));
+    if (callers.size() > 1) {
+        return;
+    }
+    this->turns.push_back(service);
+    if (this->turns.size() == 1) {
+        next();
+    }
+}
+
+void PendingCounter::next()
+{
+    const auto& service = this->turns.front();
+    const auto sent = kernel::bootNow();
+    this->store->list(keys::jobsOf(service),
+        [self = shared_from_this(), service, sent](const kernel::Expected<store::Listing>& open) {
+            if (!open) {
+                self->finish(sent, tl::unexpected(open.error()));
+                return;
+            }
+            self->store->list(keys::recordsOf(service),
+                [self, service, sent, open = *open](const kernel::Expected<store::Listing>& records) {
+                    self->finish(sent,
+                        records ? Counted { countPending(service, open, *records) }
+                                : tl::unexpected(records.error()));
+                });
+        });
+}
+
+void PendingCounter::finish(Instant sent, const Counted& counted)
+{
+    const auto service = this->turns.front();
+    this->turns.pop_front();
+    if (counted) {
+        this->recent.erase(service);
+        this->recent.emplace(service, Recent { *counted, sent });
+    }
+    const auto callers = std::exchange(this->waiting[service], {});
+    if (!this->turns.empty()) {
+        next();
+    }
+    for (const auto& callback : callers) {
+        callback(counted);
+    }
+}
+
+} // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -5,6 +5,7 @@
 #include "wasabiroad/kernel/overloaded.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace wasabiroad::agent {
 
@@ -28,6 +29,9 @@
 /** Interval of reports while the need rises: a burst lasts some seconds and VMs take 2 s to come. */
 constexpr Duration risingReportInterval { 100 };
 
+/** Interval of reports that say the same: callers are answered from a report only while it is current. */
+constexpr Duration refreshInterval { 1000 };
+
 /** A need that is larger by this part of the reported one is reported at once. */
 constexpr std::int64_t risingPart = 8;
 
@@ -56,6 +60,16 @@
     return { .leaseSpan = span, .takeoverSpan = span + formerOwner };
 }
 
+/** @return Whether a report says no more than another one, however much later it does. */
+bool saysTheSame(const jobs::PoolReport& left, const jobs::PoolReport& right)
+{
+    const auto content = [](const jobs::PoolReport& report) {
+        return std::tie(
+            report.pending, report.wanted, report.taken, report.spread, report.releasable, report.arriving);
+    };
+    return content(left) == content(right);
+}
+
 /** @return Steps of a job for the log, as "COUNTxCPU@ESTIMATE" with thousandths of a core and ms. */
 std::string shapeOf(const jobs::Job& job)
 {
@@ -542,19 +556,19 @@
     for (const auto& id : demand.releasable) {
         idle.push_back(id.text());
     }
-    auto value = jobs::encode(jobs::PoolReport { this->scheduler->pendingCounts(), demand.wanted,
-        demand.taken, demand.spread, std::move(idle), demand.arriving });
-    if (value == this->publishedReport) {
+    const jobs::PoolReport report { this->scheduler->pendingCounts(), demand.wanted, demand.taken,
+        demand.spread, std::move(idle), demand.arriving, this->watched.value };
+    if (age < refreshInterval && this->publishedReport && saysTheSame(report, *this->publishedReport)) {
         return;
     }
     this->publishing = true;
     this->lastPublished = at.steady;
     this->reportedNeed = need;
-    this->writer->put({ keys::report(this->service), value },
-        [self = shared_from_this(), value](const store::ChangeOutcome& outcome) {
+    this->writer->put({ keys::report(this->service), jobs::encode(report) },
+        [self = shared_from_this(), report](const store::ChangeOutcome& outcome) {
             self->publishing = false;
             if (std::holds_alternative<store::Committed>(outcome)) {
-                self->publishedReport = value;
+                self->publishedReport.emplace(report);
             }
         });
 }
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -140,7 +140,7 @@
     std::map<scheduling::UpstreamId, std::uint64_t> seenEnds {};
     metrics::Counter startCounter;
     metrics::Histogram jobTimes;
-    std::string publishedReport {};
+    std::optional<jobs::PoolReport> publishedReport {};
     bool publishing { false };
     /** @brief Thousandths of a core that the last report asked for. */
     std::int64_t reportedNeed { 0 };
--- /dev/null
+++ b/src/wasabiroad/agent/revision_clock.cpp
@@ -0,0 +1,93 @@
+#include "wasabiroad/agent/revision_clock.hpp"
+
+#include <algorithm>
+
+namespace wasabiroad::agent {
+
+using kernel::Duration;
+using kernel::Instant;
+
+namespace {
+
+/** Views that are older are of no use to anyone. */
+constexpr Duration horizon { 10000 };
+
+/** Answers that come closer together are not told apart. */
+constexpr Duration resolution { 20 };
+
+} // namespace
+
+void RevisionClock::note(Instant sent, store::Revision revision)
+{
+    auto& known = this->observations;
+    const auto later = std::ranges::lower_bound(known, sent, {}, &Observation::sent);
+    if (later != known.end() && later->revision <= revision) {
+        return;
+    }
+    // What the store had by then at most, it had at most before.
+    auto first = later;
+    while (first != known.begin() && std::prev(first)->revision >= revision) {
+        --first;
+    }
+    const auto next = known.erase(first, later);
+    if (next == known.begin() || sent - std::prev(next)->sent >= resolution) {
+        known.insert(next, { sent, revision });
+    }
+    while (known.back().sent - known.front().sent > horizon) {
+        known.pop_front();
+    }
+}
+
+std::optional<Duration> RevisionClock::ageOf(store::Revision upTo, Instant now) const
+{
+    const auto beyond = std::ranges::upper_bound(this->observations, upTo, {}, &Observation::revision);
+    return beyond != this->observations.begin() ? std::optional { now - std::prev(beyond)->sent }
+                                                : std::nullopt;
+}
+
+store::Store observed(std::shared_ptr<const store::Store> store, std::shared_ptr<RevisionClock> revisions)
+{
+    return {
+        .read = store->read,
+        .list =
+            [store, revisions](
+                std::string prefix, store::Callback<kernel::Expected<store::Listing>> callback) {
+                store->list(std::move(prefix),
+                    [revisions, sent = kernel::bootNow(), callback = std::move(callback)](
+                        kernel::Expected<store::Listing> listing) {
+                        if (listing) {
+                            revisions->note(sent, listing->asOf);
+                        }
+                        callback(std::move(listing));
+                    });
+            },
+        .watch =
+            [store, revisions](std::string prefix, store::Revision after, Duration wait,
+                store::Callback<store::WatchOutcome> callback) {
+                store->watch(std::move(prefix), after, wait,
+                    [revisions, sent = kernel::bootNow(), callback = std::move(callback)](
+                        store::WatchOutcome outcome) {
+                        if (const auto* const changes = std::get_if<store::KeyEvents>(&outcome)) {
+                            revisions->note(sent, changes->asOf);
+                        }
+                        callback(std::move(outcome));
+                    });
+            },
+        .change =
+            [store, revisions](store::Change change, store::Callback<store::ChangeOutcome> callback) {
+                store->change(std::move(change),
+                    [revisions, sent = kernel::bootNow(), callback = std::move(callback)](
+                        store::ChangeOutcome outcome) {
+                        if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
+                            revisions->note(sent, committed->revision);
+                        }
+                        callback(std::move(outcome));
+                    });
+            },
+        .grant = store->grant,
+        .renew = store->renew,
+        .end = store->end,
+    };
+}
+
+} // namespace wasabiroad::agent
--- a/src/wasabiroad/jobs/codec.cpp
+++ b/src/wasabiroad/jobs/codec.cpp
@@ -147,6 +147,7 @@
     target.set_taken_memory(report.taken.memory);
     target.set_spread(report.spread);
     target.set_arriving_cpu(report.arriving);
+    target.set_seen_up_to(report.seenUpTo);
     for (const auto& id : report.releasable) {
         target.add_releasable(id);
     }
@@ -165,7 +166,8 @@
     }
     return PoolReport { std::move(counts), { source.cpu(), source.memory(), source.accelerators() },
         { source.taken_cpu(), source.taken_memory() }, source.spread(),
-        { source.releasable().begin(), source.releasable().end() }, source.arriving_cpu() };
+        { source.releasable().begin(), source.releasable().end() }, source.arriving_cpu(),
+        source.seen_up_to() };
 }
 
 std::optional<Job> decodeJob(std::string_view bytes)
--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -59,6 +59,7 @@
         .list =
             [this, faults, reading](const std::string& prefix,
                 const store::Callback<kernel::Expected<store::Listing>>& callback) {
+                ++faults->lists;
                 const auto delayed
                     = [this, faults, callback](const kernel::Expected<store::Listing>& listing) {
                           if (faults->listDelay.milliseconds == 0) {
--- a/src/wasabiroad/standin/key_value.hpp
+++ b/src/wasabiroad/standin/key_value.hpp
@@ -27,6 +27,8 @@
     kernel::Duration listDelay {};
     /** @brief Watches get no answer. */
     bool silentWatches { false };
+    /** @brief Lists that were asked for. */
+    std::size_t lists { 0 };
 };
 
 /** @brief A key-value store in memory with conditions, leases, watches and a history that can be dropped. */
--- /dev/null
+++ b/test/wasabiroad/agent/pending.cpp
@@ -0,0 +1,102 @@
+#include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/agent/site.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace wasabiroad::agent::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+std::optional<std::uint64_t> ask(Site& site, std::size_t daemon)
+{
+    return site.await<std::optional<std::uint64_t>>(
+        [&](auto callback) { site.daemons[daemon]->intake.pending(service, queue, std::move(callback)); });
+}
+
+void rewriteRecord(Site& site, const std::string& job, jobs::JobState state)
+{
+    site.store.put(keys::record(service, jobs::JobId { job }), jobs::encode(jobs::Record { state }));
+}
+
+/** What is in the store in place of a report of the present owner. */
+struct ReportRow {
+    const char* title;
+    const std::optional<std::string> report;
+
+    friend std::ostream& operator<<(std::ostream& out, const ReportRow& row) { return out << row.title; }
+};
+
+const std::vector<ReportRow> reports {
+    { "no report", std::nullopt },
+    { "a report that cannot be read", "\xff\xff" },
+    { "a report of a former owner", jobs::encode(jobs::PoolReport { { { queue, 0 } } }) },
+};
+
+/** Guards against a count from a source of any age, and against a count of 0 without any source. */
+BOOST_DATA_TEST_CASE(jobs_are_counted_while_the_owner_is_silent, data::make(reports), row)
+{
+    Site site { 2 };
+    site.store.put(keys::poolOwner(service), "entry-9#9");
+    if (row.report) {
+        site.store.put(keys::report(service), *row.report);
+    }
+    for (const auto* const id : { "a", "b", "begun", "ended" }) {
+        BOOST_REQUIRE((site.submit(makeJob(id)) == SubmitOutcome { Accepted {} }));
+    }
+    rewriteRecord(site, "begun", jobs::JobState::Running);
+    rewriteRecord(site, "ended", jobs::JobState::Completed);
+    BOOST_TEST((ask(site, 1) == std::optional<std::uint64_t> { 2 }));
+}
+
+/** Guards against a count of what an owner saw before it fell behind. */
+BOOST_AUTO_TEST_CASE(owner_without_a_watch_does_not_count_from_its_own_view)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    const auto owner = *site.owner();
+    site.daemons[owner]->storeFaults->silentWatches = true;
+    site.submit(makeJob("a"), 1 - owner);
+    site.submit(makeJob("b"), 1 - owner);
+    // Counts may be 2 s old.
+    site.runFor(2100);
+    for (const auto daemon : { owner, 1 - owner }) {
+        BOOST_TEST((ask(site, daemon) == std::optional<std::uint64_t> { 2 }));
+    }
+}
+
+/** Guards against an answer of a daemon that cannot know. */
+BOOST_AUTO_TEST_CASE(daemon_without_the_store_gives_no_count)
+{
+    Site site { 2 };
+    site.store.put(keys::poolOwner(service), "entry-9#9");
+    site.submit(makeJob("a"));
+    site.daemons[1]->storeFaults->silent = true;
+    BOOST_TEST((ask(site, 1) == std::nullopt));
+}
+
+/** Guards against a list of the pool for each caller that asks. */
+BOOST_AUTO_TEST_CASE(callers_that_ask_together_share_a_count)
+{
+    Site site { 2 };
+    site.store.put(keys::poolOwner(service), "entry-9#9");
+    site.submit(makeJob("a"));
+    site.runFor(100);
+    const auto before = site.daemons[1]->storeFaults->lists;
+    std::vector<std::optional<std::uint64_t>> counts;
+    for (int caller = 0; caller < 20; ++caller) {
+        site.daemons[1]->intake.pending(
+            service, queue, [&](const std::optional<std::uint64_t>& counted) { counts.push_back(counted); });
+    }
+    BOOST_REQUIRE(site.runUntil([&] { return counts.size() == 20; }));
+    BOOST_TEST(std::ranges::count(counts, std::optional<std::uint64_t> { 1 }) == 20);
+    // The jobs and their records.
+    BOOST_TEST(site.daemons[1]->storeFaults->lists - before <= 2);
+}
+
+} // namespace
+
+} // namespace wasabiroad::agent::test
--- a/test/wasabiroad/jobs/codec.cpp
+++ b/test/wasabiroad/jobs/codec.cpp
@@ -72,7 +72,7 @@
     const std::vector<std::string> upstreams { "u1", "u2" };
     BOOST_TEST((decodeUpstreams(encode(upstreams)) == upstreams));
     const PoolReport report { { { QueueId { "q" }, 7 }, { QueueId { "r" }, 0 } }, { 1, 2, 3 }, { 1, 1 }, 4,
-        { "u1" }, 5 };
+        { "u1" }, 5, 6 };
     BOOST_TEST((decodePoolReport(encode(report)) == report));
     const Drain drain { "u1", true };
     BOOST_TEST((decodeDrain(encode(drain)) == drain));
