Count all jobs of the shortest span in the rate of arrivals

The rate looked back on eight jobs over 300 ms at least, so it could not exceed 23 jobs a second, while 27 to 140 came. The fleet owner followed the backlog instead, seconds later.

change: all jobs of the last 300 ms count when these are more than eight. Jobs of one ms share an entry, which bounds the memory by the span.

The rows of `rate_follows_the_arrivals` for fast streams fail before the change: "check seen >= row.least has failed [23333 < 90000] row = a stream of 100 jobs a second is seen as it is", [23 < 900], [4191 < 10000].

--- a/src/wasabiroad/scheduling/arrivals.cpp
+++ b/src/wasabiroad/scheduling/arrivals.cpp
@@ -7,21 +7,26 @@
 
 namespace {
 
-/** Jobs that are looked back on: with 8, chance makes the rate a third too high or too low. */
-constexpr std::size_t jobsLookedBackOn = 8;
+/** Fewest jobs that are looked back on: with 8, chance makes the rate a third too high or too low. */
+constexpr std::size_t leastJobs = 8;
 
 /** Older jobs say nothing of the present rate; bursts last some seconds. */
 constexpr kernel::Duration longestSpan { 2000 };
 
-/** Jobs that come together by chance are taken as spread over this span. */
+/** Jobs that come together by chance are taken as spread over this span; all jobs within it count. */
 constexpr kernel::Duration shortestSpan { 300 };
 
 } // namespace
 
 void ArrivalRate::add(std::int64_t work, kernel::Instant at)
 {
+    if (this->latest.size() >= leastJobs && this->latest.back().at == at) {
+        // One entry for each ms bounds the memory.
+        this->latest.back().work += work;
+        return;
+    }
     this->latest.push_back({ at, work });
-    if (this->latest.size() > jobsLookedBackOn) {
+    while (this->latest.size() > leastJobs && at - this->latest.front().at > shortestSpan) {
         this->latest.pop_front();
     }
 }
--- a/src/wasabiroad/scheduling/arrivals.hpp
+++ b/src/wasabiroad/scheduling/arrivals.hpp
@@ -10,8 +10,8 @@
 /**
  * @brief Measures how much work arrives, from the latest jobs.
  *
- * The span of a fixed number of jobs, rather than a fixed span, shows a burst after its first few jobs and is
- * steady for rare ones.
+ * The span of the last few jobs, or a short fixed span when more than these came within it, shows a burst
+ * after its first few jobs and is steady for rare ones.
  */
 class ArrivalRate {
 public:
--- a/test/wasabiroad/scheduling/arrivals.cpp
+++ b/test/wasabiroad/scheduling/arrivals.cpp
@@ -32,6 +32,9 @@
     { "one job alone says nothing of a rate", 1, 0, 300000, 0, 0, 0 },
     { "a steady stream is seen as it is", 100, 50, 1000000, 0, 18000, 22000 },
     { "a burst shows after its first jobs", 8, 25, 1000000, 0, 20000, 40000 },
+    { "a stream of 100 jobs a second is seen as it is", 300, 10, 1000000, 0, 90000, 110000 },
+    { "jobs that come in the same millisecond count", 300, 0, 1000, 0, 900, 1000 },
+    { "the rate of a fast stream falls when it ends", 300, 10, 1000000, 1600, 10000, 25000 },
     { "the rate falls when nothing comes", 100, 50, 1000000, 1600, 1000, 5000 },
     { "old jobs say nothing", 100, 50, 1000000, 2500, 0, 0 },
 };
