--- /dev/null
+++ b/test/platform/fleet_client.cpp
@@ -0,0 +1,67 @@
+#include "platform/fleet_client.hpp"
+
+#include "wasabiroad/http/endpoint.hpp"
+#include "wasabiroad/http/server.hpp"
+
+#include <algorithm>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::platform {
+
+namespace {
+
+/** Guards against a plan that waits for a list of VMs behind orders, and orders that each wait for the last.
+ */
+BOOST_AUTO_TEST_CASE(lists_and_orders_do_not_wait_behind_orders)
+{
+    boost::asio::io_context context { 1 };
+    std::size_t inFlight = 0;
+    std::size_t mostInFlight = 0;
+    http::Server server { context,
+        [&](http::Request request) -> boost::asio::awaitable<http::Response> {
+            const std::string_view target { request.target().data(), request.target().size() };
+            if (target != "/machines") {
+                mostInFlight = std::max(mostInFlight, ++inFlight);
+                boost::asio::steady_timer timer { context, std::chrono::milliseconds { 200 } };
+                co_await timer.async_wait(boost::asio::use_awaitable);
+                --inFlight;
+            }
+            co_return http::respond(request, 200, "application/json", R"({"machines":[],"nextToken":""})");
+        } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address);
+    const auto endpoint = *http::parseEndpoint(*address);
+    const auto fleet
+        = makeFleet(context, std::make_shared<StoreClient>(context, endpoint), endpoint, "entry");
+    constexpr std::size_t orders = 8;
+    std::size_t done = 0;
+    bool listed = false;
+    const auto finish = [&] {
+        if (listed && done == orders) {
+            context.stop();
+        }
+    };
+    for (std::size_t index = 0; index < orders; ++index) {
+        fleet.move(model::VmId { "vm" }, model::ServiceId { "pool" }, { 1 }, [&](ports::VmOrderResult) {
+            ++done;
+            finish();
+        });
+    }
+    fleet.listVms([&](const kernel::Expected<std::vector<ports::VmFacts>>&) {
+        listed = true;
+        BOOST_TEST(done == 0);
+        finish();
+    });
+    context.run_for(std::chrono::seconds { 20 });
+    BOOST_TEST(listed);
+    BOOST_TEST(done == orders);
+    BOOST_TEST(mostInFlight > 1);
+}
+
+} // namespace
+
+} // namespace wasabiroad::platform
