Pass on the capacity of the VM with the observed store

The join of two parts left the capacity out where the context is copied, so all daemons took themselves for large ones. The member has no default any more, so an initialiser that forgets it does not compile. Found by the test duties_go_to_the_daemons_with_capacity.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -32,7 +32,7 @@
 {
     return { given.context, given.entry, given.access,
         std::make_shared<const store::Store>(observed(given.store, revisions)), given.fleet, given.upstreams,
-        given.metrics, given.configurations, given.incarnation };
+        given.metrics, given.configurations, given.incarnation, given.vm };
 }
 
 } // namespace
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -31,7 +31,7 @@
     const std::shared_ptr<kernel::Publisher<jobs::Configuration>> configurations;
     /** @brief Number of this run of the daemon. */
     const std::uint64_t incarnation;
-    const settings::VmCapacity vm {};
+    const settings::VmCapacity vm;
 };
 
 /** @brief The control state of one daemon: configuration, duties and calls of callers. Control thread only.
