Bound the starts in flight, and suspect no upstream for starts that were not tried

Each answer, list or loss of an upstream goes on with the pass. A gang starts whole, above the bound if need be.

--- a/src/wasabiroad/http/channel.cpp
+++ b/src/wasabiroad/http/channel.cpp
@@ -27,6 +27,8 @@
 /** Calls that may wait on one channel; more fail at once. */
 constexpr std::size_t queueLimit = 512;
 
+constexpr std::string_view waitedTooLong = "waited too long for the connection";
+
 struct Call {
     Request request;
     kernel::Instant deadline;
@@ -75,7 +77,7 @@
     asio::awaitable<kernel::Expected<Response>> exchange(Call& call)
     {
         if (left(call).milliseconds <= 0) {
-            co_return failure(ResultCode::PlatformUnreachable, "waited too long for the connection");
+            co_return failure(ResultCode::PlatformUnreachable, std::string { waitedTooLong });
         }
         std::string reason;
         if (!co_await connect(call, reason)) {
@@ -122,6 +124,11 @@
     bool closed { false };
 };
 
+bool isUntried(const kernel::Error& error)
+{
+    return error.code == ResultCode::PlatformUnreachable && error.found == waitedTooLong;
+}
+
 Channel::Channel(asio::io_context& context, asio::ip::tcp::endpoint endpoint)
     : state(std::make_shared<State>(context, std::move(endpoint)))
 {
--- a/src/wasabiroad/http/channel.hpp
+++ b/src/wasabiroad/http/channel.hpp
@@ -13,6 +13,9 @@
 
 namespace wasabiroad::http {
 
+/** @return Whether a call on a channel failed because it waited too long for others: nothing was tried. */
+bool isUntried(const kernel::Error& error);
+
 /**
  * @brief A persistent HTTP/1.1 connection to one server that sends one request after another.
  *
--- a/src/wasabiroad/scheduling/event.cpp
+++ b/src/wasabiroad/scheduling/event.cpp
@@ -34,6 +34,8 @@
         return "stale-run";
     case StartResult::NotSent:
         return "not-sent";
+    case StartResult::NotTried:
+        return "not-tried";
     case StartResult::Unknown:
         return "unknown";
     }
--- a/src/wasabiroad/scheduling/event.hpp
+++ b/src/wasabiroad/scheduling/event.hpp
@@ -129,8 +129,10 @@
     Refused,
     /** @brief The run number is not higher than one that ended or was stopped there. */
     StaleRun,
-    /** @brief The call was not sent. */
+    /** @brief The upstream could not be reached; the call was not sent. */
     NotSent,
+    /** @brief The call waited too long for others of this owner; nothing was tried. */
+    NotTried,
     /** @brief No answer; the start may be carried out later. */
     Unknown,
 };
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -117,8 +117,8 @@
 {
     wake(now);
     refresh(now);
-    while (const auto* const first = this->waiting.first()) {
-        const auto id = *first;
+    while (this->waiting.first() != nullptr && mayStartMore()) {
+        const auto id = *this->waiting.first();
         ++this->stepLooks;
         const Ready ready { &this->jobRuns.at(id.job), id.occurrence, id.step };
         const auto& step = ready.job->occurrences[id.occurrence][id.step];
@@ -142,6 +142,9 @@
         if (!internal::isStartable(task, now)) {
             continue;
         }
+        if (!mayStartMore()) {
+            return true;
+        }
         const auto* const upstream = choose(ready, task, now, nullptr);
         if (upstream == nullptr) {
             return false;
@@ -217,8 +220,8 @@
 {
     auto& task = ready.job->occurrences[ready.occurrence][ready.step].tasks[number];
     const TaskId id { ready.job->job.id, { ready.occurrence, ready.step, number } };
-    task.phase = Phase::Starting;
     task.upstream = std::move(where);
+    setPhase(task, Phase::Starting);
     task.run = run;
     task.started = now.steady;
     task.lastProgress = now.steady;
--- a/src/wasabiroad/scheduling/policy.hpp
+++ b/src/wasabiroad/scheduling/policy.hpp
@@ -2,6 +2,8 @@
 
 #include "wasabiroad/kernel/clock.hpp"
 
+#include <cstddef>
+
 namespace wasabiroad::scheduling {
 
 /** @brief Limits and weights of a pool scheduler. */
@@ -26,6 +28,16 @@
     /** @brief Interval between two raises of the pace of a filler task. */
     const kernel::Duration paceRaiseInterval { 1500 };
 
+    /**
+     * @brief Starts of the pool that may be without an answer at once; the others wait and keep their order.
+     *
+     * A start takes less than 1 KB: on a link of 10 Mbit/s as many are sent within a quarter of the time-out
+     * of an order.
+     */
+    const std::size_t startsInFlight { 256 };
+    /** @brief The same on one upstream, whose connection carries one order after another. */
+    const std::size_t startsInFlightPerUpstream { 16 };
+
     friend auto operator<=>(const Policy&, const Policy&) = default;
 };
 
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -321,7 +321,7 @@
         touch(running.task.job, running.task.position.occurrence);
     }
     if (task->phase == Phase::Starting) {
-        task->phase = Phase::Running;
+        setPhase(*task, Phase::Running);
     }
     if (running.percent != task->percent) {
         task->lastProgress = now.steady;
@@ -360,7 +360,7 @@
     }
     switch (event.result) {
     case StartResult::Started:
-        task->phase = Phase::Running;
+        setPhase(*task, Phase::Running);
         task->lastProgress = now.steady;
         markRunning(*run);
         return;
@@ -374,6 +374,7 @@
     case StartResult::NotSent:
         suspect(event.upstream, now);
         [[fallthrough]];
+    case StartResult::NotTried:
     case StartResult::StaleRun:
         detach(event.task, *task);
         toWaiting(event.task, *task, now);
@@ -580,9 +581,25 @@
     touch(id);
 }
 
+void PoolScheduler::setPhase(Task& task, Phase phase)
+{
+    const auto upstream = this->upstreams.find(task.upstream);
+    const auto count = [&](std::size_t& starts) {
+        starts += phase == Phase::Starting ? 1 : 0;
+        starts -= task.phase == Phase::Starting ? 1 : 0;
+    };
+    count(this->starting);
+    if (upstream != this->upstreams.end()) {
+        count(upstream->second.starting);
+        touch(task.upstream);
+    }
+    task.phase = phase;
+    this->passNeeded = true;
+}
+
 void PoolScheduler::toWaiting(const TaskId& id, Task& task, Moment now)
 {
-    task.phase = task.done ? Phase::Done : Phase::Waiting;
+    setPhase(task, task.done ? Phase::Done : Phase::Waiting);
     task.percent = 0;
     task.pace = 100;
     task.stopAnswered.reset();
@@ -628,7 +645,7 @@
     if (task.phase != Phase::Starting && task.phase != Phase::Running) {
         return;
     }
-    task.phase = Phase::Stopping;
+    setPhase(task, Phase::Stopping);
     task.stopAnswered.reset();
     task.stopSent = now.steady;
     this->orders.push_back(StopTask { task.upstream, id, task.run, std::string { reason } });
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -120,6 +120,7 @@
     void taskDone(JobRun& run, const jobs::TaskId& id, Task& task, Moment now);
     void taskFailed(JobRun& run, const jobs::TaskId& id, Task& task, const UpstreamId& where, Moment now);
     void suspect(const UpstreamId& id, Moment now);
+    void setPhase(Task& task, internal::Phase phase);
     void toWaiting(const jobs::TaskId& id, Task& task, Moment now);
     void markRunning(JobRun& run);
     void attach(const jobs::TaskId& id, const Task& task);
@@ -165,6 +166,7 @@
         const Ready& ready, const Task& task, const std::set<UpstreamId>& group);
     const UpstreamId* choose(const Ready& ready, const Task& task, Moment now, const model::RackId* onlyRack);
     const std::vector<model::RackId>& racksInOrder();
+    bool mayStartMore() const { return this->starting < this->policy.startsInFlight; }
     bool isOpen(const UpstreamId& id, const Upstream& upstream, Moment now) const;
     kernel::Duration timeToEmpty(const Upstream& upstream, Moment now) const;
     std::uint32_t countOfStep(const Upstream& upstream, const Ready& ready) const;
@@ -179,6 +181,8 @@
     const std::uint64_t term;
     const Moment begun;
     std::uint64_t starts { 0 };
+    /** @brief Starts without an answer. */
+    std::size_t starting { 0 };
     std::uint64_t jobLooks { 0 };
     std::uint64_t stepLooks { 0 };
     std::uint64_t upstreamLooks { 0 };
--- a/src/wasabiroad/scheduling/readiness.cpp
+++ b/src/wasabiroad/scheduling/readiness.cpp
@@ -213,7 +213,7 @@
         this->rooms.erase(id, *upstream.room);
         upstream.room.reset();
     }
-    if (!isOpen(id, upstream, now)) {
+    if (!isOpen(id, upstream, now) || upstream.starting >= this->policy.startsInFlightPerUpstream) {
         return;
     }
     const auto& facts = *upstream.facts;
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -108,6 +108,8 @@
     std::int64_t accelerators { 0 };
     std::set<jobs::TaskId> tasks {};
     std::size_t longRunningTasks { 0 };
+    /** @brief Starts without an answer. */
+    std::size_t starting { 0 };
     /** @brief How it is held in the index of open upstreams. */
     std::optional<Room> room {};
     /** @brief A task has left it since it was last indexed. */
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -1,5 +1,8 @@
 #include "wasabiroad/scheduling/fixture.hpp"
 
+#include <algorithm>
+#include <functional>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -29,6 +32,7 @@
     { StartResult::NoRoom, 2, 0 },
     { StartResult::Refused, 2, 0 },
     { StartResult::NotSent, 2, 0 },
+    { StartResult::NotTried, 2, 0 },
     { StartResult::StaleRun, 2, 0 },
     { StartResult::Unknown, 1, 1 },
 };
@@ -49,6 +53,160 @@
     }
 }
 
+/** What a start that did not happen says of its upstream. */
+struct SuspicionRow {
+    const StartResult result;
+    const bool suspect;
+
+    friend std::ostream& operator<<(std::ostream& out, const SuspicionRow& row)
+    {
+        return out << name(row.result);
+    }
+};
+
+const std::vector<SuspicionRow> suspicionRows {
+    { StartResult::NoRoom, true },
+    { StartResult::Refused, true },
+    { StartResult::NotSent, true },
+    { StartResult::NotTried, false },
+    { StartResult::StaleRun, false },
+};
+
+/** Guards against upstreams that are avoided because the owner's own calls waited for each other. */
+BOOST_DATA_TEST_CASE(upstream_is_suspect_only_after_a_call_that_was_tried, data::make(suspicionRows), row)
+{
+    Site site { { makeUpstream("u1") } };
+    site.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = site.starts.front();
+    site.apply(StartAnswered { first.upstream, first.task, first.run, row.result }, 20);
+    site.apply(Tick {}, 20 + Policy {}.refusedDelay.milliseconds);
+    BOOST_TEST(site.starts.size() == (row.suspect ? 1 : 2));
+    site.apply(Tick {}, 20 + Policy {}.suspicion.milliseconds);
+    BOOST_TEST(site.starts.size() == 2);
+}
+
+/** @return A job of this many tasks that are small beside an upstream. */
+jobs::Job makeSmallTasks(const std::string& id, std::size_t count, std::uint32_t priority = 1)
+{
+    const auto job = makeJob(id, {});
+    const jobs::Resources small { 1, 1, 0 };
+    const jobs::Step step {
+        .count = static_cast<std::uint32_t>(count), .resources = small, .estimate = { 500 }
+    };
+    return { .id = job.id,
+        .queue = job.queue,
+        .service = job.service,
+        .steps = { step },
+        .accepted = job.accepted,
+        .priority = priority,
+        .maxAttempts = job.maxAttempts,
+        .stretch = job.stretch,
+        .allowance = job.allowance };
+}
+
+/** @return A number of equal upstreams. */
+std::vector<UpstreamFacts> makeUpstreams(std::size_t count)
+{
+    std::vector<UpstreamFacts> members;
+    for (std::size_t index = 0; index < count; ++index) {
+        members.push_back(makeUpstream("u" + std::to_string(index)));
+    }
+    return members;
+}
+
+/** Upstreams with room for all tasks that wait, and the starts that are ordered before one is answered. */
+struct InFlightRow {
+    const char* title;
+    const std::size_t upstreams;
+    const std::size_t tasks;
+    const std::size_t starts;
+
+    friend std::ostream& operator<<(std::ostream& out, const InFlightRow& row) { return out << row.title; }
+};
+
+const auto ofPool = Policy {}.startsInFlight;
+const auto ofUpstream = Policy {}.startsInFlightPerUpstream;
+const auto enough = ofPool / ofUpstream + 1;
+
+const std::vector<InFlightRow> inFlightRows {
+    { "few tasks start at once", enough, ofUpstream, ofUpstream },
+    { "one upstream is at its bound", 1, ofUpstream + 1, ofUpstream },
+    { "two upstreams are at their bounds", 2, 3 * ofUpstream, 2 * ofUpstream },
+    { "the pool is at its bound", enough, 3 * ofPool, ofPool },
+};
+
+/** Guards against a whole backlog that is ordered at once and waits for itself on the way out. */
+BOOST_DATA_TEST_CASE(starts_in_flight_are_bounded, data::make(inFlightRows), row)
+{
+    Site site { makeUpstreams(row.upstreams) };
+    site.apply(JobAdded { makeSmallTasks("j", row.tasks) }, 10);
+    BOOST_TEST(site.starts.size() == row.starts);
+    // Each answer makes room for one more start.
+    for (std::size_t index = 0; index < row.tasks && index < site.starts.size(); ++index) {
+        const auto start = site.starts[index];
+        site.apply(StartAnswered { start.upstream, start.task, start.run, StartResult::Started }, 20);
+        BOOST_TEST(site.starts.size() == std::min(row.tasks, row.starts + index + 1));
+    }
+    BOOST_TEST(site.starts.size() == row.tasks);
+}
+
+/** Ways in which a start is no longer in flight. */
+struct SettledRow {
+    const char* title;
+    const std::function<void(Site&, const StartTask&)> settle;
+
+    friend std::ostream& operator<<(std::ostream& out, const SettledRow& row) { return out << row.title; }
+};
+
+std::function<void(Site&, const StartTask&)> answered(StartResult result)
+{
+    return [result](Site& site, const StartTask& start) {
+        site.apply(StartAnswered { start.upstream, start.task, start.run, result }, 20);
+    };
+}
+
+const std::vector<SettledRow> settledRows {
+    { "started", answered(StartResult::Started) },
+    { "not sent", answered(StartResult::NotSent) },
+    { "not tried", answered(StartResult::NotTried) },
+    { "no answer", answered(StartResult::Unknown) },
+    { "listed before it is answered",
+        [](Site& site, const StartTask& start) {
+            site.list(start.upstream.text(), { { start.task, start.run, "", 1 } }, {}, 20);
+        } },
+    { "listed as ended before it is answered",
+        [](Site& site, const StartTask& start) {
+            site.list(start.upstream.text(), {}, { { 1, start.task, start.run, EndKind::Done, "" } }, 20);
+        } },
+    { "upstream replaced",
+        [](Site& site, const StartTask& start) { site.apply(UpstreamReplaced { start.upstream }, 20); } },
+};
+
+/** Guards against a backlog that was ordered early keeping its place before what is more urgent. */
+BOOST_DATA_TEST_CASE(urgent_task_is_the_next_start_at_the_bound, data::make(settledRows), row)
+{
+    Site site { makeUpstreams(enough + 1) };
+    site.apply(JobAdded { makeSmallTasks("backlog", 3 * ofPool) }, 10);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), ofPool);
+    site.apply(JobAdded { makeSmallTasks("urgent", 1, 0) }, 15);
+    BOOST_REQUIRE_EQUAL(site.starts.size(), ofPool);
+    row.settle(site, StartTask { site.starts.front() });
+    BOOST_REQUIRE_GT(site.starts.size(), ofPool);
+    BOOST_TEST(site.starts[ofPool].task.job.text() == "urgent");
+}
+
+/** Guards against a gang that is wider than the bound and never starts. */
+BOOST_AUTO_TEST_CASE(gang_wider_than_the_bound_starts)
+{
+    Site site { { makeUpstream("u1") } };
+    const jobs::Step gang { .count = static_cast<std::uint32_t>(ofUpstream + 1),
+        .resources = { 1, 1, 0 },
+        .estimate = { 500 },
+        .gang = true };
+    site.apply(JobAdded { makeJob("j", { gang }) }, 10);
+    BOOST_TEST(site.starts.size() == ofUpstream + 1);
+}
+
 /** Guards against a second run after a start without an answer, in the order in which its fate becomes known.
  */
 BOOST_AUTO_TEST_CASE(unanswered_start_is_settled_by_a_stop_and_a_later_list)
