Read only what is open when a pool is taken over

cause: the records of all jobs that ever ended stayed under record/<service>/, and a new owner listed all of them, with the descriptions of up to 24 ended jobs for each former owner. Both are written in one change, so the progress has the revision of the record, on which all conditions still are. A takeover lists progress and then the pool, so a job that ends in between is in neither and is never started anew. State and cancellation still need one read: a prefix for ended records would need a second one for each question about an ended job. The list of the pool is no longer copied into the next call. An owner does not log job-cancelled for the removal that its own last write made.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -359,7 +359,7 @@
     const jobs::Record cancelled { jobs::JobState::Cancelled, {}, kernel::now(kernel::WallClock {}) };
     this->environment.store->change(
         { { { entry.key, entry.revision } }, { { entry.key, jobs::encode(cancelled) } },
-            { keys::job(service, job) } },
+            { keys::job(service, job), keys::progress(service, job) } },
         [self = shared_from_this(), service, job, attempts, callback](const store::ChangeOutcome& outcome) {
             if (std::holds_alternative<store::Committed>(outcome)) {
                 kernel::logEvent("job-cancel-stored", { { "job", job.text() } });
--- a/src/wasabiroad/agent/keys.hpp
+++ b/src/wasabiroad/agent/keys.hpp
@@ -53,6 +53,7 @@
 /** VMs that have had their maintenance in a wave. */
 inline std::string waveProgress(std::uint64_t wave) { return "wave/" + std::to_string(wave); }
 
+/** States of the jobs of a pool, also of those that have ended. */
 inline std::string recordsOf(const model::ServiceId& service) { return "record/" + service.text() + "/"; }
 
 inline std::string record(const model::ServiceId& service, const jobs::JobId& job)
@@ -60,6 +61,14 @@
     return recordsOf(service) + job.text();
 }
 
+/** What the next owner needs to go on with the open jobs of a pool. */
+inline std::string progressOf(const model::ServiceId& service) { return "progress/" + service.text() + "/"; }
+
+inline std::string progress(const model::ServiceId& service, const jobs::JobId& job)
+{
+    return progressOf(service) + job.text();
+}
+
 inline std::string usedUpstreams(const model::ServiceId& service) { return "used/" + service.text(); }
 
 /** What the owners of pools report of them. */
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -119,34 +119,22 @@
     if (this->closed) {
         return;
     }
-    this->environment.store->list(
-        keys::pool(this->service), [self = shared_from_this()](const kernel::Expected<store::Listing>& pool) {
-            pool ? self->readRecords(*pool) : self->retryLoad();
-        });
-}
-
-void PoolAgent::readRecords(const store::Listing& pool)
-{
-    this->environment.store->list(keys::recordsOf(this->service),
-        [self = shared_from_this(), pool](const kernel::Expected<store::Listing>& records) {
-            records ? self->readUsed(pool, *records) : self->retryLoad();
+    this->environment.store->list(keys::progressOf(this->service),
+        [self = shared_from_this()](const kernel::Expected<store::Listing>& progress) {
+            if (!progress) {
+                self->retryLoad();
+            } else if (self->loaded) {
+                self->readPool(*progress, {});
+            } else {
+                self->readUsed(*progress);
+            }
         });
 }
 
-void PoolAgent::readUsed(const store::Listing& pool, const store::Listing& records)
+void PoolAgent::readUsed(const store::Listing& progress)
 {
-    if (this->closed) {
-        return;
-    }
-    if (this->loaded) {
-        cancelMissing(pool);
-        addJobs(pool, records, false);
-        watch(pool.asOf);
-        return;
-    }
     this->environment.store->read(keys::usedUpstreams(this->service),
-        [self = shared_from_this(), pool, records](
-            const kernel::Expected<std::optional<store::Entry>>& entry) {
+        [self = shared_from_this(), progress](const kernel::Expected<std::optional<store::Entry>>& entry) {
             if (!entry) {
                 self->retryLoad();
                 return;
@@ -156,41 +144,61 @@
                 kernel::logEvent("used-upstreams-unreadable",
                     { { "pool", self->service.text() }, { "revision", (*entry)->revision.value } });
             }
-            self->begin(pool, records, ids.value_or(std::vector<std::string> {}),
-                *entry ? (*entry)->revision : store::Revision {});
+            self->readPool(progress,
+                { ids.value_or(std::vector<std::string> {}),
+                    *entry ? (*entry)->revision : store::Revision {} });
         });
 }
 
-void PoolAgent::begin(const store::Listing& pool, const store::Listing& records,
-    const std::vector<std::string>& usedBefore, store::Revision usedRevision)
+void PoolAgent::readPool(const store::Listing& progress, const UsedBefore& usedBefore)
 {
-    if (this->closed) {
-        return;
-    }
+    // Read last: a job that ends meanwhile is not in it, and is never taken for one that has not begun.
+    this->environment.store->list(keys::pool(this->service),
+        [self = shared_from_this(), progress, usedBefore](const kernel::Expected<store::Listing>& pool) {
+            if (self->closed) {
+                return;
+            }
+            if (!pool) {
+                self->retryLoad();
+            } else if (self->loaded) {
+                self->cancelMissing(*pool);
+                self->addJobs(*pool, progress, false);
+                self->watch(pool->asOf);
+            } else {
+                self->begin(*pool, progress, usedBefore);
+            }
+        });
+}
+
+void PoolAgent::begin(
+    const store::Listing& pool, const store::Listing& progress, const UsedBefore& usedBefore)
+{
+    const auto readAt = kernel::bootNow();
     this->loaded = true;
-    this->used.insert(usedBefore.begin(), usedBefore.end());
+    this->used.insert(usedBefore.ids.begin(), usedBefore.ids.end());
     std::vector<UpstreamId> ids;
-    ids.reserve(usedBefore.size());
-    for (const auto& id : usedBefore) {
+    ids.reserve(usedBefore.ids.size());
+    for (const auto& id : usedBefore.ids) {
         ids.emplace_back(id);
     }
     this->scheduler.emplace(makePolicy(this->taskLease), this->term.value, now(), ids);
-    addJobs(pool, records, true);
+    addJobs(pool, progress, true);
     kernel::logEvent("pool-loaded",
         { { "pool", this->service.text() }, { "term", this->term.value },
-            { "jobs", this->scheduler->jobCount() }, { "used", usedBefore.size() },
-            { "used_revision", usedRevision.value }, { "revision", pool.asOf.value },
+            { "jobs", this->scheduler->jobCount() }, { "used", usedBefore.ids.size() },
+            { "used_revision", usedBefore.revision.value }, { "revision", pool.asOf.value },
+            { "read_ms", (readAt - this->begun).milliseconds },
             { "load_ms", (kernel::bootNow() - this->begun).milliseconds } });
     useMembers();
     watch(pool.asOf);
     tick();
 }
 
-void PoolAgent::addJobs(const store::Listing& pool, const store::Listing& records, bool mayHaveStarted)
+void PoolAgent::addJobs(const store::Listing& pool, const store::Listing& progress, bool mayHaveStarted)
 {
-    std::map<std::string, const store::Entry*> recordOf;
-    for (const auto& entry : records.entries) {
-        recordOf[entry.key.substr(keys::recordsOf(this->service).size())] = &entry;
+    std::map<std::string, const store::Entry*> progressOf;
+    for (const auto& entry : progress.entries) {
+        progressOf[entry.key.substr(keys::progressOf(this->service).size())] = &entry;
     }
     const auto prefix = keys::jobsOf(this->service);
     for (const auto& entry : pool.entries) {
@@ -200,19 +208,21 @@
         if (!entry.key.starts_with(prefix)) {
             continue;
         }
-        const auto found = recordOf.find(entry.key.substr(prefix.size()));
+        // What the watch has shown was added then, and may have ended since this was read.
+        if (entry.revision <= this->watched) {
+            continue;
+        }
+        const auto found = progressOf.find(entry.key.substr(prefix.size()));
+        const bool begun = found != progressOf.end();
         const auto job = jobs::decodeJob(entry.value);
-        const auto record = found != recordOf.end() ? jobs::decodeRecord(found->second->value) : std::nullopt;
+        const auto record = begun ? jobs::decodeRecord(found->second->value) : jobs::Record {};
         if (!job || !record) {
             kernel::logEvent(
                 "job-unreadable", { { "key", entry.key }, { "revision", entry.revision.value } });
             continue;
         }
-        // What the watch has shown was added then, and may have ended since these records were read.
-        if (entry.revision <= this->watched || jobs::isFinal(record->state)) {
-            continue;
-        }
-        this->writer->setRevision(job->id, found->second->revision);
+        // Without progress the record is as it was made together with the job.
+        this->writer->setRevision(job->id, begun ? found->second->revision : entry.revision);
         // A job that is younger than the term was never seen by a former owner.
         apply(
             scheduling::JobAdded { *job, *record, mayHaveStarted && entry.created.value < this->term.value });
@@ -314,6 +324,10 @@
                            return;
                        }
                        const jobs::JobId job { removed.key.substr(prefix.size()) };
+                       // The removal may be part of this owner's last write; if not, a conflict shows it.
+                       if (this->writer->isEnding(job)) {
+                           return;
+                       }
                        const auto state = this->scheduler->stateOf(job);
                        if (state && !jobs::isFinal(*state)) {
                            kernel::logEvent("job-cancelled",
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -36,7 +36,7 @@
 public:
     PoolAgent(PoolContext context, model::ServiceId service, ports::Term term);
 
-    /** @brief Reads the records of the pool, then begins to schedule. */
+    /** @brief Reads the open jobs of the pool, then begins to schedule. */
     void start();
 
     /** @brief Uses the current list of upstreams of all pools. */
@@ -58,6 +58,12 @@
     /** @brief Highest number of the ends of each upstream. */
     using Ends = std::map<scheduling::UpstreamId, std::uint64_t>;
 
+    /** Upstreams that the former owner recorded as used, and the revision of that record. */
+    struct UsedBefore {
+        const std::vector<std::string> ids {};
+        const store::Revision revision {};
+    };
+
     /** Makes a callback that does nothing once this term has ended. */
     template <typename Function> auto guarded(Function function)
     {
@@ -69,11 +75,10 @@
     }
 
     void load();
-    void readRecords(const store::Listing& pool);
-    void readUsed(const store::Listing& pool, const store::Listing& records);
-    void begin(const store::Listing& pool, const store::Listing& records,
-        const std::vector<std::string>& used, store::Revision usedRevision);
-    void addJobs(const store::Listing& pool, const store::Listing& records, bool mayHaveStarted);
+    void readUsed(const store::Listing& progress);
+    void readPool(const store::Listing& progress, const UsedBefore& usedBefore);
+    void begin(const store::Listing& pool, const store::Listing& progress, const UsedBefore& usedBefore);
+    void addJobs(const store::Listing& pool, const store::Listing& progress, bool mayHaveStarted);
     /** Ends what a list shows to be gone, after a watch has lost the history. */
     void cancelMissing(const store::Listing& pool);
     void watch(store::Revision after);
--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -13,11 +13,12 @@
 
 namespace {
 
-/** Records in one change: each takes a condition and a put, and the owner's key takes a condition. */
-constexpr std::size_t recordsPerChange = (store::changeLimit - 1) / 2;
+/** Entries of a change that an open job takes: the condition, its state and its progress. */
+constexpr std::size_t entriesPerOpen = 3;
 
-/** Descriptions of ended jobs that are removed together; they wait, since nothing depends on them. */
-constexpr std::size_t removalsPerChange = 24;
+/** The same for a job that ends: the condition, its state, and the removal of its description and progress.
+ */
+constexpr std::size_t entriesPerEnded = 4;
 
 constexpr Duration retryInterval { 150 };
 
@@ -40,6 +41,12 @@
     return found != this->revisions.end() ? found->second : store::Revision {};
 }
 
+bool RecordWriter::isEnding(const jobs::JobId& job) const
+{
+    const auto found = this->pending.find(job);
+    return found != this->pending.end() && jobs::isFinal(found->second.record->state);
+}
+
 std::uint64_t RecordWriter::write(const std::vector<scheduling::RecordChange>& changes)
 {
     ++this->lastBatch;
@@ -71,17 +78,9 @@
     }
     if (this->pending.empty()) {
         reportFlushed();
-        removeEnded();
         return;
     }
-    std::vector<jobs::JobId> chosen;
-    for (const bool final : { true, false }) {
-        for (const auto& [job, entry] : this->pending) {
-            if (chosen.size() < recordsPerChange && jobs::isFinal(entry.record->state) == final) {
-                chosen.push_back(job);
-            }
-        }
-    }
+    const auto chosen = choose();
     this->inFlight = true;
     this->store->change(makeChange(chosen),
         [self = shared_from_this(), chosen, batch = this->lastBatch](const store::ChangeOutcome& outcome) {
@@ -92,16 +91,41 @@
         });
 }
 
+std::vector<jobs::JobId> RecordWriter::choose() const
+{
+    std::vector<jobs::JobId> chosen;
+    // One entry is the condition of the owner's term.
+    auto room = store::changeLimit - 1;
+    for (const bool final : { true, false }) {
+        const auto entries = final ? entriesPerEnded : entriesPerOpen;
+        for (const auto& [job, entry] : this->pending) {
+            if (entries <= room && jobs::isFinal(entry.record->state) == final) {
+                chosen.push_back(job);
+                room -= entries;
+            }
+        }
+    }
+    return chosen;
+}
+
 store::Change RecordWriter::makeChange(const std::vector<jobs::JobId>& chosen) const
 {
     std::vector<store::Condition> conditions { ownerCondition() };
     std::vector<store::Put> puts;
+    std::vector<std::string> removals;
     for (const auto& job : chosen) {
+        const auto& record = *this->pending.at(job).record;
         const auto key = keys::record(this->service, job);
         conditions.push_back({ key, revisionOf(job) });
-        puts.push_back({ key, jobs::encode(*this->pending.at(job).record) });
+        puts.push_back({ key, jobs::encode(jobs::Record { record.state, {}, record.finished }) });
+        if (jobs::isFinal(record.state)) {
+            removals.push_back(keys::job(this->service, job));
+            removals.push_back(keys::progress(this->service, job));
+        } else {
+            puts.push_back({ keys::progress(this->service, job), jobs::encode(record) });
+        }
     }
-    return { std::move(conditions), std::move(puts), {} };
+    return { std::move(conditions), std::move(puts), std::move(removals) };
 }
 
 void RecordWriter::onOutcome(
@@ -142,7 +166,6 @@
             kernel::logEvent("job-ended",
                 { { "job", job.text() }, { "state", jobs::name(state) }, { "revision", revision.value } });
             this->revisions.erase(job);
-            this->endedJobs.push_back(job);
             this->events.ended(job);
         }
     }
@@ -186,24 +209,4 @@
     }
 }
 
-void RecordWriter::removeEnded()
-{
-    if (this->removing || this->endedJobs.size() < removalsPerChange) {
-        return;
-    }
-    std::vector<std::string> removals;
-    for (std::size_t index = 0; index < removalsPerChange; ++index) {
-        removals.push_back(keys::job(this->service, this->endedJobs[index]));
-    }
-    this->removing = true;
-    this->store->change({ { ownerCondition() }, {}, removals },
-        [self = shared_from_this()](const store::ChangeOutcome& outcome) {
-            self->removing = false;
-            if (std::holds_alternative<store::Committed>(outcome)) {
-                self->endedJobs.erase(self->endedJobs.begin(),
-                    self->endedJobs.begin() + static_cast<std::ptrdiff_t>(removalsPerChange));
-            }
-        });
-}
-
 } // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -6,7 +6,6 @@
 #include "wasabiroad/scheduling/event.hpp"
 #include "wasabiroad/store/store.hpp"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,7 +30,9 @@
  * @brief Writes records of jobs for the owner of a pool, several in one change.
  *
  * Each change requires that the owner's key has its term and that each record has the revision that the owner
- * knows, so a change that is carried out late never replaces a newer record.
+ * knows, so a change that is carried out late never replaces a newer record. The state of an open job and its
+ * progress are always written together, so the progress has the revision of the record. The change that
+ * writes a final state removes all else of the job.
  */
 class RecordWriter : public std::enable_shared_from_this<RecordWriter> {
 public:
@@ -50,6 +51,9 @@
      */
     std::uint64_t write(const std::vector<scheduling::RecordChange>& changes);
 
+    /** @return Whether a final state of the job is on its way to the store. */
+    bool isEnding(const jobs::JobId& job) const;
+
     /** @return Whether a change is in flight. */
     bool isBusy() const { return this->inFlight; }
 
@@ -68,12 +72,13 @@
     void send();
     /** @return That this writer's term is still the owner's, which each change requires. */
     store::Condition ownerCondition() const;
+    /** @return Jobs of the next change, ended ones first: their callers may be waiting. */
+    std::vector<jobs::JobId> choose() const;
     store::Change makeChange(const std::vector<jobs::JobId>& jobs) const;
     void onOutcome(
         const std::vector<jobs::JobId>& jobs, std::uint64_t batch, const store::ChangeOutcome& outcome);
     void onCommitted(const std::vector<jobs::JobId>& jobs, std::uint64_t batch, store::Revision revision);
     void onConflict(const store::Conflict& conflict);
-    void removeEnded();
     void reportFlushed();
 
     boost::asio::io_context& context;
@@ -83,12 +88,9 @@
     const RecordEvents events;
     std::map<jobs::JobId, store::Revision> revisions {};
     std::map<jobs::JobId, Pending> pending {};
-    /** @brief Jobs whose description is no longer needed. */
-    std::deque<jobs::JobId> endedJobs {};
     std::uint64_t lastBatch { 0 };
     std::uint64_t reported { 0 };
     bool inFlight { false };
-    bool removing { false };
     bool closed { false };
 };
 
--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -68,8 +68,11 @@
                           kernel::callLater(
                               this->context, faults->listDelay, [callback, listing] { callback(listing); });
                       };
-                reading(
-                    delayed, [this, prefix]() -> kernel::Expected<store::Listing> { return list(prefix); });
+                reading(delayed, [this, prefix]() -> kernel::Expected<store::Listing> {
+                    auto listing = list(prefix);
+                    this->listed += listing.entries.size();
+                    return listing;
+                });
             },
         .watch =
             [this, faults](std::string prefix, store::Revision after, Duration wait,
--- a/src/wasabiroad/standin/key_value.hpp
+++ b/src/wasabiroad/standin/key_value.hpp
@@ -46,6 +46,9 @@
     /** @return All entries under a prefix. */
     store::Listing list(const std::string& prefix) const;
 
+    /** @return Entries that lists over connections have returned so far. */
+    std::size_t listedCount() const { return this->listed; }
+
     /** @brief Forgets all changes; watches that ask for them are told so. */
     void dropHistory();
 
@@ -87,6 +90,7 @@
     std::map<std::uint64_t, std::pair<kernel::Duration, kernel::Instant>> leases {};
     std::list<Watch> watches {};
     std::uint64_t numbers { 0 };
+    std::size_t listed { 0 };
 };
 
 } // namespace wasabiroad::standin
--- a/test/wasabiroad/agent/jobs.cpp
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -142,13 +142,54 @@
     BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
     site.daemons[0]->storeFaults->listDelay = { 300 };
     site.store.dropHistory();
-    // The first list is read at once, the records 300 ms later: the job ends before these arrive.
+    // The job is open when it is listed, 300 ms from now, and has ended when the list arrives.
     BOOST_REQUIRE(site.reaches("a", jobs::JobState::Completed));
     site.runFor(1500);
     BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
     BOOST_TEST(site.workers.broken().empty());
 }
 
+/** How a job ends, and what callers are told then. */
+struct EndRow {
+    const char* title;
+    const std::int64_t runMs;
+    const bool isCancelled;
+    const bool answersAreLost;
+    const JobState state;
+
+    friend std::ostream& operator<<(std::ostream& out, const EndRow& row) { return out << row.title; }
+};
+
+const std::vector<EndRow> ends {
+    { "it completes", 100, false, false, JobState::Completed },
+    { "it completes while answers of the store are lost", 400, false, true, JobState::Completed },
+    { "a caller cancels it", 20000, true, false, JobState::Cancelled },
+};
+
+/** Guards against what a later owner reads in vain, and against callers that no longer find their job. */
+BOOST_DATA_TEST_CASE(ended_job_leaves_its_state_only, data::make(ends), row)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    const auto owner = *site.owner();
+    site.submit(makeJob("a", row.runMs));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
+    site.daemons[owner]->storeFaults->losesAnswers = row.answersAreLost;
+    if (row.isCancelled) {
+        BOOST_TEST((site.cancel("a", 1 - owner) == StateOutcome { row.state }));
+    }
+    site.runFor(row.answersAreLost ? 1000 : 0);
+    site.daemons[owner]->storeFaults->losesAnswers = false;
+    BOOST_TEST(site.reaches("a", row.state, 1 - owner));
+    BOOST_TEST(site.reaches("a", row.state, owner));
+    BOOST_TEST(site.store.list(keys::pool(service)).entries.empty());
+    BOOST_TEST(site.store.list("progress/").entries.empty());
+    BOOST_TEST((site.submit(makeJob("a"), owner) == SubmitOutcome { Accepted {} }));
+    site.runFor(300);
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+}
+
 /** Guards against counts of waiting jobs that only the owner knows. */
 BOOST_AUTO_TEST_CASE(every_daemon_counts_the_jobs_that_wait)
 {
--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -68,6 +68,45 @@
     BOOST_TEST(site.store.find("owner/pool/checks")->value != site.store.find("owner/fleet")->value);
 }
 
+/** Guards against a takeover that reads every job that has ever ended. */
+BOOST_DATA_TEST_CASE(takeover_reads_open_jobs_only, data::make({ 0, 40 }), ended)
+{
+    Site site { 1 };
+    BOOST_REQUIRE(site.hasOwner());
+    for (int number = 0; number < ended; ++number) {
+        site.submit(makeJob("ended-" + std::to_string(number), 10, 1));
+    }
+    for (int number = 0; number < ended; ++number) {
+        BOOST_REQUIRE(site.reaches("ended-" + std::to_string(number), JobState::Completed));
+    }
+    site.submit(makeJob("open", 3000));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
+    site.daemons[0]->agent->abandon();
+    const auto listedBefore = site.store.listedCount();
+    site.addDaemon();
+    BOOST_TEST(site.reaches("open", JobState::Completed, 1));
+    // The open job, its progress, and some keys of owners and upstreams.
+    BOOST_TEST(site.store.listedCount() - listedBefore <= 20);
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "open" }) == 2);
+    BOOST_TEST(site.workers.broken().empty());
+}
+
+/** Guards against tasks that are done and run again under the next owner. */
+BOOST_AUTO_TEST_CASE(next_owner_knows_what_is_done)
+{
+    Site site { 1, 1 };
+    BOOST_REQUIRE(site.hasOwner());
+    // Two tasks have room after the first two are done.
+    site.submit(makeJob("a", 1500, 6));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.startsOf(jobs::JobId { "a" }) == 6; }));
+    site.runFor(200);
+    site.daemons[0]->agent->abandon();
+    site.addDaemon();
+    BOOST_TEST(site.reaches("a", JobState::Completed, 1));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 6);
+    BOOST_TEST(site.workers.broken().empty());
+}
+
 /** Guards against tasks that stay lost with an upstream that crashed. */
 BOOST_AUTO_TEST_CASE(tasks_of_a_crashed_upstream_run_again)
 {
