--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -224,8 +224,11 @@
         // Without progress the record is as it was made together with the job.
         this->writer->setRevision(job->id, begun ? found->second->revision : entry.revision);
         // A job that is younger than the term was never seen by a former owner.
-        apply(
-            scheduling::JobAdded { *job, *record, mayHaveStarted && entry.created.value < this->term.value });
+        // The next event makes one pass over all that is added here.
+        this->scheduler->setActive(false);
+        this->scheduler->apply(
+            scheduling::JobAdded { *job, *record, mayHaveStarted && entry.created.value < this->term.value },
+            now());
     }
 }
 
