Parse each answer of an upstream once, into one buffer

The tests of decodeTasks and decodeClock take a Document now; their checks are the same, and one more reads the clock of the answer that holds the tasks.

--- a/test/platform/orders.cpp
+++ b/test/platform/orders.cpp
@@ -53,16 +53,19 @@
 /** Guards against tasks and ends that are lost or mixed up. */
 BOOST_AUTO_TEST_CASE(tasks_are_decoded)
 {
-    const auto tasks = decodeTasks(
+    const Document answer {
         R"({"clockMs":482113,"born":9,"runningTasks":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,12.7],["odd",1,"",0,0],7],
-        "ended":[[58,"5c0e7a21d94b36f8.0.1.17",1,"lapsed",""],[59,"5c0e7a21d94b36f8.0.1.17",1,"odd",""]]})");
+        "ended":[[58,"5c0e7a21d94b36f8.0.1.17",1,"lapsed",""],[59,"5c0e7a21d94b36f8.0.1.17",1,"odd",""]]})"
+    };
+    const auto tasks = decodeTasks(answer);
     const ports::Tasks expected { { 9 }, { { task, { 2 }, "c", 41, 12 } },
         { { 58, task, { 1 }, EndKind::Lapsed, "" } } };
     BOOST_REQUIRE(tasks.has_value());
     BOOST_TEST((*tasks == expected));
-    BOOST_TEST(!decodeTasks("odd").has_value());
-    BOOST_TEST((decodeClock(R"({"clockMs":482113})") == UpstreamTime { 482113 }));
-    BOOST_TEST(!decodeClock("{}").has_value());
+    BOOST_TEST((decodeClock(answer) == UpstreamTime { 482113 }));
+    BOOST_TEST(!decodeTasks(Document { "odd" }).has_value());
+    BOOST_TEST((decodeClock(Document { R"({"clockMs":482113})" }) == UpstreamTime { 482113 }));
+    BOOST_TEST(!decodeClock(Document { "{}" }).has_value());
 }
 
 struct EndRow {
@@ -79,8 +82,9 @@
 /** Guards against an end that is counted as another. */
 BOOST_DATA_TEST_CASE(end_is_decoded, data::make(endRows), row)
 {
-    const auto tasks = decodeTasks(R"({"runningTasks":[],"ended":[[1,"5c0e7a21d94b36f8.0.1.17",1,")"
-        + std::string { row.word } + R"(",""]]})");
+    const auto tasks
+        = decodeTasks(Document { R"({"runningTasks":[],"ended":[[1,"5c0e7a21d94b36f8.0.1.17",1,")"
+            + std::string { row.word } + R"(",""]]})" });
     BOOST_REQUIRE_EQUAL(tasks->ended.size(), 1);
     BOOST_TEST((tasks->ended.front().kind == row.kind));
 }
