--- a/src/wasabiroad/http/message.cpp
+++ b/src/wasabiroad/http/message.cpp
@@ -32,4 +32,20 @@
     return request;
 }
 
+std::string serialize(const Request& request)
+{
+    const auto append = [](std::string& text, boost::beast::string_view part) -> std::string& {
+        return text.append(part.data(), part.size());
+    };
+    std::string text;
+    append(text, request.method_string()) += ' ';
+    append(text, request.target()) += " HTTP/1.1\r\n";
+    for (const auto& field : request) {
+        append(text, field.name_string()) += ": ";
+        append(text, field.value()) += "\r\n";
+    }
+    text += "\r\n";
+    return text += request.body();
+}
+
 } // namespace wasabiroad::http
--- a/src/wasabiroad/http/message.hpp
+++ b/src/wasabiroad/http/message.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <string>
+#include <string_view>
+
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -17,4 +20,7 @@
 /** @brief Builds a request for `target`. */
 Request makeRequest(boost::beast::http::verb verb, std::string_view target, std::string body = {});
 
+/** @return The request as it is sent. */
+std::string serialize(const Request& request);
+
 } // namespace wasabiroad::http
--- a/src/wasabiroad/http/transfer.cpp
+++ b/src/wasabiroad/http/transfer.cpp
@@ -2,22 +2,31 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 namespace wasabiroad::http {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
+namespace {
+
+constexpr std::size_t readBytes = 4096;
+
+} // namespace
+
 asio::awaitable<tl::expected<Response, boost::system::error_code>> transfer(
     beast::tcp_stream& stream, beast::flat_buffer& buffer, const Request& request, std::uint64_t bodyLimit)
 {
     boost::system::error_code failed;
-    co_await beast::http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failed));
+    const auto text = serialize(request);
+    co_await asio::async_write(stream, asio::buffer(text), asio::redirect_error(asio::use_awaitable, failed));
     if (failed) {
         co_return tl::unexpected(failed);
     }
+    // One read takes a whole ordinary response.
+    buffer.reserve(readBytes);
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(bodyLimit);
     co_await beast::http::async_read(
