--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -35,8 +35,14 @@
 /** A need that is larger by this part of the reported one is reported at once. */
 constexpr std::int64_t risingPart = 8;
 
-/** Wait of a watch; a silent connection hides cancelled jobs for this time and some slack. */
-constexpr Duration watchWait { 1000 };
+/** Wait of a watch: an answer without changes leaves the view this old until the next one. */
+constexpr Duration watchWait { 500 };
+
+/**
+ * Age of the view of the pool from which on nothing is started: a cancelled job must not be started 3 s after
+ * its caller was told (the platform's `cancel_ms`), and a start may be on its way for 0.8 s.
+ */
+constexpr Duration viewAgeLimit { 2000 };
 constexpr Duration retryInterval { 300 };
 
 /** Interval of recording which upstreams are used, and of using those that have been recorded. */
@@ -190,6 +196,7 @@
     const auto readAt = kernel::bootNow();
     this->loaded = true;
     this->used.insert(usedBefore.ids.begin(), usedBefore.ids.end());
+    this->usedRevision = usedBefore.revision;
     std::vector<UpstreamId> ids;
     ids.reserve(usedBefore.ids.size());
     for (const auto& id : usedBefore.ids) {
@@ -270,7 +277,6 @@
 void PoolAgent::watch(store::Revision after)
 {
     this->watched = after;
-    this->watchAnswered = kernel::bootNow();
     this->environment.store->watch(keys::pool(this->service), after, watchWait,
         [self = shared_from_this(), after](const store::WatchOutcome& outcome) {
             if (self->closed) {
@@ -356,9 +362,22 @@
         event);
 }
 
+bool PoolAgent::mayStart()
+{
+    const auto age = this->environment.ageOf(this->watched);
+    const bool current = age && *age <= viewAgeLimit;
+    if (current != this->viewIsCurrent) {
+        this->viewIsCurrent = current;
+        kernel::logEvent(current ? "starts-resumed" : "starts-held",
+            { { "pool", this->service.text() }, { "revision", this->watched.value },
+                { "age_ms", ageText(age) } });
+    }
+    return current && this->environment.mayStart();
+}
+
 void PoolAgent::apply(const scheduling::Event& event)
 {
-    this->scheduler->setActive(this->environment.mayStart());
+    this->scheduler->setActive(mayStart());
     for (const auto& order : this->scheduler->apply(event, now())) {
         carryOut(order);
     }
@@ -480,7 +499,7 @@
     const auto last = this->scheduler->lastEnd(id);
     if (last != this->seenEnds[id] || !tasks.ended.empty()) {
         this->seenEnds[id] = last;
-        this->openEnds[id] = last;
+        this->openEnds[id] = { tasks.born, last };
         planFlush();
     }
 }
@@ -515,9 +534,9 @@
 
 void PoolAgent::acknowledge(const Ends& ends)
 {
-    for (const auto& [id, number] : ends) {
+    for (const auto& [id, listed] : ends) {
         if (const auto link = this->links.find(id); link != this->links.end()) {
-            link->second->acknowledge(number);
+            link->second->acknowledge(listed.life, listed.last);
         }
     }
 }
@@ -571,7 +590,7 @@
             { "cpu_arriving", demand.arriving }, { "spread", demand.spread },
             { "starting", this->startsInFlight }, { "job_looks", looks.jobs }, { "step_looks", looks.steps },
             { "upstream_looks", looks.upstreams },
-            { "watch_age_ms", (at.steady - this->watchAnswered).milliseconds },
+            { "watch_age_ms", ageText(this->environment.ageOf(this->watched)) },
             { "members_age_ms", (at.steady - this->environment.upstreamsKnownAt()).milliseconds } });
     std::vector<std::string> idle;
     idle.reserve(demand.releasable.size());
@@ -652,17 +671,30 @@
     this->recordingUsed = true;
     // Nothing is started on an upstream while its removal from the record is on its way.
     std::erase_if(this->used, [&](const auto& id) { return !ids.contains(id); });
-    this->writer->put({ keys::usedUpstreams(this->service),
-                          jobs::encode(std::vector<std::string> { ids.begin(), ids.end() }) },
-        [self = shared_from_this(), ids](const store::ChangeOutcome& outcome) {
+    this->writer->replace({ keys::usedUpstreams(this->service),
+                              jobs::encode(std::vector<std::string> { ids.begin(), ids.end() }) },
+        this->usedRevision, [self = shared_from_this(), ids](const store::ChangeOutcome& outcome) {
             self->recordingUsed = false;
-            if (!self->closed && std::holds_alternative<store::Committed>(outcome)) {
-                self->used = ids;
-                self->useMembers();
+            if (!self->closed) {
+                self->onUsedRecorded(ids, outcome);
             }
         });
 }
 
+void PoolAgent::onUsedRecorded(const std::set<std::string>& ids, const store::ChangeOutcome& outcome)
+{
+    if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
+        this->usedRevision = committed->revision;
+        this->used = ids;
+        useMembers();
+    } else if (const auto* const conflict = std::get_if<store::Conflict>(&outcome)) {
+        // An earlier write without an answer was carried out; the next one replaces it.
+        const auto key = keys::usedUpstreams(this->service);
+        const auto found = std::ranges::find(conflict->current, key, &store::Entry::key);
+        this->usedRevision = found != conflict->current.end() ? found->revision : store::Revision {};
+    }
+}
+
 void PoolAgent::onDrain(const std::string& key, const std::optional<std::string>& value)
 {
     const auto vm = key.substr(keys::drainsOf(this->service).size());
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wasabiroad/agent/record_writer.hpp"
+#include "wasabiroad/agent/revision_clock.hpp"
 #include "wasabiroad/agent/upstream_agent.hpp"
 #include "wasabiroad/jobs/codec.hpp"
 #include "wasabiroad/metrics/metrics.hpp"
@@ -29,6 +30,9 @@
     const std::function<bool()> mayStart;
     /** @brief Boot clock at which the list of upstreams was last known to be complete. */
     const std::function<kernel::Instant()> upstreamsKnownAt;
+    /** @brief Longest time for which changes can be missing from a view up to a revision, see RevisionClock.
+     */
+    const std::function<std::optional<kernel::Duration>(store::Revision)> ageOf;
 };
 
 /** @brief Owns the scheduling of one pool for one term: feeds the scheduler and carries out its orders. */
@@ -55,8 +59,14 @@
     void close();
 
 private:
-    /** @brief Highest number of the ends of each upstream. */
-    using Ends = std::map<scheduling::UpstreamId, std::uint64_t>;
+    /** @brief Ends of one life of an upstream up to a number. */
+    struct ListedEnds {
+        kernel::Instant life {};
+        std::uint64_t last { 0 };
+    };
+
+    /** @brief The latest listed ends of each upstream. */
+    using Ends = std::map<scheduling::UpstreamId, ListedEnds>;
 
     /** Upstreams that the former owner recorded as used, and the revision of that record. */
     struct UsedBefore {
@@ -86,6 +96,8 @@
     void onKeyEvent(const store::KeyEvent& event);
     void retryLoad();
     void onJobEnded(const jobs::JobId& job);
+    /** Whether tasks may be started now; what changes by the age of the view is logged. */
+    bool mayStart();
     void apply(const scheduling::Event& event);
     void carryOut(const scheduling::Order& order);
     void carryOut(const scheduling::StartTask& order, UpstreamAgent& upstream);
@@ -104,6 +116,7 @@
     void closeUnused();
     std::set<std::string> upstreamsInUse() const;
     void recordUsed(const std::set<std::string>& ids);
+    void onUsedRecorded(const std::set<std::string>& ids, const store::ChangeOutcome& outcome);
     void onDrain(const std::string& key, const std::optional<std::string>& value);
     void announceEmptied();
     void superseded();
@@ -125,13 +138,15 @@
     std::map<std::string, jobs::Drain> drains {};
     /** @brief VMs whose emptiness is written. */
     std::set<std::string> announced {};
+    /** @brief Revision of that record, as far as it is known. */
+    store::Revision usedRevision {};
     bool recordingUsed { false };
     /** @brief Changes of the pool up to this revision have reached the scheduler. */
     store::Revision watched {};
     /** @brief When the term began. */
     kernel::Instant begun {};
-    /** @brief When the watch of the pool last answered. */
-    kernel::Instant watchAnswered {};
+    /** @brief Whether the view of the pool was young enough for starts when it was last asked for. */
+    bool viewIsCurrent { false };
     /** @brief When the upstreams were last compared with those in use. */
     kernel::Instant membersUsed {};
     /** @brief Starts that have no answer yet. */
