--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -5,6 +5,7 @@
 #include "wasabiroad/kernel/overloaded.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace wasabiroad::agent {
 
@@ -699,10 +700,11 @@
 
 void PoolAgent::closeUnused()
 {
+    std::set<UpstreamId> memberIds;
+    std::ranges::transform(
+        this->members, std::inserter(memberIds, memberIds.end()), [](const auto& facts) { return facts.id; });
     for (auto link = this->links.begin(); link != this->links.end();) {
-        const bool member
-            = std::ranges::any_of(this->members, [&](const auto& facts) { return facts.id == link->first; });
-        if (member || this->scheduler->isUsed(link->first)) {
+        if (memberIds.contains(link->first) || this->scheduler->isUsed(link->first)) {
             ++link;
             continue;
         }
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -97,9 +97,8 @@
         }
         if (upstream.member && upstream.listed && !upstream.hasForeign && !this->drains.contains(id)
             && upstream.longRunningTasks == 0) {
-            const auto left = timeToEmpty(upstream, now);
-            if (left < releaseWithin) {
-                releasable.emplace_back(left.milliseconds, id);
+            if (const auto left = timeToEmpty(upstream, now)) {
+                releasable.emplace_back(left->milliseconds, id);
             }
         }
     }
@@ -242,17 +241,19 @@
         && !this->drains.contains(id) && !upstream.facts->draining && upstream.suspectUntil <= now.steady;
 }
 
-Duration PoolScheduler::timeToEmpty(const Upstream& upstream, Moment now) const
+std::optional<Duration> PoolScheduler::timeToEmpty(const Upstream& upstream, Moment now) const
 {
     Duration longest {};
     for (const auto& id : upstream.tasks) {
-        const auto& task = this->jobRuns.at(id.job)
-                               .occurrences[id.position.occurrence][id.position.step]
-                               .tasks[id.position.index];
+        const auto& run = this->jobRuns.at(id.job);
+        const auto& task = run.occurrences[id.position.occurrence][id.position.step].tasks[id.position.index];
         const auto seen = task.lastProgress - task.started;
         const auto whole = task.percent > 0 ? Duration { seen.milliseconds * 100 / task.percent }
-                                            : std::max(stepOf(id).estimate, seen * 2);
+                                            : std::max(run.job.steps[id.position.step].estimate, seen * 2);
         longest = std::max(longest, task.started + whole - now.steady);
+        if (longest >= releaseWithin) {
+            return std::nullopt;
+        }
     }
     return longest;
 }
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -454,7 +454,7 @@
         }
         for (const auto& id : upstream.tasks) {
             const auto [run, task] = find(id);
-            const auto& step = stepOf(id);
+            const auto& step = run->job.steps[id.position.step];
             if (task->phase == Phase::Stopping && !task->stopAnswered
                 && now.steady - task->stopSent > this->policy.stopRetry) {
                 task->stopSent = now.steady;
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -8,6 +8,7 @@
 #include "wasabiroad/scheduling/state.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -168,7 +169,8 @@
     const std::vector<model::RackId>& racksInOrder();
     bool mayStartMore() const { return this->starting < this->policy.startsInFlight; }
     bool isOpen(const UpstreamId& id, const Upstream& upstream, Moment now) const;
-    kernel::Duration timeToEmpty(const Upstream& upstream, Moment now) const;
+    /** @return Expected time until its tasks have ended, or nothing when that is too long to wait for. */
+    std::optional<kernel::Duration> timeToEmpty(const Upstream& upstream, Moment now) const;
     std::uint32_t countOfStep(const Upstream& upstream, const Ready& ready) const;
     bool areEarlierDone(const JobRun& run, std::uint32_t occurrence, std::uint32_t step) const;
     bool isStepReady(const JobRun& run, std::uint32_t occurrence, std::uint32_t step, Moment now) const;
