--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -1,8 +1,8 @@
 #include "wasabiroad/agent/fleet_agent.hpp"
 
 #include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/jobs/codec.hpp"
 #include "wasabiroad/kernel/log.hpp"
-#include "wasabiroad/kernel/overloaded.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -37,12 +37,6 @@
 /** Interval of looking for drains that nobody carries on; they keep room from tasks. */
 constexpr Duration drainsInterval { 2000 };
 
-/** Wait of the watch of reports; a silent connection hides them for this time and some slack. */
-constexpr Duration reportsWait { 1000 };
-
-/** Interval of reading the reports again after a failure. */
-constexpr Duration reportsRetry { 300 };
-
 /** Lists in a row without a VM, for 3 s or more, after which it is gone for good. */
 constexpr std::uint32_t missingLimit = 30;
 
@@ -59,7 +53,6 @@
 {
     this->begun = kernel::bootNow();
     loadRecentOrders();
-    listReports();
     tick();
 }
 
@@ -152,7 +145,7 @@
     if (this->closed) {
         return;
     }
-    const Duration interval = tickInterval * (1 + static_cast<std::int64_t>(this->vms.size() / vmsPerTick));
+    const Duration interval = tickInterval * (1 + static_cast<std::int64_t>(this->vmCount / vmsPerTick));
     this->timer.start(interval, [self = shared_from_this()] { self->tick(); });
     if (this->listing || !this->environment.holdsDuties()) {
         return;
@@ -258,8 +251,7 @@
 
 void FleetAgent::onVms(const std::vector<ports::VmFacts>& facts)
 {
-    auto copy = facts;
-    this->vms.swap(copy);
+    this->vmCount = facts.size();
     std::map<model::VmId, const ports::VmFacts*> byName;
     for (const auto& vm : facts) {
         byName[vm.vm] = &vm;
@@ -278,8 +270,8 @@
         }
     }
     repeatMoves();
-    planMoves();
     sendOrders();
+    readReports(facts);
     if (draining) {
         this->environment.store->list(
             keys::emptied, [self = shared_from_this()](const kernel::Expected<store::Listing>& listing) {
@@ -305,11 +297,10 @@
     });
 }
 
-std::vector<scheduling::MovableVm> FleetAgent::movableVms() const
+std::vector<scheduling::MovableVm> FleetAgent::movableVms(const std::vector<ports::VmFacts>& facts) const
 {
-    std::vector<scheduling::MovableVm> movable;
-    movable.reserve(this->vms.size());
-    for (const auto& vm : this->vms) {
+    std::vector<scheduling::MovableVm> vms;
+    for (const auto& vm : facts) {
         const auto moving = this->moves.find(vm.vm);
         const bool isMoving = moving != this->moves.end();
         const bool up = vm.condition == ports::VmCondition::Up;
@@ -318,10 +309,10 @@
         }
         const bool busy
             = isMoving || !up || isInWave(vm.vm) || this->unmovable.contains(vm.vm) || !mayOrder(vm.vm);
-        movable.push_back(
+        vms.push_back(
             { vm.vm, isMoving ? moving->second.order.to : vm.pool, vm.upstream, vm.capacity, busy });
     }
-    return movable;
+    return vms;
 }
 
 void FleetAgent::Trend::observe(kernel::Instant now, std::int64_t cpu)
@@ -337,27 +328,30 @@
     this->cpu = cpu;
 }
 
-std::vector<scheduling::PoolView> FleetAgent::viewPools(const std::vector<scheduling::MovableVm>& movable)
+std::vector<scheduling::PoolView> FleetAgent::viewPools(
+    const store::Listing& reports, const std::vector<scheduling::MovableVm>& vms)
 {
     std::vector<scheduling::PoolView> views;
     const auto now = kernel::bootNow();
-    for (const auto& [pool, report] : this->reports) {
-        if (!this->poolsWithJobs.contains(pool)) {
+    for (const auto& entry : reports.entries) {
+        const model::ServiceId pool { entry.key.substr(keys::reports.size()) };
+        const auto report = jobs::decodePoolReport(entry.value);
+        if (!report || !this->poolsWithJobs.contains(pool)) {
             continue;
         }
         std::vector<scheduling::UpstreamId> idle;
-        idle.reserve(report.releasable.size());
-        for (const auto& id : report.releasable) {
+        idle.reserve(report->releasable.size());
+        for (const auto& id : report->releasable) {
             idle.emplace_back(id);
         }
-        const scheduling::PoolDemand demand { report.wanted, {}, report.taken, report.spread, std::move(idle),
-            report.arriving };
+        const scheduling::PoolDemand demand { report->wanted, {}, report->taken, report->spread,
+            std::move(idle), report->arriving };
         auto& trend = this->trends[pool];
-        trend.observe(now, report.wanted.cpu);
+        trend.observe(now, report->wanted.cpu);
         const scheduling::PoolView view { pool, false, demand, trend.growth, {} };
-        const auto own = std::ranges::count(movable, pool, &scheduling::MovableVm::pool);
-        const auto any = std::ranges::find(movable, pool, &scheduling::MovableVm::pool);
-        const bool surplus = any != movable.end()
+        const auto own = std::ranges::count(vms, pool, &scheduling::MovableVm::pool);
+        const auto any = std::ranges::find(vms, pool, &scheduling::MovableVm::pool);
+        const bool surplus = any != vms.end()
             && static_cast<std::uint32_t>(own) > scheduling::vmsNeeded(view, any->capacity);
         if (!surplus) {
             this->surplusSince.erase(pool);
@@ -371,19 +365,17 @@
     return views;
 }
 
-void FleetAgent::planMoves()
+void FleetAgent::planMoves(const std::vector<ports::VmFacts>& facts, const store::Listing& reports)
 {
-    if (this->sparePools.empty()) {
-        return;
-    }
-    const auto movable = movableVms();
-    const auto views = viewPools(movable);
+    const auto vms = movableVms(facts);
+    const auto views = viewPools(reports, vms);
     if (!mayOrder()) {
         return;
     }
-    for (const auto& order : scheduling::planMoves(views, movable)) {
+    for (const auto& order : scheduling::planMoves(views, vms)) {
         beginMove(order);
     }
+    sendOrders();
 }
 
 void FleetAgent::beginMove(const scheduling::VmMove& order)
@@ -499,70 +491,19 @@
     }
 }
 
-void FleetAgent::listReports()
+void FleetAgent::readReports(const std::vector<ports::VmFacts>& facts)
 {
+    if (this->sparePools.empty()) {
+        return;
+    }
     this->environment.store->list(
-        keys::reports, [self = shared_from_this()](const kernel::Expected<store::Listing>& listing) {
-            if (self->closed) {
-                return;
+        keys::reports, [self = shared_from_this(), facts](const kernel::Expected<store::Listing>& reports) {
+            if (reports && !self->closed) {
+                self->planMoves(facts, *reports);
             }
-            if (!listing) {
-                self->retryReports();
-                return;
-            }
-            self->reports.clear();
-            for (const auto& entry : listing->entries) {
-                self->readReport(entry);
-            }
-            self->watchReports(listing->asOf);
         });
 }
 
-void FleetAgent::retryReports()
-{
-    kernel::callLater(this->environment.context, reportsRetry, [self = shared_from_this()] {
-        if (!self->closed) {
-            self->listReports();
-        }
-    });
-}
-
-void FleetAgent::watchReports(store::Revision after)
-{
-    this->environment.store->watch(keys::reports, after, reportsWait,
-        [self = shared_from_this(), after](const store::WatchOutcome& outcome) {
-            if (self->closed) {
-                return;
-            }
-            std::visit(kernel::Overloaded {
-                           [&](const store::KeyEvents& changes) {
-                               for (const auto& event : changes.events) {
-                                   if (const auto* const entry = std::get_if<store::Entry>(&event)) {
-                                       self->readReport(*entry);
-                                   }
-                               }
-                               if (!changes.events.empty()) {
-                                   self->planMoves();
-                                   self->sendOrders();
-                               }
-                               self->watchReports(std::max(changes.asOf, after));
-                           },
-                           [&](const store::HistoryGone&) { self->listReports(); },
-                           [&](const kernel::Error&) { self->retryReports(); },
-                       },
-                outcome);
-        });
-}
-
-void FleetAgent::readReport(const store::Entry& entry)
-{
-    const model::ServiceId pool { entry.key.substr(keys::reports.size()) };
-    this->reports.erase(pool);
-    if (auto report = jobs::decodePoolReport(entry.value)) {
-        this->reports.emplace(pool, std::move(*report));
-    }
-}
-
 void FleetAgent::updateStages(Wave& wave, const std::map<model::VmId, const ports::VmFacts*>& facts)
 {
     for (auto& [name, vm] : wave.vms) {
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "wasabiroad/jobs/codec.hpp"
 #include "wasabiroad/kernel/timer.hpp"
 #include "wasabiroad/ports/fleet.hpp"
 #include "wasabiroad/scheduling/move_plan.hpp"
@@ -108,14 +107,11 @@
     };
 
     void tick();
-    /** Lists what the pools report, then watches it: each report is planned with at once. */
-    void listReports();
-    void watchReports(store::Revision after);
-    void retryReports();
-    void readReport(const store::Entry& entry);
-    void planMoves();
-    std::vector<scheduling::PoolView> viewPools(const std::vector<scheduling::MovableVm>& vms);
-    std::vector<scheduling::MovableVm> movableVms() const;
+    void readReports(const std::vector<ports::VmFacts>& facts);
+    void planMoves(const std::vector<ports::VmFacts>& facts, const store::Listing& reports);
+    std::vector<scheduling::PoolView> viewPools(
+        const store::Listing& reports, const std::vector<scheduling::MovableVm>& vms);
+    std::vector<scheduling::MovableVm> movableVms(const std::vector<ports::VmFacts>& facts) const;
     void updateMoves(const std::map<model::VmId, const ports::VmFacts*>& facts);
     void beginMove(const scheduling::VmMove& order);
     void decideMove(const model::VmId& vm);
@@ -169,11 +165,8 @@
     std::map<model::ServiceId, Trend> trends {};
     /** @brief VMs that the platform did not let change their pool. */
     std::set<model::VmId> unmovable {};
-    /** @brief What the owners of pools last reported. */
-    std::map<model::ServiceId, jobs::PoolReport> reports {};
-    /** @brief VMs as the last list showed them. */
-    std::vector<ports::VmFacts> vms {};
     bool listing { false };
+    std::size_t vmCount { 0 };
     kernel::Instant listRequested {};
     kernel::Instant drainsChecked {};
     bool closed { false };
