Start nothing while a cancellation may be missing from the owner's view

Tasks of jobs were started more than 3 s after their cancelling had been acknowledged (UNASKED).

An owner asked only whether its lease lasts; how old its view of the pool was did not count.

change: the owner starts tasks only while its view misses nothing from before 2 s ago (RevisionClock): 3 s for the cancellation, less 0.8 s for a start on its way. The watch of a pool waits for 500 ms in place of 1,000, so that an idle pool's view stays below that through one lost answer. `starts-held` and `starts-resumed` say when. `watch_age_ms` in `pool-state` was set anew by each retry of a failed watch; it is now the bound of the view's age.

Test, failing before: owner_without_a_watch_starts_nothing: check site.workers.startsOf(job.id) == 1 has failed [3 != 1]

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -146,8 +146,7 @@
         const auto age = self->revisions->ageOf(counted->upTo, kernel::bootNow());
         kernel::logEvent("pending-answered",
             { { "queue", queue.text() }, { "pool", service.text() }, { "source", source },
-                { "revision", counted->upTo.value },
-                { "age_ms", age ? std::to_string(age->milliseconds) : "unknown" },
+                { "revision", counted->upTo.value }, { "age_ms", ageText(age) },
                 { "count", counted->of(queue) } });
         callback(counted->of(queue));
     };
@@ -290,7 +289,9 @@
     auto agent = std::make_shared<PoolAgent>(
         PoolContext { this->environment.context, this->environment.store, this->environment.upstreams,
             this->environment.metrics, this->environment.access.taskLease, ifKept(&Duties::mayAct),
-            ifKept(&Duties::surelyHolds), [known = this->directory] { return known->knownAt(); } },
+            ifKept(&Duties::surelyHolds), [known = this->directory] { return known->knownAt(); },
+            [known = this->revisions](
+                store::Revision upTo) { return known->ageOf(upTo, kernel::bootNow()); } },
         service, term);
     this->pools.insert_or_assign(service, agent);
     agent->start();
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -35,8 +35,14 @@
 /** A need that is larger by this part of the reported one is reported at once. */
 constexpr std::int64_t risingPart = 8;
 
-/** Wait of a watch; a silent connection hides cancelled jobs for this time and some slack. */
-constexpr Duration watchWait { 1000 };
+/** Wait of a watch: an answer without changes leaves the view this old until the next one. */
+constexpr Duration watchWait { 500 };
+
+/**
+ * Age of the view of the pool from which on nothing is started: a cancelled job must not be started 3 s after
+ * its caller was told (the platform's `cancel_ms`), and a start may be on its way for 0.8 s.
+ */
+constexpr Duration viewAgeLimit { 2000 };
 constexpr Duration retryInterval { 300 };
 
 /** Interval of recording which upstreams are used, and of using those that have been recorded. */
@@ -257,7 +263,6 @@
 void PoolAgent::watch(store::Revision after)
 {
     this->watched = after;
-    this->watchAnswered = kernel::bootNow();
     this->environment.store->watch(keys::pool(this->service), after, watchWait,
         [self = shared_from_this(), after](const store::WatchOutcome& outcome) {
             if (self->closed) {
@@ -339,9 +344,22 @@
         event);
 }
 
+bool PoolAgent::mayStart()
+{
+    const auto age = this->environment.ageOf(this->watched);
+    const bool current = age && *age <= viewAgeLimit;
+    if (current != this->viewIsCurrent) {
+        this->viewIsCurrent = current;
+        kernel::logEvent(current ? "starts-resumed" : "starts-held",
+            { { "pool", this->service.text() }, { "revision", this->watched.value },
+                { "age_ms", ageText(age) } });
+    }
+    return current && this->environment.mayStart();
+}
+
 void PoolAgent::apply(const scheduling::Event& event)
 {
-    this->scheduler->setActive(this->environment.mayStart());
+    this->scheduler->setActive(mayStart());
     for (const auto& order : this->scheduler->apply(event, now())) {
         carryOut(order);
     }
@@ -549,7 +567,7 @@
             { "memory_taken", demand.taken.memory }, { "memory_room", demand.room.memory },
             { "cpu_arriving", demand.arriving }, { "spread", demand.spread },
             { "starting", this->startsInFlight },
-            { "watch_age_ms", (at.steady - this->watchAnswered).milliseconds },
+            { "watch_age_ms", ageText(this->environment.ageOf(this->watched)) },
             { "members_age_ms", (at.steady - this->environment.upstreamsKnownAt()).milliseconds } });
     std::vector<std::string> idle;
     idle.reserve(demand.releasable.size());
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wasabiroad/agent/record_writer.hpp"
+#include "wasabiroad/agent/revision_clock.hpp"
 #include "wasabiroad/agent/upstream_agent.hpp"
 #include "wasabiroad/jobs/codec.hpp"
 #include "wasabiroad/metrics/metrics.hpp"
@@ -29,6 +30,9 @@
     const std::function<bool()> mayStart;
     /** @brief Boot clock at which the list of upstreams was last known to be complete. */
     const std::function<kernel::Instant()> upstreamsKnownAt;
+    /** @brief Longest time for which changes can be missing from a view up to a revision, see RevisionClock.
+     */
+    const std::function<std::optional<kernel::Duration>(store::Revision)> ageOf;
 };
 
 /** @brief Owns the scheduling of one pool for one term: feeds the scheduler and carries out its orders. */
@@ -81,6 +85,8 @@
     void onKeyEvent(const store::KeyEvent& event);
     void retryLoad();
     void onJobEnded(const jobs::JobId& job);
+    /** Whether tasks may be started now; what changes by the age of the view is logged. */
+    bool mayStart();
     void apply(const scheduling::Event& event);
     void carryOut(const scheduling::Order& order);
     void carryOut(const scheduling::StartTask& order, UpstreamAgent& upstream);
@@ -124,8 +130,8 @@
     store::Revision watched {};
     /** @brief When the term began. */
     kernel::Instant begun {};
-    /** @brief When the watch of the pool last answered. */
-    kernel::Instant watchAnswered {};
+    /** @brief Whether the view of the pool was young enough for starts when it was last asked for. */
+    bool viewIsCurrent { false };
     /** @brief When the upstreams were last compared with those in use. */
     kernel::Instant membersUsed {};
     /** @brief Starts that have no answer yet. */
--- a/src/wasabiroad/agent/revision_clock.cpp
+++ b/src/wasabiroad/agent/revision_clock.cpp
@@ -45,6 +45,11 @@
                                                 : std::nullopt;
 }
 
+std::string ageText(std::optional<Duration> age)
+{
+    return age ? std::to_string(age->milliseconds) : "unknown";
+}
+
 store::Store observed(std::shared_ptr<const store::Store> store, std::shared_ptr<RevisionClock> revisions)
 {
     return {
--- a/src/wasabiroad/agent/revision_clock.hpp
+++ b/src/wasabiroad/agent/revision_clock.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace wasabiroad::agent {
 
@@ -41,6 +42,9 @@
     std::deque<Observation> observations {};
 };
 
+/** @return An age for the log in ms, or "unknown". */
+std::string ageText(std::optional<kernel::Duration> age);
+
 /** @return The same calls; each answer that names a revision of the store is noted. */
 store::Store observed(std::shared_ptr<const store::Store> store, std::shared_ptr<RevisionClock> revisions);
 
--- a/test/wasabiroad/agent/jobs.cpp
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -101,6 +101,48 @@
     BOOST_TEST((site.state("a", owner) == StateOutcome { JobState::Cancelled }));
 }
 
+/** @return A job with a second step that waits for the first. */
+jobs::Job makeChain(const std::string& id, std::int64_t runMs)
+{
+    const auto job = makeJob(id, runMs, 1);
+    const auto& step = job.steps.front();
+    return { .id = job.id,
+        .queue = job.queue,
+        .service = job.service,
+        .payload = job.payload,
+        .steps
+        = { step, { .count = 2, .resources = step.resources, .estimate = step.estimate, .after = { 0 } } },
+        .accepted = job.accepted,
+        .maxAttempts = job.maxAttempts,
+        .stretch = job.stretch,
+        .allowance = job.allowance };
+}
+
+/** Guards against later steps of a cancelled job that an owner starts since it has not seen the cancellation.
+ */
+BOOST_AUTO_TEST_CASE(owner_without_a_watch_starts_nothing)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    const auto owner = *site.owner();
+    const auto other = 1 - owner;
+    const auto job = makeChain("a", 3000);
+    site.submit(job, other);
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 1; }));
+    // The record of the start is written: a later one would show the cancellation.
+    site.runFor(300);
+    site.daemons[owner]->storeFaults->silentWatches = true;
+    BOOST_TEST((site.cancel("a", other) == StateOutcome { JobState::Cancelled }));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 0; }));
+    site.runFor(500);
+    BOOST_TEST(site.workers.startsOf(job.id) == 1);
+    site.daemons[owner]->storeFaults->silentWatches = false;
+    site.submit(makeJob("b"), other);
+    BOOST_TEST(site.reaches("b", JobState::Completed));
+    BOOST_TEST(site.workers.startsOf(job.id) == 1);
+}
+
 /** Guards against an open job that a daemon takes for cancelled, or forgets, after the history was dropped.
  */
 BOOST_AUTO_TEST_CASE(jobs_survive_a_dropped_history)
