Acknowledge ends only to the life of an upstream that listed them

Ends are numbered from 1 in each life of an upstream, but they were acknowledged by number alone. Records that were on their way when an upstream started again under its id let the ends of its new life be acknowledged up to the old number, though these were not recorded; the first look after a silence did the same. An owner that is lost before it writes them takes them along, and the next owner starts their tasks once more.

change: listed ends carry the life that listed them, and those of another life are not acknowledged. The first look after a silence acknowledges nothing.

Test, failing before: only_recorded_ends_are_acknowledged ends of a former life: check looks.back() == row.acknowledged has failed [3 != 0] silence may hide a new life: [40 != 0]

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -481,7 +481,7 @@
     const auto last = this->scheduler->lastEnd(id);
     if (last != this->seenEnds[id] || !tasks.ended.empty()) {
         this->seenEnds[id] = last;
-        this->openEnds[id] = last;
+        this->openEnds[id] = { tasks.born, last };
         planFlush();
     }
 }
@@ -516,9 +516,9 @@
 
 void PoolAgent::acknowledge(const Ends& ends)
 {
-    for (const auto& [id, number] : ends) {
+    for (const auto& [id, listed] : ends) {
         if (const auto link = this->links.find(id); link != this->links.end()) {
-            link->second->acknowledge(number);
+            link->second->acknowledge(listed.life, listed.last);
         }
     }
 }
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -59,8 +59,14 @@
     void close();
 
 private:
-    /** @brief Highest number of the ends of each upstream. */
-    using Ends = std::map<scheduling::UpstreamId, std::uint64_t>;
+    /** @brief Ends of one life of an upstream up to a number. */
+    struct ListedEnds {
+        kernel::Instant life {};
+        std::uint64_t last { 0 };
+    };
+
+    /** @brief The latest listed ends of each upstream. */
+    using Ends = std::map<scheduling::UpstreamId, ListedEnds>;
 
     /** Makes a callback that does nothing once this term has ended. */
     template <typename Function> auto guarded(Function function)
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -51,7 +51,9 @@
         this->lastRenewal = sent;
     }
     const auto wait = this->events.frequent(this->upstream.id) ? frequentLookWait : lookWait;
-    this->link->look({ this->term, this->recorded, renews ? std::optional { this->taskLease } : std::nullopt,
+    // After a silence another life may answer, whose ends have the same numbers.
+    const auto acknowledged = this->answering ? this->recorded : 0;
+    this->link->look({ this->term, acknowledged, renews ? std::optional { this->taskLease } : std::nullopt,
                          this->answering ? wait : Duration {} },
         [self = shared_from_this(), sent](const ports::LookOutcome& outcome) {
             if (!self->closed) {
@@ -109,8 +111,11 @@
     this->timer.start(silentRetry, [self = shared_from_this()] { self->look(); });
 }
 
-void UpstreamAgent::acknowledge(std::uint64_t number)
+void UpstreamAgent::acknowledge(kernel::Instant life, std::uint64_t number)
 {
+    if (life != this->born) {
+        return;
+    }
     this->recorded = std::max(this->recorded, std::min(number, this->listed));
     if (this->awaitingRecord && this->recorded >= this->listed) {
         this->awaitingRecord = false;
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -28,8 +28,12 @@
 
     void start() { look(); }
 
-    /** @brief Ends up to this number are recorded. */
-    void acknowledge(std::uint64_t number);
+    /**
+     * @brief Ends are recorded; the next look acknowledges them.
+     * @param life Start of the life of the upstream that listed them.
+     * @param number Number of the last of them in that life.
+     */
+    void acknowledge(kernel::Instant life, std::uint64_t number);
 
     const scheduling::UpstreamFacts& facts() const { return this->upstream; }
     const ports::UpstreamLink& orders() const { return *this->link; }
