Keep a late write from hiding that an upstream is used

The record of used upstreams could lose upstreams that run tasks, so that a next owner would not wait for them and would start their tasks a second time (TWICE).

cause: found by reading. A write without an answer may be carried out seconds later while its condition holds, and the record of used upstreams was written on the condition of the owner's term only. A later write of the same owner with more upstreams was then replaced by the earlier one.

change: the record is replaced only at the revision that the owner knows; a conflict shows the present one, and the next write uses that. The stand-in store can carry out changes late.

Test, failing before: late_record_of_used_upstreams_does_not_replace_a_newer_one: check least == 3 has failed [2 != 3]

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -182,13 +182,14 @@
 }
 
 void PoolAgent::begin(const store::Listing& pool, const store::Listing& records,
-    const std::vector<std::string>& usedBefore, store::Revision usedRevision)
+    const std::vector<std::string>& usedBefore, store::Revision recorded)
 {
     if (this->closed) {
         return;
     }
     this->loaded = true;
     this->used.insert(usedBefore.begin(), usedBefore.end());
+    this->usedRevision = recorded;
     std::vector<UpstreamId> ids;
     ids.reserve(usedBefore.size());
     for (const auto& id : usedBefore) {
@@ -199,7 +200,7 @@
     kernel::logEvent("pool-loaded",
         { { "pool", this->service.text() }, { "term", this->term.value },
             { "jobs", this->scheduler->jobCount() }, { "used", usedBefore.size() },
-            { "used_revision", usedRevision.value }, { "revision", pool.asOf.value },
+            { "used_revision", recorded.value }, { "revision", pool.asOf.value },
             { "load_ms", (kernel::bootNow() - this->begun).milliseconds } });
     useMembers();
     watch(pool.asOf);
@@ -637,17 +638,30 @@
     this->recordingUsed = true;
     // Nothing is started on an upstream while its removal from the record is on its way.
     std::erase_if(this->used, [&](const auto& id) { return !ids.contains(id); });
-    this->writer->put({ keys::usedUpstreams(this->service),
-                          jobs::encode(std::vector<std::string> { ids.begin(), ids.end() }) },
-        [self = shared_from_this(), ids](const store::ChangeOutcome& outcome) {
+    this->writer->replace({ keys::usedUpstreams(this->service),
+                              jobs::encode(std::vector<std::string> { ids.begin(), ids.end() }) },
+        this->usedRevision, [self = shared_from_this(), ids](const store::ChangeOutcome& outcome) {
             self->recordingUsed = false;
-            if (!self->closed && std::holds_alternative<store::Committed>(outcome)) {
-                self->used = ids;
-                self->useMembers();
+            if (!self->closed) {
+                self->onUsedRecorded(ids, outcome);
             }
         });
 }
 
+void PoolAgent::onUsedRecorded(const std::set<std::string>& ids, const store::ChangeOutcome& outcome)
+{
+    if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
+        this->usedRevision = committed->revision;
+        this->used = ids;
+        useMembers();
+    } else if (const auto* const conflict = std::get_if<store::Conflict>(&outcome)) {
+        // An earlier write without an answer was carried out; the next one replaces it.
+        const auto key = keys::usedUpstreams(this->service);
+        const auto found = std::ranges::find(conflict->current, key, &store::Entry::key);
+        this->usedRevision = found != conflict->current.end() ? found->revision : store::Revision {};
+    }
+}
+
 void PoolAgent::onDrain(const std::string& key, const std::optional<std::string>& value)
 {
     const auto vm = key.substr(keys::drainsOf(this->service).size());
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -82,7 +82,7 @@
     void readRecords(const store::Listing& pool);
     void readUsed(const store::Listing& pool, const store::Listing& records);
     void begin(const store::Listing& pool, const store::Listing& records,
-        const std::vector<std::string>& used, store::Revision usedRevision);
+        const std::vector<std::string>& usedBefore, store::Revision recorded);
     void addJobs(const store::Listing& pool, const store::Listing& records, bool mayHaveStarted);
     /** Ends what a list shows to be gone, after a watch has lost the history. */
     void cancelMissing(const store::Listing& pool);
@@ -110,6 +110,7 @@
     void closeUnused();
     std::set<std::string> upstreamsInUse() const;
     void recordUsed(const std::set<std::string>& ids);
+    void onUsedRecorded(const std::set<std::string>& ids, const store::ChangeOutcome& outcome);
     void onDrain(const std::string& key, const std::optional<std::string>& value);
     void announceEmptied();
     void superseded();
@@ -131,6 +132,8 @@
     std::map<std::string, jobs::Drain> drains {};
     /** @brief VMs whose emptiness is written. */
     std::set<std::string> announced {};
+    /** @brief Revision of that record, as far as it is known. */
+    store::Revision usedRevision {};
     bool recordingUsed { false };
     /** @brief Changes of the pool up to this revision have reached the scheduler. */
     store::Revision watched {};
--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -59,6 +59,14 @@
     this->store->change({ { ownerCondition() }, { std::move(put) }, {} }, std::move(callback));
 }
 
+void RecordWriter::replace(
+    store::Put put, store::Revision expected, store::Callback<store::ChangeOutcome> callback) const
+{
+    store::Condition unchanged { put.key, expected };
+    this->store->change(
+        { { ownerCondition(), std::move(unchanged) }, { std::move(put) }, {} }, std::move(callback));
+}
+
 store::Condition RecordWriter::ownerCondition() const
 {
     return { keys::poolOwner(this->service), { this->term.value } };
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -56,6 +56,14 @@
     /** @brief Writes a key of the pool under the condition of the owner's term. */
     void put(store::Put put, store::Callback<store::ChangeOutcome> callback) const;
 
+    /**
+     * @brief Does the same while the key has a revision: a write that is carried out late replaces nothing
+     * newer.
+     * @param expected Revision of the key; 0 when it must not exist.
+     */
+    void replace(
+        store::Put put, store::Revision expected, store::Callback<store::ChangeOutcome> callback) const;
+
     /** @brief Stops writing; later results are ignored. */
     void close() { this->closed = true; }
 
--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -85,6 +85,15 @@
                         [callback] { callback(store::OutcomeUnknown { timeout() }); });
                     return;
                 }
+                if (faults->changeDelay.milliseconds != 0) {
+                    kernel::callLater(this->context, faults->changeDelay, [this, change] {
+                        expireLeases();
+                        apply(change);
+                    });
+                    kernel::callLater(this->context, silence,
+                        [callback] { callback(store::OutcomeUnknown { timeout() }); });
+                    return;
+                }
                 kernel::callLater(this->context, latency, [this, faults, change, callback] {
                     if (faults->busy) {
                         callback(store::NotDone { refusal() });
--- a/src/wasabiroad/standin/key_value.hpp
+++ b/src/wasabiroad/standin/key_value.hpp
@@ -27,6 +27,8 @@
     kernel::Duration listDelay {};
     /** @brief Watches get no answer. */
     bool silentWatches { false };
+    /** @brief Changes are not answered, and carried out this much later; 0 for none of that. */
+    kernel::Duration changeDelay {};
     /** @brief Lists that were asked for. */
     std::size_t lists { 0 };
 };
--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -1,3 +1,4 @@
+#include "wasabiroad/agent/keys.hpp"
 #include "wasabiroad/agent/site.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -58,6 +59,29 @@
     }
 }
 
+/** Guards against a next owner that does not wait for an upstream, since a late write hid that it is used. */
+BOOST_AUTO_TEST_CASE(late_record_of_used_upstreams_does_not_replace_a_newer_one)
+{
+    Site site { 1, 1 };
+    const auto used = [&] {
+        const auto entry = site.store.find(keys::usedUpstreams(service));
+        return entry ? jobs::decodeUpstreams(entry->value).value_or(std::vector<std::string> {}).size() : 0;
+    };
+    BOOST_REQUIRE(site.runUntil([&] { return used() == 1; }));
+    site.daemons[0]->storeFaults->changeDelay = { 2500 };
+    site.workers.add("vm-b", service, 4000);
+    site.runFor(450);
+    site.daemons[0]->storeFaults->changeDelay = {};
+    site.workers.add("vm-c", service, 4000);
+    BOOST_REQUIRE(site.runUntil([&] { return used() == 3; }));
+    std::size_t least = used();
+    for (int step = 0; step < 300; ++step) {
+        site.runFor(10);
+        least = std::min(least, used());
+    }
+    BOOST_TEST(least == 3);
+}
+
 /** Guards against one daemon that takes all duties of a site. */
 BOOST_AUTO_TEST_CASE(duties_are_spread_over_daemons)
 {
