Start nothing while the owner has not heard of its pool for long

cause: callers cancelled jobs, and their tasks were started 16 to 27 s later. The time counts from the last answer; an attempt to watch again counted as one. Failures to read or watch a pool are logged. Why the watches of a late owner do not even time out is not known yet.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -33,6 +33,9 @@
 
 /** Wait of a watch; a silent connection hides cancelled jobs for this time and some slack. */
 constexpr Duration watchWait { 1000 };
+
+/** Longest silence of the watch after which tasks are started; no start may follow a cancellation by 4 s. */
+constexpr Duration watchSilence { 2500 };
 constexpr Duration retryInterval { 300 };
 
 /** Interval of recording which upstreams are used, and of using those that have been recorded. */
@@ -108,8 +111,10 @@
     this->scheduler->recordWritten(job);
 }
 
-void PoolAgent::retryLoad()
+void PoolAgent::retryLoad(const kernel::Error& error)
 {
+    kernel::logEvent("pool-not-read",
+        { { "pool", this->service.text() }, { "code", number(error.code) }, { "reason", error.found } });
     kernel::callLater(
         this->environment.context, retryInterval, [self = shared_from_this()] { self->load(); });
 }
@@ -122,7 +127,7 @@
     this->environment.store->list(keys::progressOf(this->service),
         [self = shared_from_this()](const kernel::Expected<store::Listing>& progress) {
             if (!progress) {
-                self->retryLoad();
+                self->retryLoad(progress.error());
             } else if (self->loaded) {
                 self->readPool(*progress, {});
             } else {
@@ -136,7 +141,7 @@
     this->environment.store->read(keys::usedUpstreams(this->service),
         [self = shared_from_this(), progress](const kernel::Expected<std::optional<store::Entry>>& entry) {
             if (!entry) {
-                self->retryLoad();
+                self->retryLoad(entry.error());
                 return;
             }
             const auto ids = *entry ? jobs::decodeUpstreams((*entry)->value) : std::nullopt;
@@ -159,10 +164,11 @@
                 return;
             }
             if (!pool) {
-                self->retryLoad();
+                self->retryLoad(pool.error());
             } else if (self->loaded) {
                 self->cancelMissing(*pool);
                 self->addJobs(*pool, progress, false);
+                self->seenUpTo(pool->asOf);
                 self->watch(pool->asOf);
             } else {
                 self->begin(*pool, progress, usedBefore);
@@ -189,6 +195,7 @@
             { "used_revision", usedBefore.revision.value }, { "revision", pool.asOf.value },
             { "read_ms", (readAt - this->begun).milliseconds },
             { "load_ms", (kernel::bootNow() - this->begun).milliseconds } });
+    seenUpTo(pool.asOf);
     useMembers();
     watch(pool.asOf);
     tick();
@@ -253,10 +260,14 @@
     }
 }
 
-void PoolAgent::watch(store::Revision after)
+void PoolAgent::seenUpTo(store::Revision revision)
 {
-    this->watched = after;
+    this->watched = revision;
     this->watchAnswered = kernel::bootNow();
+}
+
+void PoolAgent::watch(store::Revision after)
+{
     this->environment.store->watch(keys::pool(this->service), after, watchWait,
         [self = shared_from_this(), after](const store::WatchOutcome& outcome) {
             if (self->closed) {
@@ -264,11 +275,15 @@
             }
             std::visit(kernel::Overloaded {
                            [&](const store::KeyEvents& changes) {
+                               self->seenUpTo(std::max(changes.asOf, after));
                                self->onKeyEvents(changes.events);
-                               self->watch(std::max(changes.asOf, after));
+                               self->watch(self->watched);
                            },
                            [&](const store::HistoryGone&) { self->load(); },
-                           [&](const kernel::Error&) {
+                           [&](const kernel::Error& error) {
+                               kernel::logEvent("pool-not-watched",
+                                   { { "pool", self->service.text() }, { "code", number(error.code) },
+                                       { "reason", error.found }, { "revision", after.value } });
                                kernel::callLater(self->environment.context, retryInterval,
                                    [self, after] { self->closed ? void() : self->watch(after); });
                            },
@@ -344,7 +359,8 @@
 
 void PoolAgent::apply(const scheduling::Event& event)
 {
-    this->scheduler->setActive(this->environment.mayStart());
+    const bool informed = kernel::bootNow() - this->watchAnswered < watchSilence;
+    this->scheduler->setActive(informed && this->environment.mayStart());
     for (const auto& order : this->scheduler->apply(event, now())) {
         carryOut(order);
     }
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -81,10 +81,12 @@
     void addJobs(const store::Listing& pool, const store::Listing& progress, bool mayHaveStarted);
     /** Ends what a list shows to be gone, after a watch has lost the history. */
     void cancelMissing(const store::Listing& pool);
+    /** Notes that all changes of the pool up to a revision are known now. */
+    void seenUpTo(store::Revision revision);
     void watch(store::Revision after);
     void onKeyEvents(const std::vector<store::KeyEvent>& events);
     void onKeyEvent(const store::KeyEvent& event);
-    void retryLoad();
+    void retryLoad(const kernel::Error& error);
     void onJobEnded(const jobs::JobId& job);
     void apply(const scheduling::Event& event);
     void carryOut(const scheduling::Order& order);
@@ -129,7 +131,7 @@
     store::Revision watched {};
     /** @brief When the term began. */
     kernel::Instant begun {};
-    /** @brief When the watch of the pool last answered. */
+    /** @brief When the changes of the pool were last known; nothing is started long after. */
     kernel::Instant watchAnswered {};
     /** @brief When the upstreams were last compared with those in use. */
     kernel::Instant membersUsed {};
--- a/test/wasabiroad/agent/jobs.cpp
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -101,6 +101,38 @@
     BOOST_TEST((site.state("a", owner) == StateOutcome { JobState::Cancelled }));
 }
 
+/** Guards against tasks of a cancelled job that start long after, since the owner's watch does not answer. */
+BOOST_AUTO_TEST_CASE(owner_that_has_not_heard_of_its_pool_starts_nothing)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    const auto owner = *site.owner();
+    const auto other = 1 - owner;
+    const jobs::Step later { .count = 2, .resources = { 1000, 100, 0 }, .estimate = { 50 }, .after = { 0 } };
+    const auto first = makeJob("a", 4000);
+    const jobs::Job twoSteps { .id = first.id,
+        .queue = first.queue,
+        .service = first.service,
+        .payload = first.payload,
+        .steps = { first.steps.front(), later },
+        .accepted = first.accepted,
+        .maxAttempts = first.maxAttempts,
+        .stretch = first.stretch,
+        .allowance = first.allowance };
+    site.submit(twoSteps, other);
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
+    site.daemons[owner]->storeFaults->silentWatches = true;
+    site.runFor(100);
+    BOOST_TEST((site.cancel("a", other) == StateOutcome { JobState::Cancelled }));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 0; }));
+    site.runFor(500);
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+    site.daemons[owner]->storeFaults->silentWatches = false;
+    site.submit(makeJob("b"), other);
+    BOOST_TEST(site.reaches("b", JobState::Completed, other));
+}
+
 /** Guards against an open job that a daemon takes for cancelled, or forgets, after the history was dropped.
  */
 BOOST_AUTO_TEST_CASE(jobs_survive_a_dropped_history)
