Show a job as cancelled at its owner when it was cancelled as it ended

cause: read in the code, on the way to a removal that the owner's last write makes: the last task of a job ends, the store refuses the owner's final record, and a caller cancels the job at another daemon. The final record then meets a conflict and is dropped, the scheduler ignores the cancellation of a job that has ended for it, and the owner waits for ever for the job's record to be written: it answers "running", others "cancelled". change: the conflict settles the job in the scheduler, which forgets it; the state is then read from the store. Test before the change: cancellation_before_the_last_write_is_shown_by_the_owner "reaches("a", JobState::Cancelled, owner) has failed" after 30 s. before: the test fails. after: it passes; all tests of test-agent pass. conclusion: kept.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -94,7 +94,10 @@
         RecordEvents {
             guarded([](PoolAgent& self, const jobs::JobId& job) { self.onJobEnded(job); }),
             guarded([](PoolAgent& self, const jobs::JobId& job) {
+                kernel::logEvent("job-cancelled", { { "job", job.text() }, { "reason", "its record" } });
                 self.apply(scheduling::JobCancelled { job });
+                // A job that has ended here meanwhile does not need its own record any more.
+                self.scheduler->recordWritten(job);
             }),
             guarded([](PoolAgent& self) { self.superseded(); }),
             guarded([](PoolAgent& self, std::uint64_t batch) { self.onFlushed(batch); }),
--- a/test/wasabiroad/agent/jobs.cpp
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -222,6 +222,26 @@
     BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
 }
 
+/** Guards against a job that its owner shows as running for ever, since it was cancelled as it ended. */
+BOOST_AUTO_TEST_CASE(cancellation_before_the_last_write_is_shown_by_the_owner)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    const auto owner = *site.owner();
+    const auto other = 1 - owner;
+    site.submit(makeJob("a", 300), other);
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
+    site.daemons[owner]->storeFaults->busy = true;
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 0; }));
+    site.runFor(100);
+    BOOST_TEST((site.cancel("a", other) == StateOutcome { JobState::Cancelled }));
+    site.daemons[owner]->storeFaults->busy = false;
+    BOOST_TEST(site.reaches("a", JobState::Cancelled, owner));
+    BOOST_TEST(site.reaches("a", JobState::Cancelled, other));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+}
+
 /** Guards against counts of waiting jobs that only the owner knows. */
 BOOST_AUTO_TEST_CASE(every_daemon_counts_the_jobs_that_wait)
 {
