--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -112,7 +112,10 @@
         RecordEvents {
             guarded([](PoolAgent& self, const jobs::JobId& job) { self.onJobEnded(job); }),
             guarded([](PoolAgent& self, const jobs::JobId& job) {
+                kernel::logEvent("job-cancelled", { { "job", job.text() }, { "reason", "its record" } });
                 self.apply(scheduling::JobCancelled { job });
+                // A job that has ended here meanwhile does not need its own record any more.
+                self.scheduler->recordWritten(job);
             }),
             guarded([](PoolAgent& self) { self.superseded(); }),
             guarded([](PoolAgent& self, std::uint64_t batch) { self.onFlushed(batch); }),
@@ -129,8 +132,10 @@
     this->scheduler->recordWritten(job);
 }
 
-void PoolAgent::retryLoad()
+void PoolAgent::retryLoad(const kernel::Error& error)
 {
+    kernel::logEvent("pool-not-read",
+        { { "pool", this->service.text() }, { "code", number(error.code) }, { "reason", error.found } });
     kernel::callLater(
         this->environment.context, retryInterval, [self = shared_from_this()] { self->load(); });
 }
@@ -143,7 +148,7 @@
     this->environment.store->list(keys::progressOf(this->service),
         [self = shared_from_this()](const kernel::Expected<store::Listing>& progress) {
             if (!progress) {
-                self->retryLoad();
+                self->retryLoad(progress.error());
             } else if (self->loaded) {
                 self->readPool(*progress, {});
             } else {
@@ -157,7 +162,7 @@
     this->environment.store->read(keys::usedUpstreams(this->service),
         [self = shared_from_this(), progress](const kernel::Expected<std::optional<store::Entry>>& entry) {
             if (!entry) {
-                self->retryLoad();
+                self->retryLoad(entry.error());
                 return;
             }
             const auto ids = *entry ? jobs::decodeUpstreams((*entry)->value) : std::nullopt;
@@ -180,7 +185,7 @@
                 return;
             }
             if (!pool) {
-                self->retryLoad();
+                self->retryLoad(pool.error());
             } else if (self->loaded) {
                 self->cancelMissing(*pool);
                 self->addJobs(*pool, progress, false);
@@ -211,6 +216,7 @@
             { "used_revision", usedBefore.revision.value }, { "revision", pool.asOf.value },
             { "read_ms", (readAt - this->begun).milliseconds },
             { "load_ms", (kernel::bootNow() - this->begun).milliseconds } });
+    this->watched = pool.asOf;
     useMembers();
     watch(pool.asOf);
     tick();
@@ -289,7 +295,10 @@
                                self->watch(std::max(changes.asOf, after));
                            },
                            [&](const store::HistoryGone&) { self->load(); },
-                           [&](const kernel::Error&) {
+                           [&](const kernel::Error& error) {
+                               kernel::logEvent("pool-not-watched",
+                                   { { "pool", self->service.text() }, { "code", number(error.code) },
+                                       { "reason", error.found }, { "revision", after.value } });
                                kernel::callLater(self->environment.context, retryInterval,
                                    [self, after] { self->closed ? void() : self->watch(after); });
                            },
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -94,7 +94,7 @@
     void watch(store::Revision after);
     void onKeyEvents(const std::vector<store::KeyEvent>& events);
     void onKeyEvent(const store::KeyEvent& event);
-    void retryLoad();
+    void retryLoad(const kernel::Error& error);
     void onJobEnded(const jobs::JobId& job);
     /** Whether tasks may be started now; what changes by the age of the view is logged. */
     bool mayStart();
--- a/test/wasabiroad/agent/jobs.cpp
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -251,6 +251,58 @@
     }
 }
 
+/** Guards against tasks of a cancelled job that start long after, since the owner's watch does not answer. */
+BOOST_AUTO_TEST_CASE(owner_that_has_not_heard_of_its_pool_starts_nothing)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    const auto owner = *site.owner();
+    const auto other = 1 - owner;
+    const jobs::Step later { .count = 2, .resources = { 1000, 100, 0 }, .estimate = { 50 }, .after = { 0 } };
+    const auto first = makeJob("a", 4000);
+    const jobs::Job twoSteps { .id = first.id,
+        .queue = first.queue,
+        .service = first.service,
+        .payload = first.payload,
+        .steps = { first.steps.front(), later },
+        .accepted = first.accepted,
+        .maxAttempts = first.maxAttempts,
+        .stretch = first.stretch,
+        .allowance = first.allowance };
+    site.submit(twoSteps, other);
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
+    site.daemons[owner]->storeFaults->silentWatches = true;
+    site.runFor(100);
+    BOOST_TEST((site.cancel("a", other) == StateOutcome { JobState::Cancelled }));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 0; }));
+    site.runFor(500);
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+    site.daemons[owner]->storeFaults->silentWatches = false;
+    site.submit(makeJob("b"), other);
+    BOOST_TEST(site.reaches("b", JobState::Completed, other));
+}
+
+/** Guards against a job that its owner shows as running for ever, since it was cancelled as it ended. */
+BOOST_AUTO_TEST_CASE(cancellation_before_the_last_write_is_shown_by_the_owner)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.hasOwner());
+    site.runFor(300);
+    const auto owner = *site.owner();
+    const auto other = 1 - owner;
+    site.submit(makeJob("a", 300), other);
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 2; }));
+    site.daemons[owner]->storeFaults->busy = true;
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 0; }));
+    site.runFor(100);
+    BOOST_TEST((site.cancel("a", other) == StateOutcome { JobState::Cancelled }));
+    site.daemons[owner]->storeFaults->busy = false;
+    BOOST_TEST(site.reaches("a", JobState::Cancelled, owner));
+    BOOST_TEST(site.reaches("a", JobState::Cancelled, other));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
