Take an answer that has arrived before its time-out, and start a call's time when it is tried

Callers saw configurations in force seconds late and counts from old views: watches of a daemon whose thread was late failed over and over, though the store had answered. cause: the timer of a call and the reads of its answer run on one thread. When that thread is late, the timer is handled between two reads of an answer that lies in the socket, the connection is closed and the call is repeated. The test arrived_answer_wins_over_its_timer fails without the change. change: while bytes of the answer are there, the time is extended by 100 ms, ten times at most; the time of a call that waited behind no other begins with its exchange; a connection that opened too late is not used for the call.

--- a/src/wasabiroad/http/channel.cpp
+++ b/src/wasabiroad/http/channel.cpp
@@ -23,6 +23,12 @@
 /** Longest time for a connection to open; the whole call may have less. */
 constexpr kernel::Duration connectTimeout { 1000 };
 
+/** Time to read a response that had begun to arrive when the time of its call was over. */
+constexpr kernel::Duration extension { 100 };
+
+/** Bounds the time for a response that trickles in. */
+constexpr int extensionLimit = 10;
+
 constexpr std::uint64_t responseLimit = 4ULL * 1024 * 1024;
 
 /** Calls that may wait on one channel; more fail at once. */
@@ -32,7 +38,10 @@
 
 struct Call {
     Request request;
+    kernel::Duration timeout;
     kernel::Instant deadline;
+    /** The call waited behind no other, so its time begins when the thread gets to it. */
+    bool first;
     Channel::Callback callback;
 };
 
@@ -65,12 +74,24 @@
             [self = shared_from_this(), period = ++this->timePeriod](boost::system::error_code cancelled) {
                 // A wait that is over may be cancelled too late.
                 if (!cancelled && self->timePeriod == period) {
-                    self->timedOut = true;
-                    self->disconnect();
+                    self->onTimeOver();
                 }
             });
     }
 
+    void onTimeOver()
+    {
+        boost::system::error_code ignored;
+        // On a busy thread the timer may be handled before a response that has arrived in time.
+        if (this->socket.available(ignored) > 0 && this->extensions < extensionLimit) {
+            ++this->extensions;
+            startTime(extension);
+            return;
+        }
+        this->timedOut = true;
+        disconnect();
+    }
+
     void endTime()
     {
         ++this->timePeriod;
@@ -109,6 +130,9 @@
 
     asio::awaitable<kernel::Expected<Response>> exchange(Call& call)
     {
+        if (call.first) {
+            call.deadline = kernel::now(kernel::SteadyClock {}) + call.timeout;
+        }
         if (left(call).milliseconds <= 0) {
             co_return failure(ResultCode::PlatformUnreachable, std::string { waitedTooLong });
         }
@@ -116,6 +140,10 @@
             disconnect();
             co_return failure(ResultCode::PlatformUnreachable, reason(failed));
         }
+        if (left(call).milliseconds <= 0) {
+            co_return failure(ResultCode::PlatformUnreachable, "connected too late");
+        }
+        this->extensions = 0;
         startTime(left(call));
         auto response = co_await transfer(this->socket, this->buffer, call.request, responseLimit);
         endTime();
@@ -155,6 +183,8 @@
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
     std::uint64_t timePeriod { 0 };
+    /** @brief How often the time of the present call was extended. */
+    int extensions { 0 };
     bool timedOut { false };
     beast::flat_buffer buffer {};
     std::deque<Call> queue {};
@@ -189,8 +219,8 @@
         return;
     }
     request.keep_alive(true);
-    this->state->queue.push_back(
-        { std::move(request), kernel::now(kernel::SteadyClock {}) + timeout, std::move(callback) });
+    this->state->queue.push_back({ std::move(request), timeout, kernel::now(kernel::SteadyClock {}) + timeout,
+        !this->state->working, std::move(callback) });
     if (!this->state->working) {
         this->state->working = true;
         asio::co_spawn(this->state->context, this->state->work(this->state), asio::detached);
--- a/test/wasabiroad/http/channel.cpp
+++ b/test/wasabiroad/http/channel.cpp
@@ -86,4 +86,44 @@
     BOOST_TEST(outcomes == expected, boost::test_tools::per_element());
 }
 
+/** Guards against an answer that has arrived and is dropped, since its thread was busy past the time-out. */
+BOOST_AUTO_TEST_CASE(arrived_answer_wins_over_its_timer)
+{
+    // Long enough for several reads, between which the timer is looked at.
+    const std::string body(60'000, 'x');
+    boost::asio::io_context serverContext { 1 };
+    http::Server server { serverContext,
+        [&](http::Request request) -> boost::asio::awaitable<http::Response> {
+            co_return http::respond(request, 200, "text/plain", body);
+        } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address.has_value());
+    boost::asio::io_context context { 1 };
+    http::Channel channel { context, http::parseEndpoint(*address).value() };
+    std::vector<std::string> outcomes;
+    const auto call = [&](Duration timeout) {
+        channel.call(http::makeRequest(verb::get, "/"), timeout,
+            [&](const kernel::Expected<http::Response>& response) {
+                outcomes.push_back(response ? response->body() : response.error().found);
+            });
+    };
+    const auto runBoth = [&] {
+        serverContext.run_for(std::chrono::milliseconds { 1 });
+        context.run_for(std::chrono::milliseconds { 1 });
+    };
+    call(patient);
+    while (outcomes.empty()) {
+        runBoth();
+    }
+    context.restart();
+    call(hasty);
+    // The request is on its way; then only the server runs until the time of the call is over.
+    context.poll();
+    serverContext.run_for((hasty * 3).chrono());
+    while (outcomes.size() < 2) {
+        context.run_for(std::chrono::milliseconds { 1 });
+    }
+    BOOST_TEST((outcomes.back() == body));
+}
+
 } // namespace
