--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -52,6 +52,9 @@
     ++this->lastBatch;
     for (const auto& change : changes) {
         auto& entry = this->pending[change.job];
+        if (!entry.record) {
+            entry.unwritten = this->lastBatch;
+        }
         entry.record.emplace(change.record);
         entry.batch = this->lastBatch;
     }
@@ -84,8 +87,8 @@
     if (this->closed) {
         return;
     }
-    if (this->pending.empty()) {
-        reportFlushed();
+    reportFlushed();
+    if (this->closed || this->pending.empty()) {
         return;
     }
     const auto chosen = choose();
@@ -167,6 +170,7 @@
         const auto entry = this->pending.find(job);
         const auto state = entry->second.record->state;
         if (entry->second.batch > batch) {
+            entry->second.unwritten = batch + 1;
             continue;
         }
         this->pending.erase(entry);
@@ -211,9 +215,14 @@
 
 void RecordWriter::reportFlushed()
 {
-    if (this->reported < this->lastBatch) {
-        this->reported = this->lastBatch;
-        this->events.flushed(this->lastBatch);
+    // Under load the queue never runs empty, and ends must be acknowledged all the same.
+    auto written = this->lastBatch;
+    for (const auto& [job, entry] : this->pending) {
+        written = std::min(written, entry.unwritten - 1);
+    }
+    if (this->reported < written) {
+        this->reported = written;
+        this->events.flushed(written);
     }
 }
 
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -74,6 +74,9 @@
 private:
     struct Pending {
         std::optional<jobs::Record> record {};
+        /** @brief First batch whose part of the record is not in the store yet. */
+        std::uint64_t unwritten { 0 };
+        /** @brief Last batch that changed the record. */
         std::uint64_t batch { 0 };
     };
 
--- /dev/null
+++ b/test/wasabiroad/agent/record_writer.cpp
@@ -0,0 +1,64 @@
+#include "wasabiroad/agent/record_writer.hpp"
+
+#include "wasabiroad/agent/site.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace wasabiroad::agent::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/** Jobs of the batches that are written, the first change being answered before the last batch is queued. */
+struct Row {
+    const char* title;
+    const std::vector<std::string> batches;
+    /** @brief Batch that is reported once the first change is in the store. */
+    const std::uint64_t reported;
+
+    friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
+};
+
+const std::vector<Row> rows {
+    { "one batch", { "a" }, 1 },
+    { "more records wait", { "a", "b" }, 1 },
+    { "the record changed meanwhile", { "a", "a" }, 1 },
+    { "many records wait", { "a", "b", "c", "d" }, 1 },
+};
+
+/** Guards against ends that are never acknowledged while the queue of records does not run empty. */
+BOOST_DATA_TEST_CASE(written_batches_are_reported_under_load, data::make(rows), row)
+{
+    boost::asio::io_context context { 1 };
+    std::vector<store::Callback<store::ChangeOutcome>> changes;
+    const auto store = std::make_shared<const store::Store>(store::Store {
+        .read = {},
+        .list = {},
+        .watch = {},
+        .change = [&](const store::Change&, auto callback) { changes.push_back(std::move(callback)); },
+        .grant = {},
+        .renew = {},
+        .end = {},
+    });
+    std::uint64_t reported = 0;
+    const auto ignore = [](const jobs::JobId&) {};
+    const auto writer = std::make_shared<RecordWriter>(context, store, service, ports::Term { 5 },
+        RecordEvents { ignore, ignore, [] {}, [&](std::uint64_t batch) { reported = batch; } });
+    for (const auto& job : row.batches) {
+        writer->write({ { jobs::JobId { job }, jobs::Record { jobs::JobState::Running } } });
+    }
+    BOOST_REQUIRE_EQUAL(changes.size(), 1);
+    BOOST_TEST(reported == 0);
+    changes.front()(store::Committed { { 7 } });
+    BOOST_TEST(reported == row.reported);
+    for (std::size_t next = 1; next < changes.size(); ++next) {
+        changes[next](store::Committed { { 7 + next } });
+    }
+    BOOST_TEST(reported == row.batches.size());
+}
+
+} // namespace
+
+} // namespace wasabiroad::agent::test
