Ignore answers about an earlier lease

A late answer to an attempt on a lease that had ended, or to its renewal, dropped the lease that was granted since, with all duties: their pools had no owner until that lease ran out. Found by the review of the incident; answer_about_an_earlier_lease_changes_nothing fails without the change: a third lease is asked for.

--- a/src/wasabiroad/agent/duties.cpp
+++ b/src/wasabiroad/agent/duties.cpp
@@ -75,10 +75,14 @@
     const auto sent = kernel::bootNow();
     if (this->lease && !this->renewing) {
         this->renewing = true;
-        this->store->renew(*this->lease, [self = shared_from_this(), sent](kernel::Expected<bool> alive) {
-            self->renewing = false;
-            self->onRenewed(alive, sent);
-        });
+        this->store->renew(*this->lease,
+            [self = shared_from_this(), sent, asked = *this->lease](const kernel::Expected<bool>& alive) {
+                self->renewing = false;
+                // An answer about an earlier lease says nothing of the present one.
+                if (self->lease == asked) {
+                    self->onRenewed(alive, sent);
+                }
+            });
     } else if (!this->lease && !this->granting) {
         this->granting = true;
         this->store->grant(
@@ -273,8 +277,10 @@
                                }
                            },
                            [&](const store::LeaseEnded&) {
-                               self->lease.reset();
-                               self->loseAll("lease ended");
+                               if (self->lease == lease) {
+                                   self->lease.reset();
+                                   self->loseAll("lease ended");
+                               }
                            },
                            // The watch shows whether it was taken.
                            [&](const store::NotDone&) { answered = false; },
