Take the age of an upstream's list from when it was asked for

The end of its leases moves with each start, so a silent upstream that still got starts never counted as quiet, and a drain could end more tasks of a step than may be missed.

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -209,6 +209,7 @@
         upstream.failedJobs.clear();
     }
     upstream.listed = true;
+    upstream.listedAt = event.sent;
     upstream.hasForeign = false;
     touch(event.upstream);
     upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.leaseSpan);
@@ -511,9 +512,7 @@
         return true;
     }
     const auto& upstream = this->upstreams.at(task.upstream);
-    // The end of the leases is counted from the last list.
-    const auto quiet = this->policy.leaseSpan - (upstream.leaseEnd - now.steady);
-    return !upstream.listed || quiet > this->policy.quietLimit;
+    return !upstream.listed || now.steady - upstream.listedAt > this->policy.quietLimit;
 }
 
 std::uint32_t PoolScheduler::awayBeside(const JobRun& run, const TaskId& id, Moment now) const
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -99,6 +99,8 @@
     bool listed { false };
     kernel::Instant born {};
     kernel::Instant leaseEnd {};
+    /** @brief When the last list that it answered with was asked for. */
+    kernel::Instant listedAt {};
     kernel::Instant suspectUntil {};
     std::int64_t suspicions { 0 };
     /** @brief Jobs whose tasks failed there since the last task that was done. */
