--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -22,7 +22,7 @@
 /** An entry without an answer of the store for this long sends callers elsewhere. */
 constexpr Duration contactLimit { 2500 };
 
-/** Callers may see counts up to 2 s late (the platform's interface for jobs). */
+/** Counts that callers see may be this old. */
 constexpr Duration countAgeLimit { 2000 };
 
 /** Attempts to cancel a job whose record changes at the same time. */
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -40,8 +40,8 @@
 constexpr Duration watchWait { 500 };
 
 /**
- * Age of the view of the pool from which on nothing is started: a cancelled job must not be started 3 s after
- * its caller was told (the platform's `cancel_ms`), and a start may be on its way for 0.8 s.
+ * Age of the view of the pool from which on nothing is started: no task of a job may start 3 s after its
+ * caller was told that it is cancelled, and a start may be on its way for 0.8 s.
  */
 constexpr Duration viewAgeLimit { 2000 };
 constexpr Duration retryInterval { 300 };
--- a/platform/exchange_cost.cpp
+++ b/tools/exchange_cost.cpp
@@ -155,8 +155,6 @@
             if (round % linesPerFlush == 0) {
                 kernel::flushLog();
             }
-            // A writer thread has gone to sleep before the next line.
-            std::this_thread::sleep_for(std::chrono::microseconds { 20 });
         }
     });
     kernel::stopLogging();
