--- a/test/wasabiroad/scheduling/effort.cpp
+++ b/test/wasabiroad/scheduling/effort.cpp
@@ -52,7 +52,9 @@
         for (std::size_t index = 0; index < row.fullUpstreams; ++index) {
             add("running", 1, upstreamCpu);
         }
-        for (const auto& start : this->site.starts) {
+        // Answers let further starts follow.
+        for (std::size_t index = 0; index < this->site.starts.size(); ++index) {
+            const auto start = this->site.starts[index];
             this->site.apply(
                 StartAnswered { start.upstream, start.task, start.run, StartResult::Started }, 20);
         }
