--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -79,16 +79,20 @@
     constexpr std::size_t lists = 8;
     std::size_t listed = 0;
     for (std::size_t index = 0; index < lists; ++index) {
-        client->makeStore().list("a", [&](const auto&) { ++listed; });
+        client->makeStore().list("a", [&](const auto&) {
+            if (++listed == lists) {
+                context.stop();
+            }
+        });
     }
     std::optional<bool> renewed;
     client->makeStore().renew({ 1 }, [&](const kernel::Expected<bool>& alive) {
         renewed = alive && *alive;
         BOOST_TEST(listed == 0);
-        context.stop();
     });
     context.run_for(std::chrono::seconds { 20 });
     BOOST_TEST(renewed.value_or(false));
+    BOOST_TEST(listed == lists);
 }
 
 } // namespace
