Replace VMs that are emptied for maintenance

Eight of 26 VMs of sim-desk were emptied at once; 17 open ones were left for 21 tasks of which each needs a VM of its own. Tasks that were away had nowhere to run, so mayMiss held back those on the eight, and no VM got empty. Both new rows of vms_follow_the_demand fail without the change.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -314,8 +314,8 @@
         }
         const bool busy
             = isMoving || !up || isInWave(vm.vm) || this->unmovable.contains(vm.vm) || !mayOrder(vm.vm);
-        vms.push_back(
-            { vm.vm, isMoving ? moving->second.order.to : vm.pool, vm.upstream, vm.capacity, busy });
+        vms.push_back({ vm.vm, isMoving ? moving->second.order.to : vm.pool, vm.upstream, vm.capacity, busy,
+            !isMoving && isDraining(vm.vm) });
     }
     return vms;
 }
@@ -360,7 +360,8 @@
         auto& trend = this->trends[pool];
         trend.observe(now, report->wanted.cpu);
         const scheduling::PoolView view { pool, false, demand, trend.growth, {} };
-        const auto own = std::ranges::count(vms, pool, &scheduling::MovableVm::pool);
+        const auto own = std::ranges::count_if(
+            vms, [&](const scheduling::MovableVm& vm) { return vm.pool == pool && !vm.leaving; });
         const auto any = std::ranges::find(vms, pool, &scheduling::MovableVm::pool);
         const bool surplus = any != vms.end()
             && static_cast<std::uint32_t>(own) > scheduling::vmsNeeded(view, any->capacity);
--- a/src/wasabiroad/scheduling/move_plan.cpp
+++ b/src/wasabiroad/scheduling/move_plan.cpp
@@ -54,7 +54,7 @@
     const auto& order = view.demand.releasable;
     std::map<UpstreamId, const MovableVm*> byUpstream;
     for (const auto& vm : vms) {
-        if (vm.pool != view.pool) {
+        if (vm.pool != view.pool || vm.leaving) {
             continue;
         }
         ++balance.have;
--- a/src/wasabiroad/scheduling/move_plan.hpp
+++ b/src/wasabiroad/scheduling/move_plan.hpp
@@ -33,6 +33,8 @@
     const jobs::Resources capacity {};
     /** @brief It is on its way to its pool, or is being taken from it. */
     const bool busy { false };
+    /** @brief It is emptied for maintenance, so its pool has to do without it. */
+    const bool leaving { false };
 
     friend bool operator==(const MovableVm&, const MovableVm&) = default;
 };
--- a/test/wasabiroad/scheduling/move_plan.cpp
+++ b/test/wasabiroad/scheduling/move_plan.cpp
@@ -26,6 +26,10 @@
     const std::int64_t taken { 0 };
     const std::int64_t surplusMs { 0 };
     const std::int64_t arriving { 0 };
+    /** @brief VMs that are emptied for maintenance. */
+    const std::uint32_t leaving { 0 };
+    /** @brief Upstreams that the widest long-running step needs. */
+    const std::uint32_t spread { 0 };
 };
 
 struct Row {
@@ -56,6 +60,11 @@
         { { checks, 3, 0, 80000, 48000 }, { sims, 9, 9, 0, 0, 100 }, { reserve, 0 } }, {} },
     { "a lasting surplus goes to the reserve", { { checks, 5, 5, 0, 0, 3000 }, { reserve, 0 } },
         { "checks>reserve", "checks>reserve" } },
+    { "VMs that are emptied for maintenance are replaced",
+        { { checks, 8, 0, 0, 0, 0, 0, 3, 6 }, { reserve, 4 } },
+        { "reserve>checks", "reserve>checks", "reserve>checks" } },
+    { "VMs that are emptied for maintenance are no surplus",
+        { { checks, 8, 5, 0, 0, 3000, 0, 3, 3 }, { reserve, 0 } }, {} },
     { "VMs with tasks stay", { { checks, 5, 1, 0, 0, 3000 }, { reserve, 0 } }, { "checks>reserve" } },
 };
 
@@ -68,13 +77,14 @@
         std::vector<UpstreamId> releasable;
         for (std::uint32_t index = 0; index < pool.vms; ++index) {
             const auto name = pool.id.text() + std::to_string(index);
-            vms.push_back({ model::VmId { name }, pool.id, UpstreamId { name }, capacity });
+            const bool leaving = index >= pool.vms - pool.leaving;
+            vms.push_back({ model::VmId { name }, pool.id, UpstreamId { name }, capacity, leaving, leaving });
             if (index < pool.releasable) {
                 releasable.emplace_back(name);
             }
         }
         views.push_back({ pool.id, pool.id == reserve,
-            { { pool.wanted, 0, 0 }, {}, { pool.taken, 0, 0 }, 0, releasable, pool.arriving }, 0,
+            { { pool.wanted, 0, 0 }, {}, { pool.taken, 0, 0 }, pool.spread, releasable, pool.arriving }, 0,
             { pool.surplusMs } });
     }
     std::vector<std::string> moves;
