Log how long jobs wait for what a former owner has started

A takeover holds back the jobs from before its term until every used upstream has answered, or for 7.5 s. No decision changes.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -209,6 +209,7 @@
         ids.emplace_back(id);
     }
     this->scheduler.emplace(makePolicy(this->taskLease), this->term.value, now(), ids);
+    this->unheard = ids.size();
     addJobs(pool, progress, true);
     kernel::logEvent("pool-loaded",
         { { "pool", this->service.text() }, { "term", this->term.value },
@@ -567,6 +568,7 @@
     }
     this->tickTimer.start(tickInterval, [self = shared_from_this()] { self->tick(); });
     apply(scheduling::Tick {});
+    logSettled();
     if (kernel::bootNow() - this->membersUsed >= membersInterval) {
         useMembers();
     }
@@ -575,6 +577,18 @@
     publishReport();
 }
 
+void PoolAgent::logSettled()
+{
+    const auto now = this->scheduler->unheardCount();
+    if (this->unheard > 0 && now == 0) {
+        kernel::logEvent("former-starts-settled",
+            { { "pool", this->service.text() }, { "term", this->term.value },
+                { "after_ms", (kernel::bootNow() - this->begun).milliseconds },
+                { "last_unheard", this->unheard } });
+    }
+    this->unheard = now;
+}
+
 void PoolAgent::publishReport()
 {
     const auto at = now();
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -109,6 +109,8 @@
     void onFlushed(std::uint64_t batch);
     void acknowledge(const Ends& ends);
     void tick();
+    /** Logs when the tasks that a former owner may have started need not wait any more. */
+    void logSettled();
     void publishReport();
     void countLooks(const scheduling::Effort& looks);
     void useMembers();
@@ -145,6 +147,8 @@
     store::Revision watched {};
     /** @brief When the term began. */
     kernel::Instant begun {};
+    /** @brief Upstreams of the former owner that had not answered at the last tick. */
+    std::size_t unheard { 0 };
     /** @brief Whether the view of the pool was young enough for starts when it was last asked for. */
     bool viewIsCurrent { false };
     /** @brief When the upstreams were last compared with those in use. */
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -74,6 +74,10 @@
     /** @return Whether a former owner's tasks may run on the upstream unseen. */
     bool isUnheard(const UpstreamId& upstream) const { return this->unheard.contains(upstream); }
 
+    /** @return Upstreams of a former owner that have not answered yet; tasks that it may have started wait.
+     */
+    std::size_t unheardCount() const { return this->unheard.size(); }
+
     /** @return Number of the last end that was applied for an upstream. */
     std::uint64_t lastEnd(const UpstreamId& upstream) const;
 
