--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -677,7 +677,9 @@
 {
     std::set<std::string> ids;
     for (const auto& [id, link] : this->links) {
-        if (link->isAnswering() || this->scheduler->isUsed(id)) {
+        // An emptied upstream answers until its VM leaves, and would then be waited for by the next owner.
+        const bool mayGetTasks = link->isAnswering() && !this->scheduler->isEmptied(id);
+        if (mayGetTasks || this->scheduler->isUsed(id)) {
             ids.insert(id.text());
         }
     }
--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -59,14 +59,18 @@
     }
 }
 
+/** @return Upstreams that are recorded as used. */
+std::size_t usedCount(const Site& site)
+{
+    const auto entry = site.store.find(keys::usedUpstreams(service));
+    return entry ? jobs::decodeUpstreams(entry->value).value_or(std::vector<std::string> {}).size() : 0;
+}
+
 /** Guards against a next owner that does not wait for an upstream, since a late write hid that it is used. */
 BOOST_AUTO_TEST_CASE(late_record_of_used_upstreams_does_not_replace_a_newer_one)
 {
     Site site { 1, 1 };
-    const auto used = [&] {
-        const auto entry = site.store.find(keys::usedUpstreams(service));
-        return entry ? jobs::decodeUpstreams(entry->value).value_or(std::vector<std::string> {}).size() : 0;
-    };
+    const auto used = [&] { return usedCount(site); };
     BOOST_REQUIRE(site.runUntil([&] { return used() == 1; }));
     site.daemons[0]->storeFaults->changeDelay = { 2500 };
     site.workers.add("vm-b", service, 4000);
@@ -150,6 +154,23 @@
     BOOST_TEST(site.workers.broken().empty());
 }
 
+/** Guards against a next owner that waits for an upstream whose VM has left the pool. */
+BOOST_AUTO_TEST_CASE(emptied_upstream_is_not_recorded_as_used)
+{
+    Site site { 1, 2 };
+    // Nobody ends the drain.
+    site.store.put(keys::owner(keys::fleetDuty), "entry-9#9");
+    const auto used = [&] { return usedCount(site); };
+    BOOST_REQUIRE(site.runUntil([&] { return used() == 2; }));
+    const auto id = site.workers.members().front().id;
+    site.store.put(
+        keys::drain(service, model::VmId { "vm0" }), jobs::encode(jobs::Drain { id.text(), false }));
+    BOOST_TEST(site.runUntil([&] { return used() == 1; }));
+    site.submit(makeJob("a", 50, 4));
+    BOOST_TEST(site.reaches("a", JobState::Completed));
+    BOOST_TEST(site.workers.broken().empty());
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
