Call no function of a timer that was changed after its time was over

A timer that was started again, cancelled or destroyed while its function was waiting to be called called it all the same; an upstream could get two looks at once when a record was written just as the longest wait for it was over. The channel guarded itself against this with a number of its own. The number is the timer's now, for all of them, and the channel uses the timer.

--- a/src/wasabiroad/http/channel.cpp
+++ b/src/wasabiroad/http/channel.cpp
@@ -2,13 +2,13 @@
 
 #include "wasabiroad/http/endpoint.hpp"
 #include "wasabiroad/http/transfer.hpp"
+#include "wasabiroad/kernel/timer.hpp"
 
 #include <deque>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 
@@ -69,14 +69,7 @@
     /** Closes the socket after a time, unless the time is started again or ended before. */
     void startTime(kernel::Duration time)
     {
-        this->timer.expires_after(time.chrono());
-        this->timer.async_wait(
-            [self = shared_from_this(), period = ++this->timePeriod](boost::system::error_code cancelled) {
-                // A wait that is over may be cancelled too late.
-                if (!cancelled && self->timePeriod == period) {
-                    self->onTimeOver();
-                }
-            });
+        this->timer.start(time, [self = shared_from_this()] { self->onTimeOver(); });
     }
 
     void onTimeOver()
@@ -92,12 +85,6 @@
         disconnect();
     }
 
-    void endTime()
-    {
-        ++this->timePeriod;
-        this->timer.cancel();
-    }
-
     void disconnect()
     {
         boost::system::error_code ignored;
@@ -120,7 +107,7 @@
         startTime(std::min(left(call), connectTimeout));
         co_await this->socket.async_connect(
             this->endpoint, asio::redirect_error(asio::use_awaitable, failed));
-        endTime();
+        this->timer.cancel();
         if (!failed) {
             boost::system::error_code ignored;
             this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -146,7 +133,7 @@
         this->extensions = 0;
         startTime(left(call));
         auto response = co_await transfer(this->socket, this->buffer, call.request, responseLimit);
-        endTime();
+        this->timer.cancel();
         if (!response || !response->keep_alive()) {
             disconnect();
         }
@@ -181,8 +168,7 @@
     asio::io_context& context;
     const asio::ip::tcp::endpoint endpoint;
     asio::ip::tcp::socket socket;
-    asio::steady_timer timer;
-    std::uint64_t timePeriod { 0 };
+    kernel::Timer timer;
     /** @brief How often the time of the present call was extended. */
     int extensions { 0 };
     bool timedOut { false };
--- a/src/wasabiroad/kernel/timer.hpp
+++ b/src/wasabiroad/kernel/timer.hpp
@@ -2,7 +2,9 @@
 
 #include "wasabiroad/kernel/clock.hpp"
 
+#include <cstdint>
 #include <functional>
+#include <memory>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,13 +19,20 @@
     {
     }
 
+    ~Timer() { cancel(); }
+
+    Timer(const Timer&) = delete;
+    Timer& operator=(const Timer&) = delete;
+
     /** @brief Calls `function` after `delay`, unless the timer is started again, cancelled or destroyed. */
     void start(Duration delay, std::function<void()> function);
 
-    void cancel() { this->timer.cancel(); }
+    void cancel();
 
 private:
     boost::asio::steady_timer timer;
+    /** Number of the last start or cancellation: a wait that is over may be cancelled too late. */
+    const std::shared_ptr<std::uint64_t> latest { std::make_shared<std::uint64_t>(0) };
 };
 
 /** @brief Calls `function` on the context after a time; it keeps what it captures alive. */
