Keep an upstream recorded as used until its ends are written

Traced: a task ended on an upstream that was drained for a move, 30 ms before all VMs lost power. The owner had listed the end, so the upstream ran nothing, counted as drained and left the record of used upstreams, which is written apart from the records of jobs. The next owner found neither the end nor the upstream and started the task again, then heard of the end. change: an upstream stays in the record of used ones, its VM is not reported as drained and its agent is not closed until the ends that it has listed are written. The store's stand-in can refuse changes under a prefix. before: the new test ends_on_a_drained_upstream_are_written_before_it_is_given_up fails with two checks. after: it passes; all tests of the agent pass.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -559,6 +559,7 @@
             agent->second->acknowledge(listed.incarnation, listed.last);
         }
     }
+    reportDrained();
 }
 
 void PoolAgent::onFlushed(std::uint64_t batch)
@@ -690,8 +691,10 @@
     for (const auto& [id, agent] : this->upstreamAgents) {
         // A drained upstream answers until its VM leaves; if it stayed recorded, the next owner would wait
         // for it.
-        const bool mayGetTasks = agent->isAnswering() && !this->scheduler->isDrained(id);
-        if (mayGetTasks || this->scheduler->hasTasks(id)) {
+        const bool mayGetTasks = agent->isAnswering() && !isDrained(id);
+        // An upstream with unrecorded ends stays recorded, or the next owner would start these tasks again
+        // before it hears of their ends.
+        if (mayGetTasks || this->scheduler->hasTasks(id) || agent->hasUnrecordedEnds()) {
             ids.insert(id.text());
         }
     }
@@ -705,6 +708,17 @@
     return ids;
 }
 
+bool PoolAgent::hasUnrecordedEnds(const UpstreamId& id) const
+{
+    const auto agent = this->upstreamAgents.find(id);
+    return agent != this->upstreamAgents.end() && agent->second->hasUnrecordedEnds();
+}
+
+bool PoolAgent::isDrained(const UpstreamId& id) const
+{
+    return this->scheduler->isDrained(id) && !hasUnrecordedEnds(id);
+}
+
 void PoolAgent::writeRecordedUpstreams(const std::set<std::string>& ids)
 {
     this->writingRecordedUpstreams = true;
@@ -761,7 +775,7 @@
 {
     for (const auto& [vm, drain] : this->drains) {
         const auto& upstream = drain.upstream;
-        if (this->reportedDrained.contains(vm) || !this->scheduler->isDrained(UpstreamId { upstream })) {
+        if (this->reportedDrained.contains(vm) || !isDrained(UpstreamId { upstream })) {
             continue;
         }
         this->reportedDrained.insert(vm);
@@ -807,7 +821,8 @@
     std::ranges::transform(
         this->members, std::inserter(memberIds, memberIds.end()), [](const auto& facts) { return facts.id; });
     for (auto agent = this->upstreamAgents.begin(); agent != this->upstreamAgents.end();) {
-        if (memberIds.contains(agent->first) || this->scheduler->hasTasks(agent->first)) {
+        if (memberIds.contains(agent->first) || this->scheduler->hasTasks(agent->first)
+            || agent->second->hasUnrecordedEnds()) {
             ++agent;
             continue;
         }
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -120,6 +120,10 @@
     void startUpstreamAgents();
     void closeUnusedAgents();
     std::set<std::string> upstreamsInUse() const;
+    /** @return Whether an upstream has listed ends whose records are not written yet. */
+    bool hasUnrecordedEnds(const scheduling::UpstreamId& id) const;
+    /** @return Whether an upstream runs no task, gets no new one, and all its ends are recorded. */
+    bool isDrained(const scheduling::UpstreamId& id) const;
     void writeRecordedUpstreams(const std::set<std::string>& ids);
     void onUpstreamsRecorded(const std::set<std::string>& ids, const store::ChangeOutcome& outcome);
     void onDrain(const std::string& key, const std::optional<std::string>& value);
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -94,7 +94,7 @@
     if (this->closed) {
         return;
     }
-    this->awaitingRecord = this->lastListed > this->lastRecorded;
+    this->awaitingRecord = hasUnrecordedEnds();
     const auto delay = first ? Duration {} : this->awaitingRecord ? maxRecordWait : pollGap;
     this->timer.start(delay, [self = shared_from_this()] { self->poll(); });
 }
@@ -117,7 +117,7 @@
         return;
     }
     this->lastRecorded = std::max(this->lastRecorded, std::min(number, this->lastListed));
-    if (this->awaitingRecord && this->lastRecorded >= this->lastListed) {
+    if (this->awaitingRecord && !hasUnrecordedEnds()) {
         this->awaitingRecord = false;
         this->timer.start(pollGap, [self = shared_from_this()] { self->poll(); });
     }
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -43,6 +43,9 @@
     /** @return Whether the last poll was answered. */
     bool isAnswering() const { return this->answering; }
 
+    /** @return Whether the upstream has listed ends that are not marked as recorded. */
+    bool hasUnrecordedEnds() const { return this->lastListed > this->lastRecorded; }
+
     /** @brief Stops polling; later answers are ignored. */
     void close();
 
--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -28,6 +28,13 @@
     return std::visit([](const auto& specific) -> std::string_view { return specific.key; }, event);
 }
 
+bool isRefused(const store::Change& change, const std::string& prefix)
+{
+    return !prefix.empty()
+        && std::ranges::any_of(
+            change.puts, [&](const store::Put& put) { return put.key.starts_with(prefix); });
+}
+
 } // namespace
 
 KeyValue::KeyValue(boost::asio::io_context& ioContext)
@@ -98,7 +105,7 @@
                     return;
                 }
                 kernel::callLater(this->context, latency, [this, faults, change, callback] {
-                    if (faults->busy) {
+                    if (faults->busy || isRefused(change, faults->refusedPrefix)) {
                         callback(store::NotDone { refusal() });
                         return;
                     }
--- a/src/wasabiroad/standin/key_value.hpp
+++ b/src/wasabiroad/standin/key_value.hpp
@@ -23,6 +23,8 @@
     bool busy { false };
     /** @brief Changes are carried out and not answered. */
     bool losesAnswers { false };
+    /** @brief Changes that write a key under this prefix are refused; empty for none. */
+    std::string refusedPrefix {};
     /** @brief Answers to lists arrive this much later than they were made. */
     kernel::Duration listDelay {};
     /** @brief Watches get no answer. */
--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -155,6 +155,35 @@
     BOOST_TEST(site.workers.broken().empty());
 }
 
+/** Guards against a drained upstream that leaves the record of used ones, or its VM the pool, before the ends of
+ * its tasks are written: the next owner started the tasks again. */
+BOOST_AUTO_TEST_CASE(ends_on_a_drained_upstream_are_written_before_it_is_given_up)
+{
+    Site site { 1, 2 };
+    // No daemon owns the fleet, so the drain stays.
+    site.store.put(keys::owner(keys::fleetDuty), "entry-9#9");
+    BOOST_REQUIRE(site.runUntil([&] { return usedCount(site) == 2; }));
+    const auto drained = site.workers.members().front().id;
+    site.submit(makeJob("a", 600, 8));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 8; }));
+    site.store.put(
+        keys::drain(service, model::VmId { "vm0" }), jobs::encode(jobs::Drain { drained.text(), false }));
+    site.daemons[0]->storeFaults->refusedPrefix = keys::recordsOf(service);
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 0; }));
+    site.runFor(600);
+    BOOST_TEST(usedCount(site) == 2);
+    BOOST_TEST(!site.store.find(keys::drainedVms + "vm0").has_value());
+    site.daemons[0]->agent->abandon();
+    auto& next = site.addDaemon();
+    next.workerFaults->cut.insert(drained);
+    BOOST_REQUIRE(site.waitForOwner());
+    site.runFor(1000);
+    next.workerFaults->cut.clear();
+    BOOST_TEST(site.reaches("a", JobState::Completed, 1));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 8);
+    BOOST_TEST(site.workers.broken().empty());
+}
+
 /** Guards against recording a drained upstream as used: the next owner would wait for it in vain. */
 BOOST_AUTO_TEST_CASE(drained_upstream_is_not_recorded_as_used)
 {
