Move VMs from pools whose waiting tasks do not lack room

A pool with 342 VMs, of which 224 ran out of tasks, gave none for 4 s while another pool had 54 VMs and four times as much work: 2 to 7 of its tasks waited for a VM of their own (a limit of tasks per upstream), and any waiting task of the size of a VM kept all VMs of a pool. Of the 3 s from the plan of a move to the arrival of the VM, up to 0.6 s passed until the report that it is drained was read, and as long until the plan, since both followed the list of VMs, whose interval grew to 600 ms at 540 VMs. change: reports of pools name the capacity of upstreams that accept tasks; waiting tasks keep a pool's VMs only if the free room beside them is less than four times as large.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -19,7 +19,10 @@
 constexpr Duration tickInterval { 100 };
 
 /** The interval grows by `tickInterval` per this many VMs, which keeps page reads below 20 per second. */
-constexpr std::size_t vmsPerTickInterval = 100;
+constexpr std::size_t vmsPerTickInterval = 200;
+
+/** Interval between reads of the reports of drained VMs, while VMs are being drained. */
+constexpr Duration drainedReadInterval { 150 };
 
 /** Margin added to the minimum time between orders of two daemons. */
 constexpr Duration orderGapMargin { 300 };
@@ -48,6 +51,7 @@
     : environment(std::move(context))
     , term(ownTerm)
     , timer(environment.context)
+    , drainedTimer(environment.context)
 {
 }
 
@@ -56,6 +60,7 @@
     this->termStart = kernel::bootNow();
     loadRecentOrders();
     tick();
+    readDrained();
 }
 
 void FleetAgent::addWaves(const std::map<std::uint64_t, ports::WaveRequest>& requests)
@@ -263,30 +268,43 @@
     }
     updateMoves(byName);
     removeStaleDrains();
-    bool draining
-        = std::ranges::any_of(this->moves, [](const auto& entry) { return !entry.second.accepted; });
     for (auto& [number, wave] : this->waves) {
         if (wave.loaded && !wave.completed) {
             updateStages(wave, byName);
             advance(wave, facts);
-            draining = draining || std::ranges::any_of(wave.vms, [](const auto& entry) {
-                return entry.second.stage == WaveStage::Draining;
-            });
         }
     }
     retryMoves();
     sendOrders();
     readReports(facts);
-    if (draining && !this->readingDrained) {
-        this->readingDrained = true;
-        this->environment.store->list(
-            keys::drainedVms, [self = shared_from_this()](const kernel::Expected<store::Listing>& listing) {
-                self->readingDrained = false;
-                if (listing && !self->closed) {
-                    self->onDrained(*listing);
-                }
-            });
+}
+
+bool FleetAgent::isAwaitingDrain() const
+{
+    return std::ranges::any_of(this->moves, [](const auto& entry) { return !entry.second.accepted; })
+        || std::ranges::any_of(this->waves, [](const auto& wave) {
+               return std::ranges::any_of(wave.second.vms,
+                   [](const auto& entry) { return entry.second.stage == WaveStage::Draining; });
+           });
+}
+
+void FleetAgent::readDrained()
+{
+    if (this->closed) {
+        return;
+    }
+    this->drainedTimer.start(drainedReadInterval, [self = shared_from_this()] { self->readDrained(); });
+    if (this->readingDrained || !mayOrder() || !isAwaitingDrain()) {
+        return;
     }
+    this->readingDrained = true;
+    this->environment.store->list(
+        keys::drainedVms, [self = shared_from_this()](const kernel::Expected<store::Listing>& listing) {
+            self->readingDrained = false;
+            if (listing && !self->closed) {
+                self->onDrained(*listing);
+            }
+        });
 }
 
 void FleetAgent::setPools(std::set<model::ServiceId> withJobs, std::set<model::ServiceId> spare)
@@ -357,7 +375,7 @@
         for (const auto& id : report->releasable) {
             idle.emplace_back(id);
         }
-        const scheduling::PoolDemand demand { report->wanted, {}, report->taken, report->spread,
+        const scheduling::PoolDemand demand { report->wanted, report->room, report->taken, report->spread,
             std::move(idle), report->arriving };
         auto& trend = this->trends[pool];
         trend.observe(now, report->wanted.cpu);
@@ -771,6 +789,7 @@
 {
     this->closed = true;
     this->timer.cancel();
+    this->drainedTimer.cancel();
 }
 
 } // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -139,6 +139,9 @@
     bool isDraining(const model::VmId& vm) const;
     void loadWave(std::uint64_t number);
     void onVms(const std::vector<ports::VmFacts>& facts);
+    /** @return Whether a VM of a move or a wave is being drained. */
+    bool isAwaitingDrain() const;
+    void readDrained();
     void onDrained(const store::Listing& listing);
     void updateStages(Wave& wave, const std::map<model::VmId, const ports::VmFacts*>& facts);
     void advance(Wave& wave, const std::vector<ports::VmFacts>& facts);
@@ -181,6 +184,7 @@
     kernel::Instant lastDrainCheck {};
     bool closed { false };
     kernel::Timer timer;
+    kernel::Timer drainedTimer;
 };
 
 } // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -74,8 +74,8 @@
 bool hasSameContent(const jobs::PoolReport& left, const jobs::PoolReport& right)
 {
     const auto content = [](const jobs::PoolReport& report) {
-        return std::tie(
-            report.pending, report.wanted, report.taken, report.spread, report.releasable, report.arriving);
+        return std::tie(report.pending, report.wanted, report.taken, report.spread, report.releasable,
+            report.arriving, report.room);
     };
     return content(left) == content(right);
 }
@@ -633,7 +633,7 @@
         releasable.push_back(id.text());
     }
     const jobs::PoolReport report { this->scheduler->pendingCounts(), demand.wanted, demand.taken,
-        demand.spread, std::move(releasable), demand.arriving, this->watched.value };
+        demand.spread, std::move(releasable), demand.arriving, this->watched.value, demand.room };
     if (age < refreshInterval && this->publishedReport && hasSameContent(report, *this->publishedReport)) {
         return;
     }
--- a/src/wasabiroad/jobs/codec.cpp
+++ b/src/wasabiroad/jobs/codec.cpp
@@ -148,6 +148,8 @@
     target.set_spread(report.spread);
     target.set_arriving_cpu(report.arriving);
     target.set_seen_up_to(report.asOf);
+    target.set_room_cpu(report.room.cpu);
+    target.set_room_memory(report.room.memory);
     for (const auto& id : report.releasable) {
         target.add_releasable(id);
     }
@@ -167,7 +169,7 @@
     return PoolReport { std::move(counts), { source.cpu(), source.memory(), source.accelerators() },
         { source.taken_cpu(), source.taken_memory() }, source.spread(),
         { source.releasable().begin(), source.releasable().end() }, source.arriving_cpu(),
-        source.seen_up_to() };
+        source.seen_up_to(), { source.room_cpu(), source.room_memory() } };
 }
 
 std::optional<Job> decodeJob(std::string_view bytes)
--- a/src/wasabiroad/jobs/codec.hpp
+++ b/src/wasabiroad/jobs/codec.hpp
@@ -38,6 +38,8 @@
     const std::int64_t arriving { 0 };
     /** @brief Revision of the store; the report covers all changes of the pool up to it. */
     const std::uint64_t asOf { 0 };
+    /** @brief Capacity of the upstreams that accept new tasks. */
+    const Resources room {};
 
     friend bool operator==(const PoolReport&, const PoolReport&) = default;
 };
--- a/src/wasabiroad/scheduling/move_plan.cpp
+++ b/src/wasabiroad/scheduling/move_plan.cpp
@@ -34,6 +34,9 @@
 /** Time from the decision to move a VM until it accepts tasks in its new pool. */
 constexpr kernel::Duration moveTime { 2500 };
 
+/** A pool whose free room exceeds the cpu of its waiting tasks by this factor does not lack room. */
+constexpr std::int64_t idleRoomFactor = 4;
+
 struct Balance {
     const PoolView* view { nullptr };
     std::uint32_t needed { 0 };
@@ -81,14 +84,17 @@
 
 /**
  * A pool keeps its VMs while enough tasks wait to fill one, as some VMs may still be joining. If fewer tasks
- * wait, the cause may be one that more VMs do not remove, such as a label or a suspect upstream.
+ * wait, or much free room is left beside them, the cause is one that more VMs do not remove, such as a limit
+ * of tasks per upstream, a label or a suspect upstream.
  */
 bool mayReleaseVm(const Balance& balance)
 {
     const auto& demand = balance.view->demand;
+    const auto waiting = demand.wanted.cpu - demand.taken.cpu;
+    const auto free = demand.room.cpu - demand.taken.cpu;
     return balance.view->spare
         || (balance.view->surplusDuration >= transferDelay
-            && demand.wanted.cpu - demand.taken.cpu < balance.vmCpu);
+            && (waiting < balance.vmCpu || waiting * idleRoomFactor < free));
 }
 
 /** Takes one VM from the pool with the largest surplus; from the spare pool only if no other pool can give
--- a/test/wasabiroad/scheduling/move_plan.cpp
+++ b/test/wasabiroad/scheduling/move_plan.cpp
@@ -31,6 +31,8 @@
     const std::uint32_t leaving { 0 };
     /** @brief Upstreams required by the widest long-running step. */
     const std::uint32_t spread { 0 };
+    /** @brief Capacity of the upstreams that accept tasks. */
+    const std::int64_t room { 0 };
 };
 
 struct Row {
@@ -52,6 +54,14 @@
         { "sims>checks", "sims>checks" } },
     { "a pool whose waiting tasks would fill a VM keeps its VMs",
         { { checks, 3, 0, 80000, 48000 }, { sims, 9, 9, 21000, 5000, 1000 }, { reserve, 0 } }, {} },
+    { "a pool with little free room beside its waiting tasks keeps its VMs",
+        { { checks, 3, 0, 80000, 48000 }, { sims, 9, 9, 37000, 21000, 1000, 0, 0, 0, 85000 },
+            { reserve, 0 } },
+        {} },
+    { "tasks that wait beside much free room do not keep a surplus",
+        { { checks, 3, 0, 60000, 48000 }, { sims, 9, 9, 37000, 21000, 1000, 0, 0, 0, 144000 },
+            { reserve, 0 } },
+        { "sims>checks", "sims>checks" } },
     { "fewer waiting tasks than would fill a VM do not keep a surplus",
         { { checks, 3, 0, 60000, 48000 }, { sims, 9, 9, 10000, 5000, 1000 }, { reserve, 0 } },
         { "sims>checks", "sims>checks" } },
@@ -86,8 +96,9 @@
             }
         }
         views.push_back({ pool.id, pool.id == reserve,
-            { { pool.wanted, 0, 0 }, {}, { pool.taken, 0, 0 }, pool.spread, releasable, pool.arriving }, 0,
-            { pool.surplusMs } });
+            { { pool.wanted, 0, 0 }, { pool.room, 0, 0 }, { pool.taken, 0, 0 }, pool.spread, releasable,
+                pool.arriving },
+            0, { pool.surplusMs } });
     }
     std::vector<std::string> moves;
     for (const auto& move : planMoves(views, vms)) {
