--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -24,6 +24,10 @@
 /** Interval between reads of the reports of drained VMs, while VMs are being drained. */
 constexpr Duration drainedReadInterval { 150 };
 
+/** In the first part of a wave, its duration divided by this, pools that need more VMs give only idle ones.
+ */
+constexpr std::int64_t earlyWaveDivisor = 2;
+
 /** Margin added to the minimum time between orders of two daemons. */
 constexpr Duration orderGapMargin { 300 };
 
@@ -253,6 +257,7 @@
                 wave.vms[vm].stageChangedAt = kernel::bootNow();
             }
             wave.loaded = true;
+            wave.loadedAt = kernel::bootNow();
             kernel::logEvent("wave-loaded",
                 { { "wave", number }, { "vms", wave.vms.size() }, { "done", done.size() },
                     { "term", self->term.value } });
@@ -358,6 +363,8 @@
 {
     std::vector<scheduling::PoolView> views;
     const auto now = kernel::bootNow();
+    this->surpluses.clear();
+    this->idleUpstreams.clear();
     for (const auto& entry : reports.entries) {
         const model::ServiceId pool { entry.key.substr(keys::reports.size()) };
         const auto report = jobs::decodePoolReport(entry.value);
@@ -376,15 +383,17 @@
             idle.emplace_back(id);
         }
         const scheduling::PoolDemand demand { report->wanted, report->room, report->taken, report->spread,
-            std::move(idle), report->arriving };
+            idle, report->arriving };
         auto& trend = this->trends[pool];
         trend.observe(now, report->wanted.cpu);
         const scheduling::PoolView view { pool, false, demand, trend.growth, {} };
         const auto own = std::ranges::count_if(
             vms, [&](const scheduling::MovableVm& vm) { return vm.pool == pool && !vm.leaving; });
         const auto any = std::ranges::find(vms, pool, &scheduling::MovableVm::pool);
-        const bool surplus = any != vms.end()
-            && static_cast<std::uint32_t>(own) > scheduling::vmsNeeded(view, any->capacity);
+        const auto excess = any != vms.end() ? own - scheduling::vmsNeeded(view, any->capacity) : 0;
+        this->surpluses[pool] = excess;
+        this->idleUpstreams.insert(idle.begin(), idle.end());
+        const bool surplus = excess > 0;
         if (!surplus) {
             this->surplusSince.erase(pool);
         }
@@ -605,7 +614,9 @@
     std::vector<scheduling::PoolSize> pools;
     pools.reserve(counts.size());
     for (const auto& [pool, count] : counts) {
-        pools.push_back({ pool, count, this->poolsWithJobs.contains(pool) });
+        const auto surplus = this->surpluses.find(pool);
+        pools.push_back({ pool, count, this->poolsWithJobs.contains(pool),
+            surplus != this->surpluses.end() ? surplus->second : 0 });
     }
     std::vector<scheduling::WaveVm> vms;
     vms.reserve(wave.vms.size());
@@ -613,9 +624,12 @@
         // A previous owner's order may be missing from the progress and not be visible in the list yet.
         const bool mayBeDown = (vm.stage == WaveStage::Waiting || vm.stage == WaveStage::Unavailable)
             && (vm.seenInMaintenance || !mayOrder(name));
-        vms.push_back({ name, vm.pool, mayBeDown ? WaveStage::InMaintenance : vm.stage });
+        vms.push_back({ name, vm.pool, mayBeDown ? WaveStage::InMaintenance : vm.stage,
+            this->idleUpstreams.contains(vm.upstream) });
     }
-    for (const auto& name : scheduling::selectWaveVms(vms, pools, wave.request.parallelism)) {
+    const bool early = kernel::bootNow() - wave.loadedAt
+        < Duration { wave.request.duration.milliseconds / earlyWaveDivisor };
+    for (const auto& name : scheduling::selectWaveVms(vms, pools, wave.request.parallelism, early)) {
         auto& vm = wave.vms.at(name);
         vm.stage = WaveStage::Draining;
         vm.stageChangedAt = kernel::bootNow();
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -77,6 +77,8 @@
         bool statusWritten { false };
         bool completed { false };
         bool writingStatus { false };
+        /** @brief When this agent loaded its progress. */
+        kernel::Instant loadedAt {};
     };
 
     struct Move {
@@ -174,6 +176,10 @@
     std::map<model::VmId, Move> moves {};
     std::map<model::ServiceId, kernel::Instant> surplusSince {};
     std::map<model::ServiceId, Trend> trends {};
+    /** @brief VMs of each pool beyond its need, by the last reports. */
+    std::map<model::ServiceId, std::int64_t> surpluses {};
+    /** @brief Upstreams without tasks or with tasks that end soon, by the last reports. */
+    std::set<scheduling::UpstreamId> idleUpstreams {};
     /** @brief VMs whose move the platform rejected. */
     std::set<model::VmId> unmovable {};
     bool listingVms { false };
--- a/src/wasabiroad/scheduling/wave_plan.cpp
+++ b/src/wasabiroad/scheduling/wave_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace wasabiroad::scheduling {
 
@@ -14,6 +15,7 @@
     std::uint32_t outOfService { 0 };
     std::uint32_t limit { 0 };
     bool runsJobs { false };
+    std::int64_t surplus { 0 };
 };
 
 bool isOutOfService(WaveStage stage)
@@ -23,15 +25,16 @@
 
 } // namespace
 
-std::vector<model::VmId> selectWaveVms(
-    const std::vector<WaveVm>& vms, const std::vector<PoolSize>& pools, std::uint32_t parallelism)
+std::vector<model::VmId> selectWaveVms(const std::vector<WaveVm>& vms, const std::vector<PoolSize>& pools,
+    std::uint32_t parallelism, bool sparesShortPools)
 {
     std::map<model::ServiceId, PoolUsage> usages;
     for (const auto& pool : pools) {
+        const auto surplus = static_cast<std::uint32_t>(std::max<std::int64_t>(pool.surplus, 0));
         const auto limit = pool.runsJobs
-            ? std::max(1U, (pool.vms + outOfServiceDivisor - 1) / outOfServiceDivisor)
+            ? std::max({ 1U, surplus, (pool.vms + outOfServiceDivisor - 1) / outOfServiceDivisor })
             : parallelism;
-        usages[pool.pool] = { 0, limit, pool.runsJobs };
+        usages[pool.pool] = { 0, limit, pool.runsJobs, pool.surplus };
     }
     std::uint32_t outOfService = 0;
     std::vector<const WaveVm*> waiting;
@@ -43,10 +46,16 @@
             waiting.push_back(&vm);
         }
     }
-    std::ranges::stable_sort(waiting, {}, [&](const WaveVm* vm) { return usages[vm->pool].runsJobs; });
+    std::ranges::stable_sort(waiting, {}, [&](const WaveVm* vm) {
+        const auto& usage = usages[vm->pool];
+        return std::tuple { usage.runsJobs, !vm->idle, -usage.surplus };
+    });
     std::vector<model::VmId> chosen;
     for (const auto* const vm : waiting) {
         auto& use = usages[vm->pool];
+        if (sparesShortPools && use.runsJobs && !vm->idle && use.surplus < 0) {
+            continue;
+        }
         if (outOfService < parallelism && use.outOfService < std::max(1U, use.limit)) {
             ++outOfService;
             ++use.outOfService;
--- a/src/wasabiroad/scheduling/wave_plan.hpp
+++ b/src/wasabiroad/scheduling/wave_plan.hpp
@@ -26,15 +26,20 @@
     const model::VmId vm {};
     const model::ServiceId pool {};
     const WaveStage stage { WaveStage::Waiting };
+    /** @brief Its upstream runs no task, or only tasks that end soon. */
+    const bool idle { false };
 
     friend auto operator<=>(const WaveVm&, const WaveVm&) = default;
 };
 
-/** @brief Number of VMs of a pool that are up, and whether the pool runs jobs. */
+/** @brief Size of a pool. */
 struct PoolSize {
     const model::ServiceId pool {};
+    /** @brief Number of its VMs that are up. */
     const std::uint32_t vms { 0 };
     const bool runsJobs { false };
+    /** @brief VMs that it has beyond its need; negative if it needs more. */
+    const std::int64_t surplus { 0 };
 
     friend auto operator<=>(const PoolSize&, const PoolSize&) = default;
 };
@@ -42,14 +47,16 @@
 /**
  * @brief Selects the VMs to take out of service next.
  *
- * VMs of pools without jobs come first, since they need no drain. At most a quarter of a pool with jobs, but
- * at least one VM, is out of service for the wave at once, so that its tasks fit on the other VMs.
+ * VMs of pools without jobs come first, since they need no drain, then idle VMs, then those of the pools with
+ * the largest surplus. At most the surplus of a pool with jobs or a quarter of it, whichever is more, but at
+ * least one VM, is out of service for the wave at once, so that its tasks fit on the other VMs.
  * @param vms VMs of the wave.
  * @param pools Sizes of the pools.
  * @param parallelism Maximum number of VMs of the wave out of service at once.
+ * @param sparesShortPools Whether pools that need more VMs give none that run tasks.
  * @return VMs to drain or take down now, in order.
  */
-std::vector<model::VmId> selectWaveVms(
-    const std::vector<WaveVm>& vms, const std::vector<PoolSize>& pools, std::uint32_t parallelism);
+std::vector<model::VmId> selectWaveVms(const std::vector<WaveVm>& vms, const std::vector<PoolSize>& pools,
+    std::uint32_t parallelism, bool sparesShortPools = false);
 
 } // namespace wasabiroad::scheduling
--- a/test/wasabiroad/scheduling/wave_plan.cpp
+++ b/test/wasabiroad/scheduling/wave_plan.cpp
@@ -15,9 +15,9 @@
 const model::ServiceId checks { "checks" };
 const model::ServiceId spare { "spare" };
 
-WaveVm vm(const std::string& name, const model::ServiceId& pool, WaveStage stage)
+WaveVm vm(const std::string& name, const model::ServiceId& pool, WaveStage stage, bool idle = false)
 {
-    return { model::VmId { name }, pool, stage };
+    return { model::VmId { name }, pool, stage, idle };
 }
 
 struct Row {
@@ -25,6 +25,9 @@
     const std::vector<WaveVm> vms;
     const std::uint32_t parallelism;
     const std::vector<std::string> chosen;
+    /** @brief VMs of the pool with jobs beyond its need. */
+    const std::int64_t surplus { 0 };
+    const bool sparesShortPools { false };
 
     friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
 };
@@ -42,6 +45,23 @@
         5, {} },
     { "VMs in maintenance count against the wave",
         { vm("a", spare, WaveStage::InMaintenance), vm("b", checks, WaveStage::Waiting) }, 1, {} },
+    { "idle VMs before busy ones",
+        { vm("a", checks, WaveStage::Waiting), vm("b", checks, WaveStage::Waiting, true) }, 1, { "b" } },
+    { "busy VMs fill up what idle ones leave",
+        { vm("a", checks, WaveStage::Waiting), vm("b", checks, WaveStage::Waiting, true) }, 2, { "b", "a" } },
+    { "a pool gives its surplus, beyond a quarter",
+        { vm("a", checks, WaveStage::Waiting), vm("b", checks, WaveStage::Waiting),
+            vm("c", checks, WaveStage::Waiting), vm("d", checks, WaveStage::Waiting) },
+        5, { "a", "b", "c" }, 3 },
+    { "a short pool gives idle VMs only while it is spared",
+        { vm("a", checks, WaveStage::Waiting), vm("b", checks, WaveStage::Waiting, true) }, 5, { "b" }, -1,
+        true },
+    { "a pool without a shortage is not spared", { vm("a", checks, WaveStage::Waiting) }, 5, { "a" }, 0,
+        true },
+    { "a short pool that is no longer spared gives a quarter",
+        { vm("a", checks, WaveStage::Waiting), vm("b", checks, WaveStage::Waiting),
+            vm("c", checks, WaveStage::Waiting) },
+        5, { "a", "b" }, -1 },
     { "only VMs that are up", { vm("a", spare, WaveStage::Unavailable), vm("b", spare, WaveStage::Done) }, 4,
         {} },
 };
@@ -49,9 +69,9 @@
 /** Guards against more VMs out of service than the limits of the wave and of the pool allow. */
 BOOST_DATA_TEST_CASE(selection_stays_within_the_limits, data::make(rows), row)
 {
-    const std::vector<PoolSize> pools { { checks, 8, true }, { spare, 4, false } };
+    const std::vector<PoolSize> pools { { checks, 8, true, row.surplus }, { spare, 4, false } };
     std::vector<std::string> names;
-    for (const auto& chosen : selectWaveVms(row.vms, pools, row.parallelism)) {
+    for (const auto& chosen : selectWaveVms(row.vms, pools, row.parallelism, row.sparesShortPools)) {
         names.push_back(chosen.text());
     }
     BOOST_TEST(names == row.chosen, boost::test_tools::per_element());
