--- a/src/wasabiroad/traffic/front_end.cpp
+++ b/src/wasabiroad/traffic/front_end.cpp
@@ -88,12 +88,12 @@
         auto& context = this->threads.traffic(index);
         const auto prefix = this->settings.entry.text() + "-" + hexadecimal(this->incarnation) + "-"
             + std::to_string(index) + "-";
-        this->lanes.push_back(
-            std::unique_ptr<Lane>(new Lane { { .context = context,
-                                                 .pool = UpstreamPool { context },
-                                                 .metrics = RequestMetrics { daemonMetrics },
-                                                 .idPrefix = prefix },
-                tcp::acceptor { context }, asio::steady_timer { context } }));
+        const std::shared_ptr<ThreadState> thread { new ThreadState { .context = context,
+            .pool = UpstreamPool { context },
+            .metrics = RequestMetrics { daemonMetrics },
+            .idPrefix = prefix } };
+        this->lanes.push_back(std::unique_ptr<Lane>(
+            new Lane { thread, tcp::acceptor { context }, asio::steady_timer { context } }));
     }
 }
 
@@ -111,7 +111,7 @@
         return kernel::fail(
             ResultCode::ListenFailed, http::toText(endpoint), failed.message(), "a free local address");
     }
-    asio::co_spawn(lane.thread.context, accept(lane), asio::detached);
+    asio::co_spawn(lane.thread->context, accept(lane), asio::detached);
     return http::toText(lane.acceptor.local_endpoint());
 }
 
@@ -143,10 +143,10 @@
 {
     for (std::size_t index = 0; index < this->lanes.size(); ++index) {
         auto& lane = *this->lanes[index];
-        publisher.subscribe(kernel::postTo(lane.thread.context),
+        publisher.subscribe(kernel::postTo(lane.thread->context),
             [this, &lane, index, observer](const model::RoutingSnapshotPointer& snapshot) {
-                lane.thread.snapshot = snapshot;
-                lane.thread.pool.limit(idleLimits(*snapshot, this->lanes.size()));
+                lane.thread->snapshot = snapshot;
+                lane.thread->pool.limit(idleLimits(*snapshot, this->lanes.size()));
                 if (index == 0) {
                     this->port.update(snapshot);
                 }
@@ -175,7 +175,7 @@
 void FrontEnd::serve(Lane& lane, tcp::socket socket)
 {
     const auto limit = std::max<std::size_t>(1, this->settings.limits.connections / this->lanes.size());
-    if (lane.thread.sessions >= limit) {
+    if (lane.thread->sessions >= limit) {
         kernel::logEvent("connection-refused", { { "reason", "connection-limit" }, { "limit", limit } });
         return;
     }
@@ -184,7 +184,7 @@
     auto session = Session::create(std::move(socket), lane.thread, this->environment);
     auto* const key = session.get();
     lane.sessions.emplace(key, session);
-    asio::co_spawn(lane.thread.context, session->run(),
+    asio::co_spawn(lane.thread->context, session->run(),
         [&lane, key](const std::exception_ptr&) { lane.sessions.erase(key); });
 }
 
@@ -194,7 +194,7 @@
     lane.acceptor.cancel(failed);
     lane.acceptor.non_blocking(true, failed);
     while (!failed) {
-        tcp::socket socket { lane.thread.context };
+        tcp::socket socket { lane.thread->context };
         lane.acceptor.accept(socket, failed);
         if (!failed) {
             serve(lane, std::move(socket));
@@ -205,7 +205,7 @@
 
 asio::awaitable<void> FrontEnd::drainLane(Lane& lane)
 {
-    lane.thread.closing = true;
+    lane.thread->closing = true;
     lane.timer.expires_after(lameDuck.chrono());
     co_await lane.timer.async_wait(asio::use_awaitable);
     refuseHandshakes(lane.acceptor);
@@ -224,7 +224,7 @@
         lane.timer.expires_after(drainPoll.chrono());
         co_await lane.timer.async_wait(asio::use_awaitable);
     }
-    lane.thread.pool.clear();
+    lane.thread->pool.clear();
 }
 
 void FrontEnd::laneDrained(const std::function<void()>& done)
@@ -238,7 +238,7 @@
 {
     this->lanesToDrain = this->lanes.size();
     for (auto& lane : this->lanes) {
-        asio::co_spawn(lane->thread.context, drainLane(*lane), [this, done](const std::exception_ptr&) {
+        asio::co_spawn(lane->thread->context, drainLane(*lane), [this, done](const std::exception_ptr&) {
             asio::post(this->threads.control(), [this, done] { laneDrained(done); });
         });
     }
--- a/src/wasabiroad/traffic/front_end.hpp
+++ b/src/wasabiroad/traffic/front_end.hpp
@@ -38,7 +38,7 @@
 
 private:
     struct Lane {
-        ThreadState thread;
+        std::shared_ptr<ThreadState> thread;
         boost::asio::ip::tcp::acceptor acceptor;
         boost::asio::steady_timer timer;
         std::unordered_map<Session*, std::weak_ptr<Session>> sessions {};
--- a/src/wasabiroad/traffic/session.cpp
+++ b/src/wasabiroad/traffic/session.cpp
@@ -62,30 +62,30 @@
 
 } // namespace
 
-Session::Session(
-    asio::ip::tcp::socket socket, ThreadState& threadState, const Environment& sessionEnvironment)
+Session::Session(asio::ip::tcp::socket socket, std::shared_ptr<ThreadState> threadState,
+    const Environment& sessionEnvironment)
     : stream(std::move(socket))
-    , thread(threadState)
+    , thread(std::move(threadState))
     , environment(sessionEnvironment)
-    , exchange(threadState.pool, sessionEnvironment.clock,
+    , exchange(this->thread->pool, sessionEnvironment.clock,
           [&port = sessionEnvironment.port](const model::VmId& vm) { port.leaving(vm); })
-    , decisionTimer(threadState.context)
+    , decisionTimer(this->thread->context)
 {
-    ++this->thread.sessions;
+    ++this->thread->sessions;
 }
 
-Session::~Session() { --this->thread.sessions; }
+Session::~Session() { --this->thread->sessions; }
 
 std::shared_ptr<Session> Session::create(
-    asio::ip::tcp::socket socket, ThreadState& thread, const Environment& environment)
+    asio::ip::tcp::socket socket, const std::shared_ptr<ThreadState>& thread, const Environment& environment)
 {
     auto* const session = new Session { std::move(socket), thread, environment };
-    return { session, [&context = thread.context](Session* ended) {
+    return { session, [&context = thread->context](Session* ended) {
                 asio::dispatch(context, [owned = std::unique_ptr<Session> { ended }] {});
             } };
 }
 
-std::string Session::makeId() { return this->thread.idPrefix + std::to_string(this->thread.nextId++); }
+std::string Session::makeId() { return this->thread->idPrefix + std::to_string(this->thread->nextId++); }
 
 void Session::closeIfIdle(kernel::Instant idleBefore)
 {
@@ -195,13 +195,13 @@
 {
     this->stream.expires_never();
     this->state = RequestState::Received;
-    const bool keepAlive = parser.get().keep_alive() && !this->thread.closing;
+    const bool keepAlive = parser.get().keep_alive() && !this->thread->closing;
     if (asksForTicket(parser.get())) {
         co_return co_await serveTicket(parser.get(), keepAlive);
     }
     const model::RequestId fallbackId { makeId() };
     const auto decoded
-        = decode(parser.get(), this->thread.snapshot, fallbackId, kernel::now(this->environment.clock));
+        = decode(parser.get(), this->thread->snapshot, fallbackId, kernel::now(this->environment.clock));
     if (!decoded) {
         advance(RequestEvent::Rejected);
         const auto& error = decoded.error();
@@ -219,14 +219,14 @@
         const SystemAnswer refused { .code = ResultCode::MethodNotAllowed, .detail = "/tickets allows POST" };
         co_return co_await answer(refused, keepAlive);
     }
-    if (this->thread.closing) {
+    if (this->thread->closing) {
         const SystemAnswer refused { .code = ResultCode::Stopping };
         co_return co_await answer(refused, keepAlive);
     }
     std::optional<http::Response> response;
     this->environment.port.issueTicket(
         [self = shared_from_this(), &response, keepAlive](const Ticket& ticket, const std::string& text) {
-            asio::dispatch(self->thread.context, [self, &response, ticket, text, keepAlive] {
+            asio::dispatch(self->thread->context, [self, &response, ticket, text, keepAlive] {
                 response.emplace(encode(ticket, text, keepAlive));
                 self->decisionTimer.cancel();
             });
@@ -248,7 +248,7 @@
     this->decision.reset();
     this->submission = this->environment.port.submit(
         request, decoded.safeguard, [self = shared_from_this()](const admission::Decision& made) {
-            asio::dispatch(self->thread.context, [self, made] { self->receive(made); });
+            asio::dispatch(self->thread->context, [self, made] { self->receive(made); });
         });
     const CallerWatch watch { this->stream.socket(), [this, &decoded] { callerGone(decoded.stoppable); } };
     advance(RequestEvent::Enqueued);
@@ -328,7 +328,7 @@
 {
     const auto& request = decoded.request;
     const auto started = kernel::now(this->environment.clock);
-    this->thread.metrics.waited(request.service, started - request.arrival);
+    this->thread->metrics.waited(request.service, started - request.arrival);
     advance(RequestEvent::SendStarted);
     const Attempt attempt { request, grant, makeId(), body, keepAlive, decoded.stoppable };
     const auto result = co_await this->exchange.run(attempt, this->stream);
@@ -390,7 +390,7 @@
         { { "request", request.id.text() }, { "attempt", attempt.id }, { "vm", attempt.grant.vm.text() },
             { "state", name(this->state) }, { "result", reason },
             { "milliseconds", (kernel::now(this->environment.clock) - started).milliseconds } });
-    this->thread.metrics.attempted(request.service, this->state);
+    this->thread->metrics.attempted(request.service, this->state);
 }
 
 asio::awaitable<std::optional<admission::Decision>> Session::nextDecision()
@@ -446,7 +446,7 @@
 asio::awaitable<bool> Session::answer(const SystemAnswer& systemAnswer, bool keepAlive)
 {
     logRefusal(systemAnswer);
-    this->thread.metrics.refused(systemAnswer.code);
+    this->thread->metrics.refused(systemAnswer.code);
     const auto response = encode(systemAnswer, keepAlive);
     co_return co_await send(response, keepAlive);
 }
--- a/src/wasabiroad/traffic/session.hpp
+++ b/src/wasabiroad/traffic/session.hpp
@@ -47,8 +47,8 @@
      * @brief Makes a session that is destroyed on its own thread.
      * The dispatcher's thread can hold the last reference, but must not touch the session's state.
      */
-    static std::shared_ptr<Session> create(
-        boost::asio::ip::tcp::socket socket, ThreadState& thread, const Environment& environment);
+    static std::shared_ptr<Session> create(boost::asio::ip::tcp::socket socket,
+        const std::shared_ptr<ThreadState>& thread, const Environment& environment);
     ~Session();
     Session(const Session&) = delete;
     Session& operator=(const Session&) = delete;
@@ -60,7 +60,8 @@
     void closeIfIdle(kernel::Instant idleBefore);
 
 private:
-    Session(boost::asio::ip::tcp::socket socket, ThreadState& thread, const Environment& environment);
+    Session(boost::asio::ip::tcp::socket socket, std::shared_ptr<ThreadState> thread,
+        const Environment& environment);
 
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -100,7 +101,8 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer {};
-    ThreadState& thread;
+    /** @brief Shared, as a session that waits for its end on a stopped context outlives the front end. */
+    const std::shared_ptr<ThreadState> thread;
     const Environment& environment;
     Exchange exchange;
     boost::asio::steady_timer decisionTimer;
