Log an exception of a handler and go on

cause: reports of other operators: one unexpected error took a whole process down. An exception that left any handler ended the daemon here too: nothing caught it on the control thread or on a traffic thread. change: the threads log handler-failed and run their other handlers; each handler runs once, so no thread spins. after: handlers_go_on_after_one_has_thrown (four rows) passes. Without the change the process of the test ends: that is what std::terminate does for these rows, and was not run apart.

--- a/src/wasabiroad/kernel/threads.cpp
+++ b/src/wasabiroad/kernel/threads.cpp
@@ -1,9 +1,36 @@
 #include "wasabiroad/kernel/threads.hpp"
 
+#include "wasabiroad/kernel/log.hpp"
+
+#include <exception>
+#include <string_view>
+
 #include <boost/asio/post.hpp>
 
 namespace wasabiroad::kernel {
 
+namespace {
+
+/**
+ * Runs the handlers of a context until it is stopped. A handler that throws ends alone: its error is logged,
+ * and the handlers of other requests and connections go on.
+ */
+void runHandlers(boost::asio::io_context& context, std::string_view thread)
+{
+    for (;;) {
+        try {
+            context.run();
+            return;
+        } catch (const std::exception& exception) {
+            logEvent("handler-failed", { { "thread", thread }, { "reason", exception.what() } });
+        } catch (...) {
+            logEvent("handler-failed", { { "thread", thread }, { "reason", "unknown exception" } });
+        }
+    }
+}
+
+} // namespace
+
 Threads::Threads(std::size_t trafficThreads)
 {
     this->guards.emplace_back(this->controlContext.get_executor());
@@ -24,9 +51,9 @@
 void Threads::run()
 {
     for (auto& context : this->trafficContexts) {
-        this->workers.emplace_back([&context] { context->run(); });
+        this->workers.emplace_back([&context] { runHandlers(*context, "traffic"); });
     }
-    this->controlContext.run();
+    runHandlers(this->controlContext, "control");
     for (auto& context : this->trafficContexts) {
         context->stop();
     }
