--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -37,12 +37,15 @@
 /** Store entry of an upstream and whether it is valid. */
 struct UpstreamRow {
     const char* title;
-    const char* text;
+    const std::string text;
     const bool usable;
 
     friend std::ostream& operator<<(std::ostream& out, const UpstreamRow& row) { return out << row.title; }
 };
 
+/** An array in an array, and so on, far beyond what a stack holds. */
+const std::string nested = std::string(100000, '[') + std::string(100000, ']');
+
 const std::vector<UpstreamRow> upstreamRows {
     { "ready",
         R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":1},"seq":4})",
@@ -58,6 +61,30 @@
     { "no capacity", R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready"})", false },
     { "capacity of another type",
         R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":5})", false },
+    { "capacity beyond every VM",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":9223372036854775807}})",
+        false },
+    { "capacity beyond the type",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"memMb":1e400}})",
+        false },
+    { "capacity below zero",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"gpu":-1}})",
+        false },
+    { "capacity not whole",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":1.5}})",
+        false },
+    { "port out of range",
+        R"({"service":"s","address":"10.0.0.1:65536","zone":"a","state":"ready","capacity":{}})", false },
+    { "port below zero",
+        R"({"service":"s","address":"10.0.0.1:-1","zone":"a","state":"ready","capacity":{}})", false },
+    { "no port", R"({"service":"s","address":"10.0.0.1","zone":"a","state":"ready","capacity":{}})", false },
+    { "name for an address",
+        R"({"service":"s","address":"host:80","zone":"a","state":"ready","capacity":{}})", false },
+    { "deep nesting", nested, false },
+    { "deep nesting beside valid fields",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{},"x":)" + nested
+            + "}",
+        false },
     { "list", "[1,2]", false },
     { "nothing", "", false },
     { "unreadable bytes", "\x01\xff\xfe{", false },
@@ -92,6 +119,12 @@
     BOOST_REQUIRE(wave.has_value());
     BOOST_TEST((*wave == expected));
     BOOST_TEST(!decodeWave("{}").has_value());
+    BOOST_TEST(!decodeWave(R"({"wave":-1,"machines":[]})").has_value());
+    const auto odd = decodeWave(R"({"wave":3,"machines":[],"durationS":1e300,"maxCount":-1})");
+    constexpr std::int64_t thirtyDaysMs = 30LL * 24 * 60 * 60 * 1000;
+    BOOST_REQUIRE(odd.has_value());
+    BOOST_TEST(odd->duration.milliseconds == thirtyDaysMs);
+    BOOST_TEST(odd->parallelism == 1);
     BOOST_TEST(encodeWaveStatus(true) == R"({"state":"completed"})");
     BOOST_TEST(encodeWaveStatus(false) == R"({"state":"running"})");
 }
