--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -30,9 +30,9 @@
 
 bool isRefused(const store::Change& change, const std::string& prefix)
 {
-    return !prefix.empty()
-        && std::ranges::any_of(
-            change.puts, [&](const store::Put& put) { return put.key.starts_with(prefix); });
+    return !prefix.empty() && std::ranges::any_of(change.puts, [&](const store::Put& put) {
+        return put.key.starts_with(prefix);
+    });
 }
 
 } // namespace
