--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -155,8 +155,8 @@
     BOOST_TEST(site.workers.broken().empty());
 }
 
-/** Guards against a drained upstream that leaves the record of used ones, or its VM the pool, before the ends of
- * its tasks are written: the next owner started the tasks again. */
+/** Guards against a drained upstream that leaves the record of used ones, or its VM the pool, before the ends
+ * of its tasks are written: the next owner started the tasks again. */
 BOOST_AUTO_TEST_CASE(ends_on_a_drained_upstream_are_written_before_it_is_given_up)
 {
     Site site { 1, 2 };
