Send no order to a VM after the lease of its owner has ended

cause: reports of other operators: a process that had been paused acted on a permission that had run out. Here the owner of the fleet duty checks its lease when it hands orders to their four connections. Up to some hundred orders then wait there for 0.2 s or more, with a time-out on the steady clock, which stops while a VM is suspended: after it, the rest went out under the old term. Where the platform does not check fences, it would carry them out beside those of the next owner. change: an order carries its permission, which is asked again right before it is written. What is not sent is told as not sent. before: orders_are_not_sent_after_their_permission_has_ended with the check switched off: 40 of 40 orders sent. after: at most the four that were under way; tests of fleet-wire, http and agent pass.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -86,6 +86,11 @@
             || kernel::bootNow() - this->termStart > this->environment.orderGap + orderGapMargin);
 }
 
+ports::Permission FleetAgent::permission()
+{
+    return [self = shared_from_this()] { return self->mayOrder(); };
+}
+
 void FleetAgent::loadRecentOrders()
 {
     this->environment.store->read(keys::recentOrders,
@@ -465,7 +470,7 @@
 
 void FleetAgent::send(const MoveOrder& order)
 {
-    this->environment.fleet->move(order.vm, this->moves.at(order.vm).order.to, this->term,
+    this->environment.fleet->move(order.vm, this->moves.at(order.vm).order.to, this->term, permission(),
         [self = shared_from_this(), vm = order.vm](
             ports::VmOrderResult result) { self->onMoveOrderResult(vm, result); });
 }
@@ -705,10 +710,9 @@
     kernel::logEvent("vm-maintenance",
         { { "wave", order.wave }, { "vm", order.vm.text() }, { "upstream", vm.upstream.text() },
             { "term", this->term.value } });
-    this->environment.fleet->maintain(
-        order.vm, order.wave, this->term, [self = shared_from_this(), order](ports::VmOrderResult result) {
-            self->onMaintenanceOrderResult(order.wave, order.vm, result);
-        });
+    this->environment.fleet->maintain(order.vm, order.wave, this->term, permission(),
+        [self = shared_from_this(), order](
+            ports::VmOrderResult result) { self->onMaintenanceOrderResult(order.wave, order.vm, result); });
 }
 
 void FleetAgent::discardOrder(const MaintenanceOrder& order)
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -160,6 +160,8 @@
     bool mayOrder() const;
     /** @return Whether it may order this VM: no previous owner has ordered it within the gap. */
     bool mayOrder(const model::VmId& vm) const;
+    /** @return Permission of an order that may wait for its connection. */
+    ports::Permission permission();
 
     const FleetContext environment;
     const ports::Term term;
--- a/src/wasabiroad/http/channel.cpp
+++ b/src/wasabiroad/http/channel.cpp
@@ -43,6 +43,7 @@
     /** The call waited behind no other, so its time begins when the thread gets to it. */
     bool first;
     Channel::Callback callback;
+    Channel::Permission permission;
 };
 
 } // namespace
@@ -130,6 +131,10 @@
         if (left(call).milliseconds <= 0) {
             co_return failure(ResultCode::PlatformUnreachable, "connected too late");
         }
+        if (call.permission && !call.permission()) {
+            co_return failure(
+                ResultCode::PlatformUnreachable, "the permission to send the request has ended");
+        }
         this->extensions = 0;
         startTime(left(call));
         auto response = co_await transfer(this->socket, this->buffer, call.request, responseLimit);
@@ -195,7 +200,7 @@
     }
 }
 
-void Channel::call(Request request, kernel::Duration timeout, Callback callback)
+void Channel::call(Request request, kernel::Duration timeout, Callback callback, Permission permission)
 {
     if (this->state->closed || this->state->queue.size() >= queueLimit) {
         asio::post(this->state->context, [callback = std::move(callback), state = this->state] {
@@ -206,7 +211,7 @@
     }
     request.keep_alive(true);
     this->state->queue.push_back({ std::move(request), timeout, kernel::now(kernel::SteadyClock {}) + timeout,
-        !this->state->working, std::move(callback) });
+        !this->state->working, std::move(callback), std::move(permission) });
     if (!this->state->working) {
         this->state->working = true;
         asio::co_spawn(this->state->context, this->state->work(this->state), asio::detached);
--- a/src/wasabiroad/http/channel.hpp
+++ b/src/wasabiroad/http/channel.hpp
@@ -30,6 +30,9 @@
      */
     using Callback = std::function<void(kernel::Expected<Response>)>;
 
+    /** @brief Whether a request may still be sent; called right before it is written. */
+    using Permission = std::function<bool()>;
+
     Channel(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint endpoint);
     ~Channel();
     Channel(Channel&&) = default;
@@ -42,8 +45,10 @@
      * @param request Request; it is sent with keep-alive.
      * @param timeout Time for waiting in the queue, connecting, sending and reading together.
      * @param callback Called exactly once, on the context.
+     * @param permission Checked after waiting and connecting: the process may have been suspended meanwhile,
+     * which the timeout does not count. Without it the call fails with PlatformUnreachable. Empty for none.
      */
-    void call(Request request, kernel::Duration timeout, Callback callback);
+    void call(Request request, kernel::Duration timeout, Callback callback, Permission permission = {});
 
     /** @return Requests that wait or are in flight. */
     std::size_t load() const;
--- a/src/wasabiroad/ports/fleet.hpp
+++ b/src/wasabiroad/ports/fleet.hpp
@@ -77,6 +77,9 @@
 
 enum class VmOrderResult : unsigned char { Done, Fenced, Busy, NotInWave, Rejected, Overloaded, Unknown };
 
+/** @brief Whether the owner's lease still permits an order; called right before the order is sent. */
+using Permission = std::function<bool()>;
+
 /** @brief Calls to the platform about configuration, upstreams and VMs. Control thread only. */
 struct Fleet {
     /** @brief Reads all that the operator has written. */
@@ -91,9 +94,13 @@
         watchUpstreams;
     const std::function<void(store::Callback<kernel::Expected<std::vector<VmFacts>>>)> listVms;
     /** @brief Takes a VM down for maintenance; its tasks end at once. */
-    const std::function<void(model::VmId, std::uint64_t wave, Term, store::Callback<VmOrderResult>)> maintain;
+    const std::function<void(
+        model::VmId, std::uint64_t wave, Term, Permission, store::Callback<VmOrderResult>)>
+        maintain;
     /** @brief Gives a VM to another pool; its tasks end at once. */
-    const std::function<void(model::VmId, model::ServiceId pool, Term, store::Callback<VmOrderResult>)> move;
+    const std::function<void(
+        model::VmId, model::ServiceId pool, Term, Permission, store::Callback<VmOrderResult>)>
+        move;
     /** @brief Entry with the state of a wave, as the operator reads it. */
     const std::function<store::Put(std::uint64_t wave, bool completed)> waveStatus;
 };
--- a/test/platform/fleet_client.cpp
+++ b/test/platform/fleet_client.cpp
@@ -4,6 +4,8 @@
 #include "wasabiroad/http/server.hpp"
 
 #include <algorithm>
+#include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -45,10 +47,12 @@
         }
     };
     for (std::size_t index = 0; index < orders; ++index) {
-        fleet.move(model::VmId { "vm" }, model::ServiceId { "pool" }, { 1 }, [&](ports::VmOrderResult) {
-            ++done;
-            finish();
-        });
+        fleet.move(
+            model::VmId { "vm" }, model::ServiceId { "pool" }, { 1 }, [] { return true; },
+            [&](ports::VmOrderResult) {
+                ++done;
+                finish();
+            });
     }
     fleet.listVms([&](const kernel::Expected<std::vector<ports::VmFacts>>&) {
         listed = true;
@@ -61,6 +65,51 @@
     BOOST_TEST(maxInFlight > 1);
 }
 
+/** Guards against orders that wait for a connection while the process is suspended and its lease ends, and
+ * are sent when it goes on. */
+BOOST_AUTO_TEST_CASE(orders_are_not_sent_after_their_permission_has_ended)
+{
+    boost::asio::io_context context { 1 };
+    std::size_t sent = 0;
+    bool permitted = true;
+    http::Server server { context, [&](http::Request request) -> boost::asio::awaitable<http::Response> {
+                             ++sent;
+                             // The lease ends while the other orders wait behind this one.
+                             permitted = false;
+                             co_return http::respond(request, 200, "application/json", "{}");
+                         } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address);
+    const auto endpoint = *http::parseEndpoint(*address);
+    const auto fleet
+        = makeFleet(context, std::make_shared<StoreClient>(context, endpoint), endpoint, "entry");
+    constexpr std::size_t orders = 40;
+    std::vector<ports::VmOrderResult> results;
+    for (std::size_t index = 0; index < orders; ++index) {
+        const auto finish = [&](ports::VmOrderResult result) {
+            results.push_back(result);
+            if (results.size() == orders) {
+                context.stop();
+            }
+        };
+        const model::VmId vm { "vm" + std::to_string(index) };
+        if (index % 2 == 0) {
+            fleet.move(
+                vm, model::ServiceId { "pool" }, { 1 }, [&] { return permitted; }, finish);
+        } else {
+            fleet.maintain(
+                vm, 1, { 1 }, [&] { return permitted; }, finish);
+        }
+    }
+    context.run_for(std::chrono::seconds { 20 });
+    BOOST_REQUIRE(results.size() == orders);
+    const auto done = std::ranges::count(results, ports::VmOrderResult::Done);
+    BOOST_TEST(static_cast<std::size_t>(done) == sent);
+    // One order on each connection may have been sent before the first was handled.
+    BOOST_TEST(sent <= 4U);
+    BOOST_TEST(std::ranges::count(results, ports::VmOrderResult::Overloaded) == orders - sent);
+}
+
 } // namespace
 
 } // namespace wasabiroad::platform
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -256,13 +256,13 @@
                     answer(callback, kernel::Expected<std::vector<ports::VmFacts>> { this->workers.vms() });
                 },
             .maintain =
-                [=, this](const model::VmId& vm, std::uint64_t, ports::Term term,
+                [=, this](const model::VmId& vm, std::uint64_t, ports::Term term, const ports::Permission&,
                     const store::Callback<ports::VmOrderResult>& callback) {
                     answer(callback, this->workers.maintain(vm, term.value));
                 },
             .move =
                 [=, this](const model::VmId& vm, const model::ServiceId& pool, ports::Term term,
-                    const store::Callback<ports::VmOrderResult>& callback) {
+                    const ports::Permission&, const store::Callback<ports::VmOrderResult>& callback) {
                     answer(callback, this->workers.move(vm, pool, term.value));
                 },
             .waveStatus =
