--- /dev/null
+++ b/review/standin/worker.cpp
@@ -0,0 +1,268 @@
+#include "worker.hpp"
+
+#include <algorithm>
+
+namespace review {
+
+namespace json = boost::json;
+
+namespace {
+
+/** Longest lease that an upstream grants, `maxHoldMs` of hallbach-foundry. */
+constexpr std::int64_t maxLease = 6000;
+
+/** Time after which a task that lasts is at work. */
+constexpr std::int64_t startup = 700;
+
+constexpr milliseconds checkInterval { 5 };
+
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+void RunLog::add(
+    const std::string& worker, const std::string& task, std::int64_t run, const std::string& kind)
+{
+    const auto at = this->record.add(worker + " " + kind + " " + task + " run " + std::to_string(run));
+    const std::lock_guard lock { this->mutex };
+    this->all.push_back({ at, worker, task, run, kind });
+}
+
+void RunLog::note(const std::string& line) { this->record.add(line); }
+
+std::vector<RunEvent> RunLog::events()
+{
+    const std::lock_guard lock { this->mutex };
+    return this->all;
+}
+
+Worker::Worker(std::string id, RunLog& runLog, const LateOrders& late)
+    : name(std::move(id))
+    , born(unixMilliseconds())
+    , log(runLog)
+    , lateOrders(late)
+    , server([this](const Request& request) { return answer(request); })
+{
+    std::thread { [this] { advanceRegularly(); } }.detach();
+}
+
+std::int64_t Worker::clock() const
+{
+    return std::chrono::duration_cast<milliseconds>(Clock::now() - this->started).count();
+}
+
+std::string Worker::entry(const std::string& service, const std::string& rack, const std::string& state)
+{
+    return json::serialize(json::object { { "service", service }, { "address", this->server.address() },
+        { "zone", "hall-a" }, { "version", "v1" }, { "slots", 8 }, { "state", state },
+        { "coldRemainingMs", 0 }, { "capacity", { { "cpu", 16000 }, { "memMb", 65536 }, { "gpu", 0 } } },
+        { "labels", { "a", rack } }, { "clockMs", clock() }, { "born", this->born },
+        { "seq", ++this->sequence } });
+}
+
+void Worker::crash()
+{
+    const std::lock_guard lock { this->mutex };
+    this->up = false;
+    for (const auto& [task, running] : this->runs) {
+        this->log.add(this->name, task, running.run, "lost with the upstream");
+    }
+    this->runs.clear();
+    this->ended.notify_all();
+}
+
+bool Worker::fail(const std::string& task)
+{
+    const std::lock_guard lock { this->mutex };
+    if (!this->runs.contains(task)) {
+        return false;
+    }
+    endRun(task, "failed");
+    return true;
+}
+
+bool Worker::isAtWork(const std::string& task)
+{
+    const std::lock_guard lock { this->mutex };
+    const auto found = this->runs.find(task);
+    return found != this->runs.end() && Clock::now() - found->second.started >= milliseconds { startup };
+}
+
+std::set<std::string> Worker::running()
+{
+    const std::lock_guard lock { this->mutex };
+    std::set<std::string> tasks;
+    for (const auto& [task, running] : this->runs) {
+        tasks.insert(task);
+    }
+    return tasks;
+}
+
+std::optional<Answer> Worker::answer(const Request& request)
+{
+    std::unique_lock lock { this->mutex };
+    if (!this->up) {
+        return std::nullopt;
+    }
+    const auto path = pathOf(request);
+    if (path == "/health") {
+        return Answer {};
+    }
+    const auto target = request["Wasabiroad-Target-Instance"];
+    if (!target.empty() && target != this->name) {
+        return Answer { 421, "{}" };
+    }
+    const auto body = json::parse(request.body()).as_object();
+    const auto delay
+        = this->lateOrders ? this->lateOrders(path, textField(body, "task")) : std::optional<milliseconds> {};
+    if (delay) {
+        this->log.note(this->name + " leaves " + path + " " + textField(body, "task") + " run "
+            + std::to_string(numberField(body, "run")) + " unanswered for " + std::to_string(delay->count())
+            + " ms");
+        std::thread { [this, path, body, delay = *delay] {
+            std::this_thread::sleep_for(delay);
+            const std::lock_guard later { this->mutex };
+            if (this->up) {
+                carryOut(path, body);
+            }
+        } }.detach();
+        return std::nullopt;
+    }
+    if (path == "/hold") {
+        const auto token = numberField(body, "fencingToken");
+        if (token < this->fence) {
+            return refuse("fence");
+        }
+        this->fence = token;
+        advance();
+        auto held = hold(body, lock);
+        return this->up ? std::optional { held } : std::nullopt;
+    }
+    return carryOut(path, body);
+}
+
+Answer Worker::carryOut(const std::string& path, const json::object& body)
+{
+    const auto token = numberField(body, "fencingToken");
+    if (token < this->fence) {
+        return refuse("fence");
+    }
+    this->fence = token;
+    advance();
+    if (path == "/run-start") {
+        return start(body);
+    }
+    if (path == "/run-stop") {
+        return stop(body);
+    }
+    return { 200, json::serialize(json::object { { "clockMs", clock() } }) };
+}
+
+Answer Worker::refuse(const std::string& reason) const
+{
+    return { 409, json::serialize(json::object { { "clockMs", clock() }, { "reason", reason } }) };
+}
+
+void Worker::extendLease(std::int64_t until)
+{
+    this->leaseEnd = std::max(this->leaseEnd, std::min(until, clock() + maxLease));
+}
+
+Answer Worker::start(const json::object& body)
+{
+    const auto task = textField(body, "task");
+    const auto run = numberField(body, "run");
+    const auto until = numberField(body, "untilMs");
+    if (until <= clock()) {
+        return refuse("late");
+    }
+    extendLease(until);
+    const auto found = this->runs.find(task);
+    if (found != this->runs.end() && found->second.run == run) {
+        return { 200, json::serialize(json::object { { "clockMs", clock() } }) };
+    }
+    const auto last = this->closed.find(task);
+    if (found != this->runs.end() || (last != this->closed.end() && run <= last->second)) {
+        return refuse("old");
+    }
+    this->runs[task] = { run, Clock::now(), std::stoll(textField(body, "spec")) };
+    this->log.add(this->name, task, run, "start");
+    return { 200, json::serialize(json::object { { "clockMs", clock() } }) };
+}
+
+Answer Worker::stop(const json::object& body)
+{
+    const auto task = textField(body, "task");
+    const auto run = numberField(body, "run");
+    auto& last = this->closed[task];
+    last = std::max(last, run);
+    const auto found = this->runs.find(task);
+    if (found != this->runs.end() && found->second.run <= run) {
+        endRun(task, "stopped");
+    }
+    return { 200, json::serialize(json::object { { "clockMs", clock() } }) };
+}
+
+Answer Worker::hold(const json::object& body, std::unique_lock<std::mutex>& lock)
+{
+    if (const auto until = numberField(body, "untilMs"); until != 0) {
+        extendLease(until);
+    }
+    this->ends.erase(this->ends.begin(), this->ends.upper_bound(numberField(body, "ackedUpto")));
+    this->ended.wait_for(lock, milliseconds { numberField(body, "waitMs") },
+        [this] { return !this->ends.empty() || !this->up; });
+    json::array listed;
+    for (const auto& [task, running] : this->runs) {
+        const auto passed = std::chrono::duration_cast<milliseconds>(Clock::now() - running.started).count();
+        const auto whole = running.duration != 0 ? running.duration : startup;
+        listed.push_back(
+            json::array { task, running.run, "", std::min<std::int64_t>(100, passed * 100 / whole), 0 });
+    }
+    json::array done;
+    for (const auto& [number, end] : this->ends) {
+        done.push_back(json::array { number, end.task, end.run, end.how, "" });
+    }
+    return { 200,
+        json::serialize(json::object { { "clockMs", clock() }, { "born", this->born },
+            { "runningTasks", std::move(listed) }, { "ended", std::move(done) } }) };
+}
+
+void Worker::endRun(const std::string& task, const std::string& how)
+{
+    const auto found = this->runs.find(task);
+    this->ends[++this->lastEnd] = { task, found->second.run, how };
+    auto& last = this->closed[task];
+    last = std::max(last, found->second.run);
+    this->log.add(this->name, task, found->second.run, how);
+    this->runs.erase(found);
+    this->ended.notify_all();
+}
+
+void Worker::advance()
+{
+    const auto now = Clock::now();
+    const bool lapsed = clock() > this->leaseEnd;
+    const auto current = this->runs;
+    for (const auto& [task, running] : current) {
+        if (lapsed) {
+            endRun(task, "lapsed");
+        } else if (running.duration != 0 && now - running.started >= milliseconds { running.duration }) {
+            endRun(task, "done");
+        }
+    }
+}
+
+void Worker::advanceRegularly()
+{
+    while (true) {
+        std::this_thread::sleep_for(checkInterval);
+        const std::lock_guard lock { this->mutex };
+        advance();
+    }
+}
+
+} // namespace review
