--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review/site late-upkeep review/4/record.txt "$folder"
+target/review/site large-jobs review/4/record.txt "$folder"
--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -44,6 +44,13 @@
     this->changed.notify_all();
 }
 
+void Store::setSilent(bool isSilent)
+{
+    const std::lock_guard lock { this->mutex };
+    this->silent = isSilent;
+    this->changed.notify_all();
+}
+
 void Store::remove(const std::string& key)
 {
     const std::lock_guard lock { this->mutex };
@@ -61,6 +68,12 @@
 std::optional<Answer> Store::answer(const Request& request)
 {
     std::this_thread::sleep_for(latency);
+    {
+        const std::lock_guard lock { this->mutex };
+        if (this->silent) {
+            return std::nullopt;
+        }
+    }
     const auto path = pathOf(request);
     if (path == "/kv-key") {
         return read(request);
@@ -69,7 +82,9 @@
         return list(request);
     }
     if (path == "/kv-watch") {
-        return watch(request);
+        const auto watched = watch(request);
+        const std::lock_guard lock { this->mutex };
+        return this->silent ? std::nullopt : std::optional { watched };
     }
     if (path == "/kv-txn") {
         return change(request);
--- a/review/standin/store.hpp
+++ b/review/standin/store.hpp
@@ -20,6 +20,9 @@
     /** @brief Writes a key as the operator or an upstream does. */
     void put(const std::string& key, const std::string& value);
 
+    /** @brief While it is set, calls get no answer and nothing is done; leases run out meanwhile. */
+    void setSilent(bool isSilent);
+
     /** @brief Removes a key. */
     void remove(const std::string& key);
 
@@ -66,6 +69,7 @@
     std::map<std::int64_t, Lease> leases {};
     std::int64_t revision { 1 };
     std::int64_t lastLease { 1000 };
+    bool silent { false };
     Server server;
 };
 
--- a/review/standin/worker.hpp
+++ b/review/standin/worker.hpp
@@ -16,7 +16,7 @@
     std::string worker {};
     std::string task {};
     std::int64_t run { 0 };
-    /** @brief "start", or how the run ended. */
+    /** @brief "start", how the run ended, or "noted" when that end was acknowledged under the same lease. */
     std::string kind {};
 };
 
@@ -82,6 +82,8 @@
         std::string task {};
         std::int64_t run { 0 };
         std::string how {};
+        /** @brief Times that the lease had lapsed when the run ended. */
+        std::int64_t lapses { 0 };
     };
 
     std::optional<Answer> answer(const Request& request);
@@ -93,6 +95,8 @@
     Answer refuse(const std::string& reason) const;
     std::int64_t clock() const;
     void extendLease(std::int64_t until);
+    /** @brief Forgets ends up to a number, which is how they are taken note of. */
+    void acknowledge(std::int64_t number);
     void endRun(const std::string& task, const std::string& how);
     void advance();
     void advanceRegularly();
@@ -110,6 +114,7 @@
     std::int64_t lastEnd { 0 };
     std::int64_t fence { 0 };
     std::int64_t leaseEnd { 0 };
+    std::int64_t lapses { 0 };
     std::int64_t sequence { 0 };
     bool up { true };
     Server server;
