--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -4,7 +4,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <limits>
 
 #include <stdlib.h>
 
@@ -125,7 +124,7 @@
     sleepUntil(record, record.now() + settleMs);
     auto* owner = site.ownerOf("pool/desk");
     if (owner == nullptr
-        || site.request(*owner, "POST", job, makeLastingJob(3, 0), milliseconds { 3000 }).status != 200) {
+        || site.request(*owner, "POST", job, makeLastingJob(3), milliseconds { 3000 }).status != 200) {
         return notRun(record, "the job was not accepted");
     }
     sleepUntil(record, record.now() + settleMs);
--- a/review/standin/site.cpp
+++ b/review/standin/site.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -188,18 +189,6 @@
             { "wave", 1 }, { "machines", std::move(list) }, { "durationS", 30 }, { "maxCount", maxCount } }));
 }
 
-bool Site::failTask(const std::string& task)
-{
-    const std::lock_guard lock { this->mutex };
-    return std::ranges::any_of(this->workers, [&](auto& worker) { return worker.fail(task); });
-}
-
-bool Site::isAtWork(const std::string& task)
-{
-    const std::lock_guard lock { this->mutex };
-    return std::ranges::any_of(this->workers, [&](auto& worker) { return worker.isAtWork(task); });
-}
-
 std::int64_t Site::memoryOf(const Daemon& daemon)
 {
     std::ifstream status { "/proc/" + std::to_string(daemon.process) + "/status" };
@@ -232,7 +221,7 @@
 Worker& Site::createWorker(const std::string& id, const std::string& machine)
 {
     this->machines[id] = machine;
-    auto& worker = this->workers.emplace_back(id, this->log, this->lateWorkerOrders);
+    auto& worker = this->workers.emplace_back(id, this->log);
     this->store.put("servers/" + id, worker.entry("desk", rackOf(machine), "ready"));
     return worker;
 }
@@ -274,6 +263,8 @@
     const auto variable = "WASABIROAD_BOOT=" + this->folder + "/" + daemon.name + ".json";
     daemon.process = fork();
     if (daemon.process == 0) {
+        // No daemon outlives this process.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
@@ -364,13 +355,10 @@
         json::object { { "spec", std::to_string(duration) }, { "steps", json::array { step } } });
 }
 
-std::string makeLastingJob(int count, int mayMiss)
+std::string makeLastingJob(int count)
 {
     json::object step { { "count", count }, { "cpu", 1000 }, { "memMb", 512 }, { "estimateMs", 700 },
         { "longRunning", true } };
-    if (mayMiss > 0) {
-        step["mayMiss"] = mayMiss;
-    }
     return json::serialize(json::object { { "spec", "0" }, { "steps", json::array { step } } });
 }
 
--- a/review/standin/site.hpp
+++ b/review/standin/site.hpp
@@ -87,15 +87,6 @@
     Answer request(const Daemon& daemon, const std::string& method, const std::string& job,
         const std::string& body, milliseconds timeout);
 
-    /** @brief Sets which orders to workers get no answer; set before the workers are added. */
-    void setLateWorkerOrders(LateOrders orders) { this->lateWorkerOrders = std::move(orders); }
-
-    /** @brief Lets a task fail wherever it runs. @return Whether it ran. */
-    bool failTask(const std::string& task);
-
-    /** @return Whether a task runs and is at work on any worker. */
-    bool isAtWork(const std::string& task);
-
     /** @return Resident memory of a daemon in KB. */
     static std::int64_t memoryOf(const Daemon& daemon);
 
@@ -120,7 +111,6 @@
     Store store {};
     Server vms;
     std::mutex mutex {};
-    LateOrders lateWorkerOrders {};
     std::list<Worker> workers {};
     /** @brief Machine of each worker, which also names its rack. */
     std::map<std::string, std::string> machines {};
@@ -136,7 +126,7 @@
 std::string makeJob(int count, std::int64_t duration, int cpu = 1000, int memory = 512);
 
 /** @return A job of one step of tasks that last. */
-std::string makeLastingJob(int count, int mayMiss);
+std::string makeLastingJob(int count);
 
 /** @return A job that is due first in an hour, and then each minute. */
 std::string makeScheduledJob(int count, int runCount);
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -35,19 +35,16 @@
     this->all.push_back({ at, worker, task, run, kind });
 }
 
-void RunLog::note(const std::string& line) { this->record.add(line); }
-
 std::vector<RunEvent> RunLog::events()
 {
     const std::lock_guard lock { this->mutex };
     return this->all;
 }
 
-Worker::Worker(std::string id, RunLog& runLog, const LateOrders& late)
+Worker::Worker(std::string id, RunLog& runLog)
     : name(std::move(id))
     , born(unixMilliseconds())
     , log(runLog)
-    , lateOrders(late)
     , server([this](const Request& request) { return answer(request); })
 {
     std::thread { [this] { advanceRegularly(); } }.detach();
@@ -78,23 +75,6 @@
     this->ended.notify_all();
 }
 
-bool Worker::fail(const std::string& task)
-{
-    const std::lock_guard lock { this->mutex };
-    if (!this->runs.contains(task)) {
-        return false;
-    }
-    endRun(task, "failed");
-    return true;
-}
-
-bool Worker::isAtWork(const std::string& task)
-{
-    const std::lock_guard lock { this->mutex };
-    const auto found = this->runs.find(task);
-    return found != this->runs.end() && Clock::now() - found->second.started >= milliseconds { startup };
-}
-
 std::set<std::string> Worker::running()
 {
     const std::lock_guard lock { this->mutex };
@@ -120,36 +100,6 @@
         return Answer { 421, "{}" };
     }
     const auto body = json::parse(request.body()).as_object();
-    const auto delay
-        = this->lateOrders ? this->lateOrders(path, textField(body, "task")) : std::optional<milliseconds> {};
-    if (delay) {
-        this->log.note(this->name + " leaves " + path + " " + textField(body, "task") + " run "
-            + std::to_string(numberField(body, "run")) + " unanswered for " + std::to_string(delay->count())
-            + " ms");
-        std::thread { [this, path, body, delay = *delay] {
-            std::this_thread::sleep_for(delay);
-            const std::lock_guard later { this->mutex };
-            if (this->up) {
-                carryOut(path, body);
-            }
-        } }.detach();
-        return std::nullopt;
-    }
-    if (path == "/hold") {
-        const auto token = numberField(body, "fencingToken");
-        if (token < this->fence) {
-            return refuse("fence");
-        }
-        this->fence = token;
-        advance();
-        auto held = hold(body, lock);
-        return this->up ? std::optional { held } : std::nullopt;
-    }
-    return carryOut(path, body);
-}
-
-Answer Worker::carryOut(const std::string& path, const json::object& body)
-{
     const auto token = numberField(body, "fencingToken");
     if (token < this->fence) {
         return refuse("fence");
@@ -162,7 +112,11 @@
     if (path == "/run-stop") {
         return stop(body);
     }
-    return { 200, json::serialize(json::object { { "clockMs", clock() } }) };
+    if (path == "/hold") {
+        auto held = hold(body, lock);
+        return this->up ? std::optional { held } : std::nullopt;
+    }
+    return Answer { 200, json::serialize(json::object { { "clockMs", clock() } }) };
 }
 
 Answer Worker::refuse(const std::string& reason) const
--- a/review/standin/worker.hpp
+++ b/review/standin/worker.hpp
@@ -3,7 +3,6 @@
 #include "record.hpp"
 
 #include <condition_variable>
-#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -29,7 +28,6 @@
     }
 
     void add(const std::string& worker, const std::string& task, std::int64_t run, const std::string& kind);
-    void note(const std::string& line);
     std::vector<RunEvent> events();
 
 private:
@@ -38,13 +36,6 @@
     std::vector<RunEvent> all {};
 };
 
-/**
- * @brief Decides on an order to an upstream: it gets no answer and is carried out after this time, or nothing
- * if it is answered. Paths: /run-start, /run-stop.
- */
-using LateOrders
-    = std::function<std::optional<milliseconds>(const std::string& path, const std::string& task)>;
-
 /**
  * @brief An upstream that runs tasks under a lease.
  *
@@ -52,7 +43,7 @@
  */
 class Worker {
 public:
-    Worker(std::string id, RunLog& log, const LateOrders& lateOrders);
+    Worker(std::string id, RunLog& log);
 
     const std::string& id() const { return this->name; }
 
@@ -62,15 +53,9 @@
     /** @brief Loses all that it runs; it answers nothing any more. */
     void crash();
 
-    /** @brief Lets a task fail. @return Whether it ran. */
-    bool fail(const std::string& task);
-
     /** @return Tasks that run now. */
     std::set<std::string> running();
 
-    /** @return Whether a task runs and is at work. */
-    bool isAtWork(const std::string& task);
-
 private:
     struct Running {
         std::int64_t run { 0 };
@@ -87,8 +72,6 @@
     };
 
     std::optional<Answer> answer(const Request& request);
-    /** @brief Carries out an order, whose fencing token is checked at that time. */
-    Answer carryOut(const std::string& path, const boost::json::object& body);
     Answer start(const boost::json::object& body);
     Answer stop(const boost::json::object& body);
     Answer hold(const boost::json::object& body, std::unique_lock<std::mutex>& lock);
@@ -105,7 +88,6 @@
     const std::int64_t born;
     const Clock::time_point started { Clock::now() };
     RunLog& log;
-    const LateOrders& lateOrders;
     std::mutex mutex {};
     std::condition_variable ended {};
     std::map<std::string, Running> runs {};
