--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -512,7 +512,7 @@
                     { "kind", scheduling::name(end.kind) }, { "number", end.number } });
         }
     }
-    apply(scheduling::TasksListed { id, tasks.born, sent, tasks.running, tasks.ended });
+    apply(scheduling::TasksListed { id, tasks.born, sent, tasks.running, tasks.ended, tasks.moreEnds });
     if (!this->recordedUpstreams.contains(id.text()) && !this->writingRecordedUpstreams) {
         applyMembers();
     }
@@ -822,7 +822,7 @@
         this->members, std::inserter(memberIds, memberIds.end()), [](const auto& facts) { return facts.id; });
     for (auto agent = this->upstreamAgents.begin(); agent != this->upstreamAgents.end();) {
         if (memberIds.contains(agent->first) || this->scheduler->hasTasks(agent->first)
-            || agent->second->hasUnrecordedEnds()) {
+            || this->scheduler->isUnreconciled(agent->first) || agent->second->hasUnrecordedEnds()) {
             ++agent;
             continue;
         }
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -84,7 +84,8 @@
     if (first) {
         kernel::logEvent("upstream-reached",
             { { "upstream", this->upstream.id.text() }, { "born", tasks.born.milliseconds },
-                { "running", tasks.running.size() }, { "term", this->term.value } });
+                { "running", tasks.running.size() }, { "ended", tasks.ended.size() },
+                { "more_ends", tasks.moreEnds ? "yes" : "no" }, { "term", this->term.value } });
     }
     this->answering = true;
     for (const auto& end : tasks.ended) {
--- a/src/wasabiroad/ports/upstreams.hpp
+++ b/src/wasabiroad/ports/upstreams.hpp
@@ -36,6 +36,8 @@
     const kernel::Instant born {};
     const std::vector<scheduling::RunningTask> running {};
     const std::vector<scheduling::EndedTask> ended {};
+    /** @brief The list of ends is truncated; the others are listed once these are acknowledged. */
+    const bool moreEnds { false };
 
     friend bool operator==(const Tasks&, const Tasks&) = default;
 };
--- a/src/wasabiroad/scheduling/event.hpp
+++ b/src/wasabiroad/scheduling/event.hpp
@@ -127,6 +127,8 @@
     const kernel::Instant sent {};
     const std::vector<RunningTask> running {};
     const std::vector<EndedTask> ended {};
+    /** @brief Further ends are not listed yet, so a run that is missing from both lists may have ended. */
+    const bool moreEnds { false };
 
     friend bool operator==(const TasksListed&, const TasksListed&) = default;
 };
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -224,9 +224,11 @@
     for (const auto& running : event.running) {
         applyRunning(event.upstream, running, now);
     }
-    releaseStopped(event, now);
     adjustPace(upstream, now);
-    markReconciled(event.upstream);
+    if (!event.moreEnds) {
+        releaseStopped(event, now);
+        markReconciled(event.upstream);
+    }
     this->schedulingNeeded = true;
 }
 
@@ -432,8 +434,15 @@
 void PoolScheduler::on(const Tick&, Moment now)
 {
     if (!this->unreconciled.empty() && now.steady - this->termStart.steady > this->policy.takeoverTimeout) {
-        this->unreconciled.clear();
-        resolveTasks();
+        // An upstream that answers has ends that it has not listed yet.
+        std::erase_if(this->unreconciled, [&](const UpstreamId& id) {
+            const auto upstream = this->upstreams.find(id);
+            return upstream == this->upstreams.end()
+                || (!upstream->second.listed && now.steady > upstream->second.leaseEnd);
+        });
+        if (this->unreconciled.empty()) {
+            resolveTasks();
+        }
     }
     std::vector<UpstreamId> lapsed;
     for (const auto& [id, upstream] : this->upstreams) {
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -71,7 +71,7 @@
     /** @return Whether the upstream is to be drained, is reconciled and has no tasks. */
     bool isDrained(const UpstreamId& upstream) const;
 
-    /** @return Whether the upstream may run tasks of a previous owner that it has not listed yet. */
+    /** @return Whether the upstream may have tasks or ends of a previous owner that it has not listed yet. */
     bool isUnreconciled(const UpstreamId& upstream) const { return this->unreconciled.contains(upstream); }
 
     /** @return Number of unreconciled upstreams; until it is 0, tasks that a previous owner may have started
@@ -199,7 +199,7 @@
     bool active { true };
     bool schedulingNeeded { false };
     bool urgent { false };
-    /** @brief Upstreams that may run tasks of a previous owner and have not listed their tasks yet. */
+    /** @brief Upstreams that may have tasks or ends of a previous owner that they have not listed yet. */
     std::set<UpstreamId> unreconciled;
     /** @brief Upstreams to be drained. */
     std::map<UpstreamId, internal::DrainState> drains {};
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -220,9 +220,12 @@
     }
     std::vector<scheduling::EndedTask> ended;
     for (const auto& [number, end] : worker->ends) {
-        ended.push_back(end);
+        if (ended.size() < this->endsPerList) {
+            ended.push_back(end);
+        }
     }
-    return ports::Tasks { { worker->born }, std::move(running), std::move(ended) };
+    const bool mayHaveMore = ended.size() >= this->endsPerList;
+    return ports::Tasks { { worker->born }, std::move(running), std::move(ended), mayHaveMore };
 }
 
 ports::StartOutcome Workers::start(const scheduling::StartTask& order, ports::Term term, Duration lease)
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -59,6 +59,9 @@
     /** @brief Sets the time within which orders of two daemons to one VM break a promise. */
     void setOrderGap(kernel::Duration gap) { this->orderGap = gap; }
 
+    /** @brief Sets how many ends an upstream lists at a time. */
+    void setEndsPerList(std::size_t count) { this->endsPerList = count; }
+
     /** @brief Sets the time that a VM takes for a move or for maintenance. */
     void setDownTime(kernel::Duration time) { this->downTime = time; }
 
@@ -133,6 +136,7 @@
     std::vector<std::uint64_t> movingTerms {};
     kernel::Duration orderGap {};
     std::optional<kernel::Duration> downTime {};
+    std::size_t endsPerList { 500 };
     std::uint64_t lives { 0 };
 };
 
--- a/test/platform/orders.cpp
+++ b/test/platform/orders.cpp
@@ -68,6 +68,29 @@
     BOOST_TEST(!decodeClock(Document { "{}" }).has_value());
 }
 
+/** Number of listed ends, of which the first is invalid, and whether the list may be truncated. */
+struct ListRow {
+    const std::size_t ends;
+    const bool moreEnds;
+
+    friend std::ostream& operator<<(std::ostream& out, const ListRow& row) { return out << row.ends; }
+};
+
+const std::vector<ListRow> lists { { 0, false }, { 1, false }, { 499, false }, { 500, true }, { 501, true } };
+
+/** Guards against a truncated list of ends that is taken for the whole. */
+BOOST_DATA_TEST_CASE(list_of_ends_may_be_truncated, data::make(lists), row)
+{
+    std::string ends;
+    for (std::size_t number = 1; number <= row.ends; ++number) {
+        ends += (ends.empty() ? "[" : ",[") + std::to_string(number) + R"(,"5c0e7a21d94b36f8.0.1.17",1,")"
+            + (number == 1 ? "odd" : "done") + R"(",""])";
+    }
+    const auto tasks = decodeTasks(Document { R"({"runningTasks":[],"ended":[)" + ends + "]}" });
+    BOOST_REQUIRE(tasks.has_value());
+    BOOST_TEST(tasks->moreEnds == row.moreEnds);
+}
+
 struct EndRow {
     const char* word;
     const EndKind kind;
--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -140,6 +140,25 @@
     BOOST_TEST(site.workers.broken().empty());
 }
 
+/** Guards against starting completed tasks again whose ends an upstream lists only after earlier ones have
+ * been acknowledged. */
+BOOST_AUTO_TEST_CASE(next_owner_awaits_ends_beyond_the_first_list)
+{
+    Site site { 1, 1 };
+    site.workers.setEndsPerList(1);
+    BOOST_REQUIRE(site.waitForOwner());
+    site.submit(makeJob("a", 600, 4));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 4; }));
+    // Without a record of the ends the owner acknowledges none.
+    site.daemons[0]->storeFaults->refusedPrefix = keys::recordsOf(service);
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 0; }));
+    site.daemons[0]->agent->abandon();
+    site.addDaemon();
+    BOOST_TEST(site.reaches("a", JobState::Completed, 1));
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 4);
+    BOOST_TEST(site.workers.broken().empty());
+}
+
 /** Guards against tasks of a crashed upstream that are not started again. */
 BOOST_AUTO_TEST_CASE(tasks_of_a_crashed_upstream_run_again)
 {
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -287,9 +287,12 @@
         }
         std::vector<EndedTask> ended;
         for (const auto& [endNumber, end] : upstream.ends) {
-            ended.push_back(end.ended);
+            if (ended.size() < this->faults.endsPerList) {
+                ended.push_back(end.ended);
+            }
         }
-        const TasksListed listed { id, { upstream.born }, { sent }, running, ended };
+        const bool moreEnds = ended.size() >= this->faults.endsPerList;
+        const TasksListed listed { id, { upstream.born }, { sent }, running, ended, moreEnds };
         if (chance(this->faults.lostAnswers)) {
             reportUnresponsive();
             return;
--- a/test/wasabiroad/scheduling/model.hpp
+++ b/test/wasabiroad/scheduling/model.hpp
@@ -32,6 +32,8 @@
     const bool previousOwnersStayActive { false };
     /** @brief Network partitions between an upstream and its owner per time increment. */
     const unsigned partitions { 0 };
+    /** @brief Maximum number of ends in a list of an upstream. */
+    const std::size_t endsPerList { 500 };
 
     friend std::ostream& operator<<(std::ostream& out, const Faults& faults) { return out << faults.title; }
 };
--- a/test/wasabiroad/scheduling/model_runs.cpp
+++ b/test/wasabiroad/scheduling/model_runs.cpp
@@ -30,9 +30,14 @@
         .crashes = 2,
         .ownerChanges = 4,
         .previousOwnersStayActive = true },
+    { .title = "owners change and lists of ends are truncated",
+        .lostCalls = 20,
+        .ownerChanges = 4,
+        .previousOwnersStayActive = true,
+        .endsPerList = 2 },
 };
 
-/** Random event sequences per row, set in CMakeLists.txt; the ten rows make more than 10,000 without
+/** Random event sequences per row, set in CMakeLists.txt; the rows make more than 10,000 without
  * sanitizers, which are slower. */
 constexpr std::uint64_t seeds = MODEL_SEEDS;
 
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -407,6 +407,73 @@
     BOOST_TEST(starts == row.starts);
 }
 
+/** Answers of an upstream of a previous owner after a truncated list of ends, and the starts by then. */
+struct TruncationRow {
+    const char* title;
+    /** @brief The rest of the ends is listed. */
+    const bool listsRest;
+    /** @brief The upstream stops answering after the truncated list. */
+    const bool isLost;
+    const std::int64_t time;
+    const std::size_t starts;
+
+    friend std::ostream& operator<<(std::ostream& out, const TruncationRow& row) { return out << row.title; }
+};
+
+const std::vector<TruncationRow> truncationRows {
+    { "the rest is awaited", false, false, 100, 0 },
+    { "the rest is awaited while the upstream answers", false, false, 60000, 0 },
+    { "the rest is listed", true, false, 100, 1 },
+    { "the upstream is lost, its lease may last", false, true, 6000, 0 },
+    { "the upstream is lost, its lease has expired", false, true, 60000, 2 },
+};
+
+/** Guards against starting tasks again whose ends are missing from a truncated list. */
+BOOST_DATA_TEST_CASE(new_owner_awaits_all_ends, data::make(truncationRows), row)
+{
+    const UpstreamId upstream { "u1" };
+    PoolScheduler scheduler { Policy {}, 9, at(0), { upstream } };
+    const auto task = [](std::uint32_t index) {
+        return jobs::TaskId { jobs::JobId { "j" }, { 0, 0, index } };
+    };
+    std::size_t starts = 0;
+    const auto apply = [&](const Event& event, std::int64_t time) {
+        for (const auto& order : scheduler.apply(event, at(time))) {
+            starts += std::holds_alternative<StartTask>(order) ? 1 : 0;
+        }
+    };
+    apply(JobAdded { makeJob("j", { makeStep(3) }), { JobState::Running }, true }, 0);
+    apply(MembersListed { { makeUpstream("u1"), makeUpstream("u2") } }, 1);
+    apply(TasksListed { UpstreamId { "u2" }, { 1 }, { 2 } }, 2);
+    const EndedTask first { 1, task(0), { 3 }, EndKind::Done, "" };
+    const EndedTask second { 2, task(1), { 4 }, EndKind::Done, "" };
+    const std::int64_t truncatedAt = 6000;
+    apply(TasksListed { upstream, { 1 }, { truncatedAt }, {}, { first }, true }, truncatedAt);
+    if (row.listsRest) {
+        apply(TasksListed { upstream, { 1 }, { truncatedAt + 10 }, {}, { second } }, truncatedAt + 10);
+    }
+    if (row.isLost) {
+        apply(UpstreamUnresponsive { upstream, { truncatedAt } }, truncatedAt + 20);
+    }
+    BOOST_TEST(scheduler.isUnreconciled(upstream) == !row.listsRest);
+    apply(Tick {}, truncatedAt + row.time);
+    BOOST_TEST(starts == row.starts);
+}
+
+/** Guards against a second run of a task that ended before it was stopped, and is missing from a truncated
+ * list. */
+BOOST_DATA_TEST_CASE(stopped_task_is_released_by_a_complete_list_only, data::make({ true, false }), truncated)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = fixture.starts.front();
+    fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 900);
+    fixture.apply(StopAnswered { first.upstream, first.task, first.run, true }, 910);
+    fixture.apply(TasksListed { first.upstream, { 1 }, { 920 }, {}, {}, truncated }, 930);
+    fixture.apply(Tick {}, 2000);
+    BOOST_TEST(fixture.starts.size() == (truncated ? 1 : 2));
+}
+
 /** Guards against tasks of a cancelled job that keep running or are started. */
 BOOST_AUTO_TEST_CASE(cancelled_job_is_stopped_and_erased)
 {
