--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -612,6 +612,7 @@
         && demandedCpu <= this->reportedDemand + this->reportedDemand / demandRiseDivisor) {
         return;
     }
+    const auto footprint = this->scheduler->footprint();
     const auto effort = this->scheduler->effort();
     const auto spent = effort - this->countedEffort.value_or(scheduling::Effort {});
     this->countedEffort.emplace(effort);
@@ -623,7 +624,8 @@
             { "cpu_room", demand.room.cpu }, { "memory_wanted", demand.wanted.memory },
             { "memory_taken", demand.taken.memory }, { "memory_room", demand.room.memory },
             { "cpu_arriving", demand.arriving }, { "spread", demand.spread },
-            { "starting", this->startsInFlight }, { "job_looks", spent.jobs }, { "step_looks", spent.steps },
+            { "starting", this->startsInFlight }, { "held_steps", footprint.steps },
+            { "held_tasks", footprint.tasks }, { "job_looks", spent.jobs }, { "step_looks", spent.steps },
             { "upstream_looks", spent.upstreams },
             { "watch_age_ms", ageText(this->environment.maxViewAge(this->watched)) },
             { "members_age_ms", (at.steady - this->environment.upstreamsUpdatedAt()).milliseconds } });
--- a/src/wasabiroad/jobs/codec.cpp
+++ b/src/wasabiroad/jobs/codec.cpp
@@ -103,6 +103,11 @@
         }
         progress.set_checkpoint(task.checkpoint);
     }
+    for (const auto& range : record.completed) {
+        auto& completed = *target.add_completed();
+        completed.set_first(range.first);
+        completed.set_last(range.last);
+    }
     return target.SerializeAsString();
 }
 
@@ -219,7 +224,13 @@
         tasks.push_back({ { task.occurrence(), task.step(), task.index() }, task.done(),
             std::move(failedRuns), task.checkpoint() });
     }
-    return Record { static_cast<JobState>(source.state()), std::move(tasks), { source.finished_ms() } };
+    std::vector<OccurrenceRange> completed;
+    completed.reserve(static_cast<std::size_t>(source.completed_size()));
+    for (const auto& range : source.completed()) {
+        completed.push_back({ range.first(), range.last() });
+    }
+    return Record { static_cast<JobState>(source.state()), std::move(tasks), { source.finished_ms() },
+        std::move(completed) };
 }
 
 std::optional<std::vector<std::string>> decodeUpstreams(std::string_view bytes)
--- a/src/wasabiroad/jobs/job.hpp
+++ b/src/wasabiroad/jobs/job.hpp
@@ -138,13 +138,23 @@
     friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
 
+/** @brief Consecutive occurrences of a job, from the first to the last. */
+struct OccurrenceRange {
+    const std::uint32_t first { 0 };
+    const std::uint32_t last { 0 };
+
+    friend auto operator<=>(const OccurrenceRange&, const OccurrenceRange&) = default;
+};
+
 /** @brief Durable state of a job. */
 struct Record {
     const JobState state { JobState::Pending };
-    /** @brief Tasks that have made progress. */
+    /** @brief Tasks that have made progress, in occurrences that are not completed. */
     const std::vector<TaskProgress> tasks {};
     /** @brief Wall clock time at which the job reached its final state. */
     const kernel::Instant finished {};
+    /** @brief Occurrences with all tasks done, unless the job has ended. */
+    const std::vector<OccurrenceRange> completed {};
 
     friend bool operator==(const Record&, const Record&) = default;
 };
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -43,18 +43,15 @@
 bool PoolScheduler::isStepReady(
     const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step, Moment now) const
 {
-    if (entry.job.firstDue.milliseconds > 0
-        && now.wall < entry.job.firstDue + entry.job.interval * static_cast<std::int64_t>(occurrence)) {
-        return false;
-    }
-    return arePredecessorsDone(entry, occurrence, step);
+    return internal::beginOf(entry.job, occurrence) <= now.wall
+        && arePredecessorsDone(entry, occurrence, step);
 }
 
 bool PoolScheduler::arePredecessorsDone(
     const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step) const
 {
     return std::ranges::all_of(entry.job.steps[step].after, [&](auto before) {
-        const auto& earlier = entry.occurrences[occurrence][before];
+        const auto& earlier = entry.open.at(occurrence).steps[before];
         return earlier.done == earlier.tasks.size();
     });
 }
@@ -67,13 +64,14 @@
     std::int64_t longRunningCpu = 0;
     std::uint32_t spread = 0;
     for (const auto& [id, entry] : this->jobEntries) {
-        for (std::uint32_t occurrence = 0; occurrence < entry.occurrences.size(); ++occurrence) {
+        for (const auto& [occurrence, open] : entry.open) {
             for (std::uint32_t number = 0; number < entry.job.steps.size(); ++number) {
                 const auto& step = entry.job.steps[number];
-                const auto& tasks = entry.occurrences[occurrence][number].tasks;
+                const auto& tasks = open.steps[number].tasks;
                 const bool ready = !jobs::isFinal(entry.state) && isStepReady(entry, occurrence, number, now);
-                const auto counted = std::ranges::count_if(tasks, [&](const Task& task) {
-                    return task.phase != Phase::Done && (ready || task.phase != Phase::Waiting);
+                std::int64_t counted = ready ? static_cast<std::int64_t>(tasks.waitingCount()) : 0;
+                tasks.forEachHeld([&](std::uint32_t, const Task& task) {
+                    counted += task.phase != Phase::Done && task.phase != Phase::Waiting ? 1 : 0;
                 });
                 cpu += step.filler ? 0 : counted * step.resources.cpu;
                 longRunningCpu += step.longRunning && !step.filler ? counted * step.resources.cpu : 0;
@@ -122,12 +120,14 @@
         const auto id = *this->waiting.first();
         ++this->stepsExamined;
         const ReadyStep ready { &this->jobEntries.at(id.job), id.occurrence, id.step };
-        const auto& step = ready.entry->occurrences[id.occurrence][id.step];
+        const auto& step = ready.entry->open.at(id.occurrence).steps[id.step];
         const auto requirements = step.waiting->requirements;
         const auto runsBefore = this->assignedRuns;
         const bool placed = ready.entry->job.steps[id.step].gang ? placeGang(ready, now) : place(ready, now);
         if (placed || this->assignedRuns != runsBefore) {
             refreshSteps(*ready.entry, id.occurrence, now);
+            openDueOccurrences(*ready.entry, now);
+            refreshDirtySteps(now);
         }
         if (!placed && step.waiting && step.waiting->requirements == requirements) {
             this->waiting.block(requirements);
@@ -137,20 +137,15 @@
 
 bool PoolScheduler::place(const ReadyStep& ready, Moment now)
 {
-    auto& tasks = ready.entry->occurrences[ready.occurrence][ready.step].tasks;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        auto& task = tasks[index];
-        if (!internal::isStartable(task, now)) {
-            continue;
-        }
-        if (!mayStartMore()) {
-            return true;
-        }
-        const auto* const upstream = chooseUpstream(ready, task, now, nullptr);
+    const auto& tasks = ready.entry->open.at(ready.occurrence).steps[ready.step].tasks;
+    auto index = tasks.nextStartable(0, now);
+    while (index && mayStartMore()) {
+        const auto* const upstream = chooseUpstream(ready, tasks.peek(*index), now, nullptr);
         if (upstream == nullptr) {
             return false;
         }
-        startOn(ready, index, *upstream, { (this->term << startNumberBits) + ++this->assignedRuns }, now);
+        startOn(ready, *index, *upstream, { (this->term << startNumberBits) + ++this->assignedRuns }, now);
+        index = tasks.nextStartable(*index + 1, now);
     }
     return true;
 }
@@ -169,7 +164,7 @@
 
 bool PoolScheduler::placeGang(const ReadyStep& ready, Moment now)
 {
-    auto& step = ready.entry->occurrences[ready.occurrence][ready.step];
+    const auto& step = ready.entry->open.at(ready.occurrence).steps[ready.step];
     const auto& declared = ready.entry->job.steps[ready.step];
     std::vector<const model::RackId*> candidates;
     if (declared.sameRack) {
@@ -202,8 +197,9 @@
         indexUpstream(id, upstream, now);
     };
     std::vector<UpstreamId> chosen;
-    for (const auto& task : ready.entry->occurrences[ready.occurrence][ready.step].tasks) {
-        const auto* const found = chooseUpstream(ready, task, now, onlyRack);
+    const auto& tasks = ready.entry->open.at(ready.occurrence).steps[ready.step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const auto* const found = chooseUpstream(ready, tasks.peek(index), now, onlyRack);
         if (found == nullptr) {
             break;
         }
@@ -219,7 +215,7 @@
 void PoolScheduler::startOn(
     const ReadyStep& ready, std::uint32_t number, UpstreamId where, jobs::Run run, Moment now)
 {
-    auto& task = ready.entry->occurrences[ready.occurrence][ready.step].tasks[number];
+    auto& task = ready.entry->open.at(ready.occurrence).steps[ready.step].tasks.at(number);
     const TaskId id { ready.entry->job.id, { ready.occurrence, ready.step, number } };
     task.upstream = std::move(where);
     setPhase(task, Phase::Starting);
@@ -249,7 +245,7 @@
     for (const auto& id : upstream.tasks) {
         const auto& entry = this->jobEntries.at(id.job);
         const auto& task
-            = entry.occurrences[id.position.occurrence][id.position.step].tasks[id.position.index];
+            = entry.open.at(id.position.occurrence).steps[id.position.step].tasks.peek(id.position.index);
         const auto elapsed = task.lastProgress - task.started;
         const auto expectedTotal = task.percent > 0
             ? Duration { elapsed.milliseconds * 100 / task.percent }
--- a/src/wasabiroad/scheduling/policy.hpp
+++ b/src/wasabiroad/scheduling/policy.hpp
@@ -44,6 +44,10 @@
      * time. */
     const std::size_t maxStartsInFlightPerUpstream { 16 };
 
+    /** @brief Maximum number of steps of one job, over its occurrences, that wait for room; further
+     * occurrences that are due wait without using memory. One occurrence is always open. */
+    const std::size_t maxWaitingStepsPerJob { 64 };
+
     friend auto operator<=>(const Policy&, const Policy&) = default;
 };
 
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -25,27 +25,43 @@
     return task.phase == Phase::Starting || task.phase == Phase::Running || task.phase == Phase::Stopping;
 }
 
-template <typename Visit> void forEachTask(internal::JobEntry& entry, Visit visit)
+/** Calls `visit(id, task)` for each task of the open occurrences that is held in full. */
+template <typename Visit> void forEachHeldTask(internal::JobEntry& entry, Visit visit)
 {
-    for (std::uint32_t occurrence = 0; occurrence < entry.occurrences.size(); ++occurrence) {
-        for (std::uint32_t step = 0; step < entry.occurrences[occurrence].size(); ++step) {
-            auto& tasks = entry.occurrences[occurrence][step].tasks;
-            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                visit(TaskId { entry.job.id, { occurrence, step, index } }, tasks[index]);
-            }
+    for (auto& [occurrence, open] : entry.open) {
+        for (std::uint32_t step = 0; step < open.steps.size(); ++step) {
+            open.steps[step].tasks.forEachHeld([&](std::uint32_t index, internal::Task& task) {
+                visit(TaskId { entry.job.id, { occurrence, step, index } }, task);
+            });
         }
     }
 }
 
-std::uint64_t tasksLeft(const internal::JobEntry& entry)
+/** @return Progress of the tasks of the open occurrences. */
+std::vector<jobs::TaskProgress> progressOf(const internal::JobEntry& entry)
 {
-    std::uint64_t left = 0;
-    for (const auto& steps : entry.occurrences) {
-        for (const auto& step : steps) {
-            left += step.tasks.size() - step.done;
+    std::vector<jobs::TaskProgress> progress;
+    for (const auto& [occurrence, open] : entry.open) {
+        for (std::uint32_t step = 0; step < open.steps.size(); ++step) {
+            open.steps[step].tasks.forEachTouched([&](std::uint32_t index, const internal::Task& task) {
+                if (task.done || !task.failedRuns.empty() || !task.checkpoint.empty()) {
+                    progress.push_back({ { occurrence, step, index }, task.done,
+                        { task.failedRuns.begin(), task.failedRuns.end() },
+                        task.done ? std::string {} : task.checkpoint });
+                }
+            });
         }
     }
-    return left;
+    return progress;
+}
+
+std::vector<jobs::OccurrenceRange> completedOccurrences(const internal::JobEntry& entry)
+{
+    std::vector<jobs::OccurrenceRange> ranges;
+    for (const auto& interval : entry.completed) {
+        ranges.push_back({ boost::icl::first(interval), boost::icl::last(interval) });
+    }
+    return ranges;
 }
 
 /** @return Expected work of a job without long-running and filler steps, in millicores times milliseconds. */
@@ -97,43 +113,135 @@
     if (this->jobEntries.contains(event.job.id) || jobs::isFinal(event.record.state)) {
         return;
     }
-    JobEntry entry { .job = event.job, .state = event.record.state };
+    JobEntry entry { .job = event.job, .state = event.record.state, .mayHaveStarted = event.mayHaveStarted };
     for (const auto& step : event.job.steps) {
         entry.expected.push_back(this->runTimes.expected(event.job.queue, step.estimate));
     }
     entry.due = dueTime(entry);
-    entry.occurrences.resize(std::max(event.job.occurrences, 1U));
-    for (auto& steps : entry.occurrences) {
-        steps.resize(event.job.steps.size());
-        for (std::size_t step = 0; step < steps.size(); ++step) {
-            Task task { .unresolved = event.mayHaveStarted && !this->unreconciled.empty(),
-                .notBefore = {},
-                .readySince = now.steady };
-            steps[step].tasks.assign(event.job.steps[step].count, task);
+    auto& added = this->jobEntries.emplace(event.job.id, std::move(entry)).first->second;
+    restore(added, event.record, now);
+    // Jobs taken over from a previous owner do not count towards the current rate.
+    if (!event.mayHaveStarted && event.job.firstDue == kernel::Instant {}) {
+        this->arrivals.add(expectedWork(added), now.steady);
+    }
+    openDueOccurrences(added, now);
+    this->schedulingNeeded = true;
+}
+
+void PoolScheduler::restore(JobEntry& entry, const jobs::Record& record, Moment now)
+{
+    const auto last = internal::occurrenceCount(entry.job) - 1;
+    for (const auto& range : record.completed) {
+        if (range.first <= range.last && range.last <= last) {
+            entry.completed.add(boost::icl::interval<std::uint32_t>::closed(range.first, range.last));
         }
     }
-    for (const auto& progress : event.record.tasks) {
+    entry.completedCount = static_cast<std::uint32_t>(boost::icl::cardinality(entry.completed));
+    for (const auto& progress : record.tasks) {
         const auto& at = progress.position;
-        if (at.occurrence >= entry.occurrences.size() || at.step >= event.job.steps.size()
-            || at.index >= event.job.steps[at.step].count) {
+        if (at.occurrence > last || boost::icl::contains(entry.completed, at.occurrence)
+            || at.step >= entry.job.steps.size() || at.index >= entry.job.steps[at.step].count) {
             continue;
         }
-        auto& step = entry.occurrences[at.occurrence][at.step];
-        auto& task = step.tasks[at.index];
+        auto& step = openOccurrence(entry, at.occurrence, now).steps[at.step];
+        auto& task = step.tasks.at(at.index);
         task.failedRuns.insert(progress.failedRuns.begin(), progress.failedRuns.end());
         task.checkpoint = progress.checkpoint;
         if (progress.done && !task.done) {
             task.done = true;
             task.phase = Phase::Done;
-            ++step.done;
+            countDone(entry, at);
+            step.tasks.releaseDone();
+            closeIfCompleted(entry, at.occurrence);
         }
     }
-    // Jobs taken over from a previous owner do not count towards the current rate.
-    if (!event.mayHaveStarted && event.job.firstDue == kernel::Instant {}) {
-        this->arrivals.add(expectedWork(entry), now.steady);
+}
+
+internal::OccurrenceEntry& PoolScheduler::openOccurrence(JobEntry& entry, std::uint32_t number, Moment now)
+{
+    const auto [found, isNew] = entry.open.try_emplace(number);
+    auto& occurrence = found->second;
+    if (isNew) {
+        Task initial { .unresolved = entry.mayHaveStarted && !this->unreconciled.empty(),
+            .notBefore = {},
+            .readySince = now.steady };
+        for (const auto& step : entry.job.steps) {
+            occurrence.steps.push_back({ .tasks = { step.count, initial } });
+            occurrence.tasksLeft += step.count;
+        }
+        entry.completedCount += occurrence.tasksLeft == 0 ? 1 : 0;
+        ++entry.waitingOccurrences;
+        markDirty(entry.job.id, number);
+    }
+    return occurrence;
+}
+
+void PoolScheduler::openDueOccurrences(JobEntry& entry, Moment now)
+{
+    cancelOpening(entry);
+    const auto count = internal::occurrenceCount(entry.job);
+    while (!jobs::isFinal(entry.state) && entry.nextOccurrence < count) {
+        const auto next = entry.nextOccurrence;
+        if (!entry.open.contains(next) && !boost::icl::contains(entry.completed, next)) {
+            const auto begin = internal::beginOf(entry.job, next);
+            if (begin > now.wall) {
+                entry.nextDue = begin;
+                this->wallWakes.emplace(begin, StepId { entry.job.id, next, 0 });
+                return;
+            }
+            // It is opened once the tasks of another occurrence have started.
+            const auto waitingSteps = (entry.waitingOccurrences + 1) * entry.job.steps.size();
+            if (entry.waitingOccurrences > 0 && waitingSteps > this->policy.maxWaitingStepsPerJob) {
+                return;
+            }
+            openOccurrence(entry, next, now);
+        }
+        ++entry.nextOccurrence;
+    }
+    if (!jobs::isFinal(entry.state) && entry.completedCount == count) {
+        finish(entry, JobState::Completed, now, "all tasks are completed");
     }
-    markDirty(this->jobEntries.emplace(event.job.id, std::move(entry)).first->second);
-    this->schedulingNeeded = true;
+}
+
+void PoolScheduler::cancelOpening(JobEntry& entry)
+{
+    if (entry.nextDue) {
+        this->wallWakes.erase({ *entry.nextDue, StepId { entry.job.id, entry.nextOccurrence, 0 } });
+        entry.nextDue.reset();
+    }
+}
+
+void PoolScheduler::openReported(const TaskId& id, Moment now)
+{
+    const auto found = this->jobEntries.find(id.job);
+    const auto number = id.position.occurrence;
+    if (found != this->jobEntries.end() && !jobs::isFinal(found->second.state)
+        && number < internal::occurrenceCount(found->second.job)
+        && !boost::icl::contains(found->second.completed, number)) {
+        openOccurrence(found->second, number, now);
+    }
+}
+
+void PoolScheduler::countDone(JobEntry& entry, const jobs::TaskPosition& position)
+{
+    auto& occurrence = entry.open.at(position.occurrence);
+    ++occurrence.steps[position.step].done;
+    --occurrence.tasksLeft;
+    entry.completedCount += occurrence.tasksLeft == 0 ? 1 : 0;
+}
+
+void PoolScheduler::closeIfCompleted(JobEntry& entry, std::uint32_t number)
+{
+    const auto found = entry.open.find(number);
+    // Other runs of a task that is done may still be stopping.
+    if (found->second.tasksLeft > 0 || std::ranges::any_of(found->second.steps, [](const auto& step) {
+            return step.tasks.heldCount() > 0;
+        })) {
+        return;
+    }
+    entry.waitingOccurrences -= found->second.hasWaitingTasks ? 1 : 0;
+    entry.open.erase(found);
+    entry.completed.add(number);
 }
 
 void PoolScheduler::on(const JobCancelled& event, Moment now)
@@ -146,7 +254,7 @@
     entry.state = JobState::Cancelled;
     entry.written = true;
     this->changed.erase(event.job);
-    forEachTask(entry, [&](const TaskId& id, Task& task) { stop(id, task, now, "cancelled"); });
+    forEachHeldTask(entry, [&](const TaskId& id, Task& task) { stop(id, task, now, "cancelled"); });
     markDirty(entry);
     eraseIfEnded(event.job);
     this->schedulingNeeded = true;
@@ -234,6 +342,7 @@
 
 void PoolScheduler::applyEnd(const UpstreamId& id, const EndedTask& end, Moment now)
 {
+    openReported(end.task, now);
     const auto [entry, task] = find(end.task);
     const bool current = task != nullptr && isActive(*task) && task->upstream == id && task->run == end.run;
     if (task == nullptr || (task->done && !current)) {
@@ -272,9 +381,9 @@
     // Completion of one member completes the whole gang.
     const auto& step = stepOf(end.task);
     if (step.gang && end.kind == EndKind::Done) {
-        auto& tasks = entry->occurrences[end.task.position.occurrence][end.task.position.step].tasks;
+        auto& tasks = entry->open.at(end.task.position.occurrence).steps[end.task.position.step].tasks;
         for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-            auto& member = tasks[index];
+            auto& member = tasks.at(index);
             const TaskId memberId { end.task.job,
                 { end.task.position.occurrence, end.task.position.step, index } };
             if (!member.done && !jobs::isFinal(entry->state)) {
@@ -298,6 +407,7 @@
 
 void PoolScheduler::applyRunning(const UpstreamId& id, const RunningTask& running, Moment now)
 {
+    openReported(running.task, now);
     const auto [entry, task] = find(running.task);
     auto& upstream = this->upstreams[id];
     if (task == nullptr) {
@@ -425,7 +535,11 @@
 void PoolScheduler::resolveTasks()
 {
     for (auto& [id, entry] : this->jobEntries) {
-        forEachTask(entry, [](const TaskId&, Task& task) { task.unresolved = false; });
+        for (auto& [number, occurrence] : entry.open) {
+            for (auto& step : occurrence.steps) {
+                step.tasks.resolve();
+            }
+        }
         markDirty(entry);
     }
     this->schedulingNeeded = true;
@@ -529,11 +643,11 @@
 
 std::uint32_t PoolScheduler::countOtherUnavailable(const JobEntry& entry, const TaskId& id, Moment now) const
 {
-    const auto& tasks = entry.occurrences[id.position.occurrence][id.position.step].tasks;
-    std::uint32_t unavailable = 0;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        unavailable += index != id.position.index && isUnavailable(tasks[index], now) ? 1 : 0;
-    }
+    const auto& tasks = entry.open.at(id.position.occurrence).steps[id.position.step].tasks;
+    auto unavailable = tasks.size() - 1;
+    tasks.forEachHeld([&](std::uint32_t index, const Task& task) {
+        unavailable -= index != id.position.index && !isUnavailable(task, now) ? 1 : 0;
+    });
     return unavailable;
 }
 
@@ -549,13 +663,13 @@
     } else {
         task.phase = Phase::Done;
     }
-    ++entry.occurrences[id.position.occurrence][id.position.step].done;
+    countDone(entry, id.position);
     markDirty(id.job, id.position.occurrence);
     if (const auto upstream = this->upstreams.find(task.upstream); upstream != this->upstreams.end()) {
         upstream->second.failedJobs.clear();
         upstream->second.suspectCount = 0;
     }
-    if (tasksLeft(entry) == 0) {
+    if (entry.completedCount == internal::occurrenceCount(entry.job)) {
         finish(entry, JobState::Completed, now, "all tasks are completed");
     } else {
         markChanged(entry.job.id, false);
@@ -582,7 +696,7 @@
 {
     entry.state = state;
     entry.finished = now.wall;
-    forEachTask(entry, [&](const TaskId& id, Task& task) { stop(id, task, now, reason); });
+    forEachHeldTask(entry, [&](const TaskId& id, Task& task) { stop(id, task, now, reason); });
     markDirty(entry);
     markChanged(entry.job.id, true);
 }
@@ -705,14 +819,13 @@
         || found->second.activeTasks > 0) {
         return;
     }
-    auto& occurrences = found->second.occurrences;
-    for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
-        for (std::uint32_t step = 0; step < occurrences[occurrence].size(); ++step) {
-            const StepId id { found->first, occurrence, step };
-            setWaiting(occurrences[occurrence][step], std::nullopt);
-            setWakes(id, occurrences[occurrence][step], std::nullopt, std::nullopt);
+    for (auto& [number, occurrence] : found->second.open) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            setWaiting(occurrence.steps[step], std::nullopt);
+            setWakes({ found->first, number, step }, occurrence.steps[step], std::nullopt, std::nullopt);
         }
     }
+    cancelOpening(found->second);
     this->jobEntries.erase(found);
 }
 
@@ -752,18 +865,11 @@
         if (found == this->jobEntries.end()) {
             continue;
         }
-        auto& entry = found->second;
-        std::vector<jobs::TaskProgress> tasks;
-        if (!jobs::isFinal(entry.state)) {
-            forEachTask(entry, [&](const TaskId& task, const Task& state) {
-                if (state.done || !state.failedRuns.empty() || !state.checkpoint.empty()) {
-                    tasks.push_back(
-                        { task.position, state.done, { state.failedRuns.begin(), state.failedRuns.end() },
-                            state.done ? std::string {} : state.checkpoint });
-                }
-            });
-        }
-        changes.push_back({ id, { entry.state, std::move(tasks), entry.finished } });
+        const auto& entry = found->second;
+        const bool ended = jobs::isFinal(entry.state);
+        changes.push_back({ id,
+            { entry.state, ended ? std::vector<jobs::TaskProgress> {} : progressOf(entry), entry.finished,
+                ended ? std::vector<jobs::OccurrenceRange> {} : completedOccurrences(entry) } });
     }
     this->changed.clear();
     this->urgent = false;
@@ -807,6 +913,21 @@
     return counts;
 }
 
+Footprint PoolScheduler::footprint() const
+{
+    std::size_t steps = 0;
+    std::size_t tasks = 0;
+    for (const auto& [id, entry] : this->jobEntries) {
+        for (const auto& [number, occurrence] : entry.open) {
+            steps += occurrence.steps.size();
+            for (const auto& step : occurrence.steps) {
+                tasks += step.tasks.heldCount();
+            }
+        }
+    }
+    return { steps, tasks };
+}
+
 bool PoolScheduler::isDrained(const UpstreamId& upstream) const
 {
     const auto found = this->upstreams.find(upstream);
@@ -829,14 +950,15 @@
 std::pair<internal::JobEntry*, internal::Task*> PoolScheduler::find(const TaskId& id)
 {
     const auto found = this->jobEntries.find(id.job);
-    if (found == this->jobEntries.end() || id.position.occurrence >= found->second.occurrences.size()) {
+    if (found == this->jobEntries.end()) {
         return { nullptr, nullptr };
     }
-    auto& steps = found->second.occurrences[id.position.occurrence];
-    if (id.position.step >= steps.size() || id.position.index >= steps[id.position.step].tasks.size()) {
+    const auto open = found->second.open.find(id.position.occurrence);
+    if (open == found->second.open.end() || id.position.step >= open->second.steps.size()
+        || id.position.index >= open->second.steps[id.position.step].tasks.size()) {
         return { nullptr, nullptr };
     }
-    return { &found->second, &steps[id.position.step].tasks[id.position.index] };
+    return { &found->second, &open->second.steps[id.position.step].tasks.at(id.position.index) };
 }
 
 const jobs::Step& PoolScheduler::stepOf(const TaskId& id) const
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "wasabiroad/scheduling/arrivals.hpp"
 #include "wasabiroad/scheduling/effort.hpp"
+#include "wasabiroad/scheduling/footprint.hpp"
 #include "wasabiroad/scheduling/move_plan.hpp"
 #include "wasabiroad/scheduling/policy.hpp"
 #include "wasabiroad/scheduling/run_times.hpp"
@@ -94,11 +95,15 @@
 
     std::size_t jobCount() const { return this->jobEntries.size(); }
 
+    /** @return Steps and tasks held in memory. */
+    Footprint footprint() const;
+
     /** @return Jobs, steps and upstreams examined since the term began. */
     Effort effort() const { return { this->jobsExamined, this->stepsExamined, this->upstreamsExamined }; }
 
 private:
     using JobEntry = internal::JobEntry;
+    using OccurrenceEntry = internal::OccurrenceEntry;
     using StepEntry = internal::StepEntry;
     using Task = internal::Task;
     using Upstream = internal::Upstream;
@@ -114,6 +119,16 @@
     void on(const UpstreamReplaced& event, Moment now);
     void on(const Tick& event, Moment now);
 
+    void restore(JobEntry& entry, const jobs::Record& record, Moment now);
+    OccurrenceEntry& openOccurrence(JobEntry& entry, std::uint32_t number, Moment now);
+    /** @brief Opens the occurrences that are due, as far as the number of waiting steps allows. */
+    void openDueOccurrences(JobEntry& entry, Moment now);
+    /** @brief Opens the occurrence of a task that an upstream has listed: a previous owner may have started
+     * it. */
+    void openReported(const jobs::TaskId& id, Moment now);
+    void cancelOpening(JobEntry& entry);
+    void countDone(JobEntry& entry, const jobs::TaskPosition& position);
+    void closeIfCompleted(JobEntry& entry, std::uint32_t number);
     void applyEnd(const UpstreamId& id, const EndedTask& end, Moment now);
     void applyRunning(const UpstreamId& id, const RunningTask& running, Moment now);
     void releaseStopped(const TasksListed& event, Moment now);
@@ -155,6 +170,7 @@
     void markDirty(const UpstreamId& upstream) { this->dirtyUpstreams.insert(upstream); }
     void processWakes(Moment now);
     void refresh(Moment now);
+    void refreshDirtySteps(Moment now);
     void refreshSteps(JobEntry& entry, std::uint32_t occurrence, Moment now);
     void refreshUpstream(const UpstreamId& id, Moment now);
     void indexUpstream(const UpstreamId& id, Upstream& upstream, Moment now);
--- a/src/wasabiroad/scheduling/readiness.cpp
+++ b/src/wasabiroad/scheduling/readiness.cpp
@@ -31,7 +31,7 @@
 /** Latest wall clock time at which an occurrence is not late. */
 Instant latestFeasibleTime(const JobEntry& entry, std::uint32_t occurrence)
 {
-    const auto left = remainingChainTime(entry, entry.occurrences[occurrence]).milliseconds;
+    const auto left = remainingChainTime(entry, entry.open.at(occurrence).steps).milliseconds;
     const auto due = entry.due + entry.job.interval * static_cast<std::int64_t>(occurrence);
     return due - Duration { static_cast<std::int64_t>(requiredChainShare * static_cast<double>(left)) };
 }
@@ -44,22 +44,27 @@
 /** Whether a step can be started: one startable task, or all tasks of a gang. */
 bool hasStartable(const jobs::Step& declared, const StepEntry& step, Moment now)
 {
-    const auto startable = [&](const Task& task) { return internal::isStartable(task, now); };
-    return declared.gang ? std::ranges::all_of(step.tasks, startable)
-                         : std::ranges::any_of(step.tasks, startable);
+    return declared.gang ? step.tasks.areAllStartable(now) : step.tasks.nextStartable(0, now).has_value();
 }
 
 /** Visits the tasks that the next start concerns: the first startable one, or all of a gang. */
 template <typename Visit>
 void forEachDeciding(const jobs::Step& declared, const StepEntry& step, Moment now, Visit visit)
 {
-    for (const auto& task : step.tasks) {
+    if (!declared.gang) {
+        if (const auto index = step.tasks.nextStartable(0, now)) {
+            visit(step.tasks.peek(*index));
+        }
+        return;
+    }
+    step.tasks.forEachHeld([&](std::uint32_t, const Task& task) {
         if (internal::isStartable(task, now)) {
             visit(task);
-            if (!declared.gang) {
-                return;
-            }
         }
+    });
+    // The other tasks of the gang are all alike.
+    if (const auto other = step.tasks.nextStartable(step.tasks.size(), now)) {
+        visit(step.tasks.peek(*other));
     }
 }
 
@@ -67,11 +72,11 @@
 std::optional<Instant> steadyWake(const jobs::Step& declared, const StepEntry& step, Moment now)
 {
     std::optional<Instant> wake;
-    for (const auto& task : step.tasks) {
+    step.tasks.forEachHeld([&](std::uint32_t, const Task& task) {
         if (task.phase == internal::Phase::Waiting && task.notBefore > now.steady) {
             wake = earlier(wake, task.notBefore);
         }
-    }
+    });
     forEachDeciding(declared, step, now, [&](const Task& task) {
         if (internal::waitsForRack(declared, task, now)) {
             wake = earlier(wake, task.readySince + declared.estimate);
@@ -84,8 +89,12 @@
 
 void PoolScheduler::markDirty(const JobEntry& entry)
 {
-    for (std::uint32_t occurrence = 0; occurrence < entry.occurrences.size(); ++occurrence) {
-        markDirty(entry.job.id, occurrence);
+    if (entry.nextOccurrence < internal::occurrenceCount(entry.job)) {
+        // Examining the next occurrence opens it if it is due.
+        markDirty(entry.job.id, entry.nextOccurrence);
+    }
+    for (const auto& [number, occurrence] : entry.open) {
+        markDirty(entry.job.id, number);
     }
 }
 
@@ -108,33 +117,50 @@
 
 void PoolScheduler::refresh(Moment now)
 {
-    for (const auto& [job, occurrence] : std::exchange(this->dirtySteps, {})) {
-        ++this->jobsExamined;
-        if (const auto found = this->jobEntries.find(job); found != this->jobEntries.end()) {
-            refreshSteps(found->second, occurrence, now);
-        }
-    }
+    refreshDirtySteps(now);
     for (const auto& id : std::exchange(this->dirtyUpstreams, {})) {
         ++this->upstreamsExamined;
         refreshUpstream(id, now);
     }
 }
 
+void PoolScheduler::refreshDirtySteps(Moment now)
+{
+    // Occurrences that are opened meanwhile are refreshed in the next round.
+    while (!this->dirtySteps.empty()) {
+        for (const auto& [job, occurrence] : std::exchange(this->dirtySteps, {})) {
+            ++this->jobsExamined;
+            if (const auto found = this->jobEntries.find(job); found != this->jobEntries.end()) {
+                refreshSteps(found->second, occurrence, now);
+                openDueOccurrences(found->second, now);
+            }
+        }
+    }
+}
+
 void PoolScheduler::refreshSteps(JobEntry& entry, std::uint32_t occurrence, Moment now)
 {
+    const auto found = entry.open.find(occurrence);
+    if (found == entry.open.end()) {
+        return;
+    }
+    auto& open = found->second;
     const auto inTimeUntil = latestFeasibleTime(entry, occurrence);
-    const auto begins = entry.job.firstDue + entry.job.interval * static_cast<std::int64_t>(occurrence);
-    const bool begun = entry.job.firstDue.milliseconds == 0 || begins <= now.wall;
+    const auto begins = internal::beginOf(entry.job, occurrence);
+    const bool begun = begins <= now.wall;
+    bool hasWaitingTasks = false;
     for (std::uint32_t number = 0; number < entry.job.steps.size(); ++number) {
         ++this->stepsExamined;
         const auto& declared = entry.job.steps[number];
-        auto& step = entry.occurrences[occurrence][number];
+        auto& step = open.steps[number];
+        step.tasks.releaseDone();
         const StepId id { entry.job.id, occurrence, number };
         if (jobs::isFinal(entry.state) || !arePredecessorsDone(entry, occurrence, number)) {
             setWaiting(step, std::nullopt);
             setWakes(id, step, std::nullopt, std::nullopt);
             continue;
         }
+        hasWaitingTasks = hasWaitingTasks || step.tasks.waitingCount() > 0;
         const bool waits = begun && hasStartable(declared, step, now);
         const bool late = now.wall > inTimeUntil;
         const Rank rank { !declared.longRunning, late, entry.job.priority, entry.due, id };
@@ -145,13 +171,17 @@
                                  : std::nullopt;
         setWakes(id, step, wall, steadyWake(declared, step, now));
     }
+    entry.waitingOccurrences += hasWaitingTasks ? 1 : 0;
+    entry.waitingOccurrences -= open.hasWaitingTasks ? 1 : 0;
+    open.hasWaitingTasks = hasWaitingTasks;
+    closeIfCompleted(entry, occurrence);
 }
 
 Requirements PoolScheduler::requirementsOf(const JobEntry& entry, const StepId& id, Moment now) const
 {
     const auto& declared = entry.job.steps[id.step];
     bool rackOnly = false;
-    forEachDeciding(declared, entry.occurrences[id.occurrence][id.step], now,
+    forEachDeciding(declared, entry.open.at(id.occurrence).steps[id.step], now,
         [&](const Task& task) { rackOnly = rackOnly || internal::waitsForRack(declared, task, now); });
     const bool limitsPerUpstream = declared.maxPerUpstream > 0 && !declared.gang;
     return { { internal::requiredCpu(declared), declared.resources.memory, declared.resources.accelerators },
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -2,6 +2,7 @@
 
 #include "wasabiroad/scheduling/event.hpp"
 #include "wasabiroad/scheduling/room_index.hpp"
+#include "wasabiroad/scheduling/task_table.hpp"
 #include "wasabiroad/scheduling/waiting_index.hpp"
 
 #include <limits>
@@ -9,44 +10,9 @@
 #include <optional>
 #include <set>
 
-namespace wasabiroad::scheduling::internal {
-
-enum class Phase : unsigned char {
-    Waiting,
-    /** @brief The start was ordered and has not been answered. */
-    Starting,
-    Running,
-    /** @brief A stop was ordered, also after a start with an unknown outcome. */
-    Stopping,
-    Done,
-};
+#include <boost/icl/interval_set.hpp>
 
-/** @brief Scheduling state of a task. */
-struct Task {
-    Phase phase { Phase::Waiting };
-    /** @brief A run completed; another run may still be stopping. */
-    bool done { false };
-    /** @brief A previous owner may have started it; it is not started until all upstreams are reconciled. */
-    bool unresolved { false };
-    UpstreamId upstream {};
-    jobs::Run run {};
-    std::string checkpoint {};
-    std::set<jobs::Run> failedRuns {};
-    /** @brief Upstreams on which it failed. */
-    std::set<UpstreamId> failedOn {};
-    std::int64_t percent { 0 };
-    std::int64_t measurement { 0 };
-    std::int64_t pace { 100 };
-    kernel::Instant paceChanged {};
-    kernel::Instant notBefore {};
-    kernel::Instant lastProgress {};
-    kernel::Instant started {};
-    /** @brief The run began at a checkpoint or was adopted, so its duration is not that of the whole task. */
-    bool resumed { false };
-    kernel::Instant readySince {};
-    kernel::Instant stopSent {};
-    std::optional<kernel::Instant> stopAnswered {};
-};
+namespace wasabiroad::scheduling::internal {
 
 /** @brief Key of a step in the index of waiting steps. */
 struct WaitingKey {
@@ -58,7 +24,7 @@
 
 /** @brief Tasks of one step of one occurrence. */
 struct StepEntry {
-    std::vector<Task> tasks {};
+    TaskTable tasks;
     std::uint32_t done { 0 };
     std::optional<WaitingKey> waiting {};
     /** @brief Next times, on the wall clock and the monotonic clock, at which the key has to be recomputed.
@@ -67,12 +33,34 @@
     std::optional<kernel::Instant> steadyWake {};
 };
 
+/** @brief An occurrence of a job whose tasks are scheduled. */
+struct OccurrenceEntry {
+    std::vector<StepEntry> steps {};
+    /** @brief Tasks that are not done. */
+    std::uint64_t tasksLeft { 0 };
+    /** @brief Tasks wait for room, and not only for those of earlier steps. */
+    bool hasWaitingTasks { true };
+};
+
 /** @brief Scheduling state of a job. */
 struct JobEntry {
     jobs::Job job;
     jobs::JobState state { jobs::JobState::Pending };
-    /** @brief Steps by occurrence. */
-    std::vector<std::vector<StepEntry>> occurrences {};
+    /** @brief A previous owner may have started tasks of it. */
+    bool mayHaveStarted { false };
+    /** @brief Occurrences that are due and not completed, by number; some that are due may not be open yet.
+     */
+    std::map<std::uint32_t, OccurrenceEntry> open {};
+    /** @brief Occurrences that are completed and closed. */
+    boost::icl::interval_set<std::uint32_t> completed {};
+    /** @brief Completed occurrences, also those that are not closed. */
+    std::uint32_t completedCount { 0 };
+    /** @brief First occurrence that has not been opened; higher ones are open only if they were reported. */
+    std::uint32_t nextOccurrence { 0 };
+    /** @brief Wall clock time at which the next occurrence is due. */
+    std::optional<kernel::Instant> nextDue {};
+    /** @brief Open occurrences with waiting tasks. */
+    std::size_t waitingOccurrences { 0 };
     /** @brief Expected run time of a task of each step. */
     std::vector<kernel::Duration> expected {};
     /** @brief Steps with a completed task, so that the run time is known. */
@@ -86,6 +74,17 @@
     bool written { false };
 };
 
+/** @return Number of occurrences of a job. */
+inline std::uint32_t occurrenceCount(const jobs::Job& job) { return std::max(job.occurrences, 1U); }
+
+/** @return Wall clock time at which an occurrence begins; in the past if the job has no scheduled time. */
+inline kernel::Instant beginOf(const jobs::Job& job, std::uint32_t occurrence)
+{
+    return job.firstDue.milliseconds == 0
+        ? kernel::Instant {}
+        : job.firstDue + job.interval * static_cast<std::int64_t>(occurrence);
+}
+
 /** @brief State of the drain of an upstream. */
 struct DrainState {
     kernel::Instant since {};
@@ -122,12 +121,6 @@
     bool hasUnknownTasks { false };
 };
 
-/** @return Whether the state of the task allows a start now. */
-inline bool isStartable(const Task& task, Moment now)
-{
-    return task.phase == Phase::Waiting && !task.unresolved && task.notBefore <= now.steady;
-}
-
 /** @return Whether a task may still run only on the rack of its data. */
 inline bool waitsForRack(const jobs::Step& step, const Task& task, Moment now)
 {
--- a/test/platform/requests.cpp
+++ b/test/platform/requests.cpp
@@ -1,5 +1,8 @@
 #include "platform/requests.hpp"
 
+#include <algorithm>
+#include <limits>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -59,7 +62,11 @@
 const std::vector<std::string> malformed { "", "[]", R"({"spec":"x"})", R"({"steps":[]})", R"({"steps":[1]})",
     R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":1,"after":["a"]}]})",
     R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":1000000}]})",
-    R"({"steps":[{"count":1}],"runCount":100000000})", "\xff" };
+    R"({"steps":[{"count":1}],"runCount":100000000})", "\xff",
+    R"({"steps":[{"count":10000},{"count":10000},{"count":1}]})", R"({"steps":[{"count":1,"cpu":-1}]})",
+    R"({"steps":[{"count":1,"memMb":-1e300}]})", R"({"steps":[{"count":1,"maxPerServer":-1}]})",
+    R"({"steps":[{"count":1}],"runCount":2,"intervalMs":-5})",
+    R"({"steps":[{"count":1}],"runCount":2,"startMs":-9223372036854775808})" };
 
 /** Guards against bodies that crash the daemon or are stored as a job that never ends. */
 BOOST_DATA_TEST_CASE(malformed_job_is_rejected, data::make(malformed), body)
@@ -67,6 +74,40 @@
     BOOST_TEST(!decodeJob(id, queue, body, {}).has_value());
 }
 
+/** Guards against a job with more steps than its owner can hold. */
+BOOST_DATA_TEST_CASE(number_of_steps_is_limited, data::make({ 1000, 1001 }), count)
+{
+    std::string steps;
+    for (int number = 0; number < count; ++number) {
+        steps += number == 0 ? R"({"count":1})" : R"(,{"count":1})";
+    }
+    BOOST_TEST(decodeJob(id, queue, R"({"steps":[)" + steps + "]}", {}).has_value() == (count <= 1000));
+}
+
+/** Guards against numbers so large that sums over tasks or occurrences overflow, or wrap to small ones. */
+BOOST_DATA_TEST_CASE(large_amounts_are_reduced,
+    data::make({ "9223372036854775807", "18446744073709551615", "4294967296", "1e300" }), amount)
+{
+    const std::string number { amount };
+    const auto job = decodeJob(id, queue,
+        R"({"steps":[{"count":10000,"cpu":)" + number + R"(,"memMb":)" + number + R"(,"gpu":)" + number
+            + R"(,"estimateMs":)" + number + R"(,"maxPerServer":)" + number + R"(,"mayMiss":)" + number
+            + R"(}],"runCount":10000,"startMs":)" + number + R"(,"intervalMs":)" + number + "}",
+        {});
+    BOOST_REQUIRE(job.has_value());
+    const auto& step = job->steps.front();
+    for (const auto reduced : { step.resources.cpu, step.resources.memory, step.resources.accelerators,
+             step.estimate.milliseconds, job->firstDue.milliseconds, job->interval.milliseconds }) {
+        BOOST_TEST(reduced >= 1'000'000);
+        BOOST_TEST(reduced <= 100'000'000'000'000);
+    }
+    const auto counts = { step.maxPerUpstream, step.maxUnavailable };
+    BOOST_TEST(std::ranges::min(counts) == std::numeric_limits<std::uint32_t>::max());
+    const auto limit = std::numeric_limits<std::int64_t>::max();
+    BOOST_TEST(step.count * step.resources.cpu <= limit / step.estimate.milliseconds);
+    BOOST_TEST(job->interval.milliseconds <= (limit - job->firstDue.milliseconds) / job->occurrences);
+}
+
 struct IdRow {
     const char* text;
     const bool valid;
--- a/test/wasabiroad/jobs/codec.cpp
+++ b/test/wasabiroad/jobs/codec.cpp
@@ -34,6 +34,7 @@
     { JobState::Running,
         { { { 1, 2, 3 }, true }, { { 0, 0, 1 }, false, { { 7 }, { 1ULL << 40U } }, "checkpoint" } } },
     { JobState::Failed, {}, { 123456 } },
+    { JobState::Running, {}, {}, { { 0, 6 }, { 8, 8 } } },
 };
 
 /** Guards against a record that is decoded differently from how it was encoded. */
--- a/test/wasabiroad/scheduling/fixture.hpp
+++ b/test/wasabiroad/scheduling/fixture.hpp
@@ -47,6 +47,24 @@
         .allowance = { 1000 } };
 }
 
+/** @return A job that runs several times. */
+inline jobs::Job makePeriodicJob(const std::string& id, std::vector<jobs::Step> steps,
+    std::uint32_t occurrences, kernel::Instant firstDue, kernel::Duration interval)
+{
+    return { .id = jobs::JobId { id },
+        .queue = jobs::QueueId { "queue" },
+        .service = service,
+        .payload = "payload-" + id,
+        .steps = std::move(steps),
+        .occurrences = occurrences,
+        .firstDue = firstDue,
+        .interval = interval,
+        .accepted = at(0).wall,
+        .maxAttempts = 4,
+        .stretch = 2,
+        .allowance = { 1000 } };
+}
+
 /** @brief A scheduler whose upstreams have listed their tasks, and the orders that it returned. */
 class SchedulerFixture {
 public:
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -29,7 +29,8 @@
 constexpr std::int64_t upstreamCpu = 3000;
 
 const Policy policy { .maxLeaseDuration = { maxLease + leaseMargin },
-    .takeoverTimeout = { maxLease + leaseMargin + previousOwnerActiveTime } };
+    .takeoverTimeout = { maxLease + leaseMargin + previousOwnerActiveTime },
+    .maxWaitingStepsPerJob = 1 };
 
 } // namespace
 
@@ -109,7 +110,11 @@
     if (chance(500)) {
         steps.push_back({ .count = 2, .resources = { 700, 100, 0 }, .estimate = { 400 }, .after = { 0 } });
     }
-    const auto job = makeJob(id.text(), steps, 4);
+    const bool periodic = chance(150);
+    const auto job = periodic
+        ? makePeriodicJob(id.text(), steps, static_cast<std::uint32_t>(between(2, 4)),
+            moment().wall + kernel::Duration { between(0, 1500) }, kernel::Duration { between(0, 600) })
+        : makeJob(id.text(), steps, 4);
     this->jobs.emplace(id, job);
     this->records.emplace(id, jobs::Record {});
     after(between(1, 100), [this, id] {
@@ -326,16 +331,10 @@
         }
         if (change.record.state == JobState::Completed) {
             ++this->completedCount;
-            const auto& job = this->jobs.at(change.job);
-            for (std::uint32_t number = 0; number < job.steps.size(); ++number) {
-                for (std::uint32_t index = 0; index < job.steps[number].count; ++index) {
-                    this->recordedDone.try_emplace({ change.job, { 0, number, index } }, this->now);
-                    if (!this->done.contains({ change.job, { 0, number, index } })) {
-                        reportViolation(
-                            "job completed before the end of one of its tasks: " + change.job.text());
-                    }
-                }
-            }
+            recordCompletion(change.job, { 0, this->jobs.at(change.job).occurrences - 1 });
+        }
+        for (const auto& range : change.record.completed) {
+            recordCompletion(change.job, range);
         }
         this->records.erase(found);
         this->records.emplace(change.job, change.record);
@@ -349,6 +348,22 @@
     owner->acknowledged = std::move(lastEnds);
 }
 
+void Model::recordCompletion(const jobs::JobId& id, jobs::OccurrenceRange occurrences)
+{
+    const auto& job = this->jobs.at(id);
+    for (auto occurrence = occurrences.first; occurrence <= occurrences.last; ++occurrence) {
+        for (std::uint32_t number = 0; number < job.steps.size(); ++number) {
+            for (std::uint32_t index = 0; index < job.steps[number].count; ++index) {
+                const TaskId task { id, { occurrence, number, index } };
+                this->recordedDone.try_emplace(task, this->now);
+                if (!this->done.contains(task)) {
+                    reportViolation("completion recorded before the end of " + jobs::toText(task));
+                }
+            }
+        }
+    }
+}
+
 void Model::checkAcknowledged(const Upstream& upstream, std::uint64_t number)
 {
     for (const auto& [endNumber, end] : upstream.ends) {
@@ -415,7 +430,8 @@
     }
     for (const auto before : declared.after) {
         for (std::uint32_t index = 0; index < job.steps[before].count; ++index) {
-            if (!this->done.contains({ order.task.job, { 0, before, index } })) {
+            const jobs::TaskPosition earlier { order.task.position.occurrence, before, index };
+            if (!this->done.contains({ order.task.job, earlier })) {
                 reportViolation("start before completion of a preceding step of " + name);
             }
         }
@@ -425,6 +441,11 @@
             reportViolation("too many attempts of " + name);
         }
     }
+    const auto begin
+        = job.firstDue + job.interval * static_cast<std::int64_t>(order.task.position.occurrence);
+    if (moment().wall < begin) {
+        reportViolation("start before the scheduled time of " + name);
+    }
     const auto cancellation = this->cancelled.find(order.task.job);
     if (this->faults.lateOrders == 0 && cancellation != this->cancelled.end()
         && this->now > cancellation->second + cancelLimit) {
--- a/test/wasabiroad/scheduling/model.hpp
+++ b/test/wasabiroad/scheduling/model.hpp
@@ -116,6 +116,7 @@
     void sendStop(const OwnerPointer& owner, const StopTask& order);
     void poll(const OwnerPointer& owner, const UpstreamId& id);
     void writeRecords(const OwnerPointer& owner);
+    void recordCompletion(const jobs::JobId& id, jobs::OccurrenceRange occurrences);
 
     Upstream& at(const UpstreamId& id);
     StartResult start(Upstream& upstream, const StartTask& order, std::uint64_t term, std::int64_t until);
