--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -121,12 +121,7 @@
             if (!entry) {
                 self->retryCancel(service, job, attempts, callback);
             } else if (!*entry) {
-                self->findAcceptedService(service, job,
-                    { [=](const model::ServiceId& other) {
-                         self->cancel(other, job, attempts - 1, callback);
-                     },
-                        [=] { callback(NoSuchJob {}); },
-                        [=] { self->retryCancel(service, job, attempts, callback); } });
+                self->cancelUnrecorded(service, job, attempts, callback);
             } else {
                 self->cancelRecord(service, job, attempts, **entry, callback);
             }
@@ -339,44 +334,90 @@
     }
 }
 
-void Agent::readState(const model::ServiceId& service, const jobs::JobId& job, bool searchOtherServices,
+void Agent::readState(const model::ServiceId& service, const jobs::JobId& job, bool readsAcceptance,
     store::Callback<StateOutcome> callback)
 {
     this->environment.store->read(keys::record(service, job),
-        [self = shared_from_this(), service, job, searchOtherServices, callback = std::move(callback)](
+        [self = shared_from_this(), job, readsAcceptance, callback = std::move(callback)](
             const kernel::Expected<std::optional<store::Entry>>& entry) {
             if (!entry) {
                 callback(Unavailable {});
                 return;
             }
-            if (!*entry) {
-                if (searchOtherServices) {
-                    self->findAcceptedService(service, job,
-                        { [=](const model::ServiceId& other) {
-                             self->readState(other, job, false, callback);
-                         },
-                            [=] { callback(NoSuchJob {}); }, [=] { callback(Unavailable {}); } });
-                } else {
-                    callback(NoSuchJob {});
-                }
+            if (*entry) {
+                const auto record = jobs::decodeRecord((*entry)->value);
+                callback(record ? StateOutcome { record->state } : StateOutcome { Unavailable {} });
+                return;
+            }
+            if (!readsAcceptance) {
+                callback(NoSuchJob {});
                 return;
             }
-            const auto record = jobs::decodeRecord((*entry)->value);
-            callback(record ? StateOutcome { record->state } : StateOutcome { Unavailable {} });
+            self->readAcceptance(job, [self, job, callback](const Acceptance& acceptance) {
+                std::visit(kernel::Overloaded {
+                               // The job may have been accepted since its record was read.
+                               [&](const AcceptedBy& accepted) {
+                                   self->readState(accepted.service, job, false, callback);
+                               },
+                               [&](const NotAccepted&) { callback(NoSuchJob {}); },
+                               [&](const CancelledEarly&) { callback(NoSuchJob {}); },
+                               [&](const Unavailable&) { callback(Unavailable {}); },
+                           },
+                    acceptance);
+            });
         });
 }
 
-void Agent::findAcceptedService(
-    const model::ServiceId& service, const jobs::JobId& job, const AcceptanceHandlers& handlers)
+void Agent::readAcceptance(const jobs::JobId& job, store::Callback<Acceptance> callback)
 {
     this->environment.store->read(keys::acceptance(job),
-        [service, handlers](const kernel::Expected<std::optional<store::Entry>>& entry) {
+        [callback = std::move(callback)](const kernel::Expected<std::optional<store::Entry>>& entry) {
             if (!entry) {
-                handlers.unavailable();
-            } else if (!*entry || (*entry)->value == service.text()) {
-                handlers.missing();
+                callback(Unavailable {});
+            } else if (!*entry) {
+                callback(NotAccepted {});
+            } else if ((*entry)->value.empty()) {
+                callback(CancelledEarly {});
+            } else {
+                callback(AcceptedBy { model::ServiceId { (*entry)->value } });
+            }
+        });
+}
+
+void Agent::cancelUnrecorded(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+    const store::Callback<StateOutcome>& callback)
+{
+    readAcceptance(
+        job, [self = shared_from_this(), service, job, attempts, callback](const Acceptance& acceptance) {
+            std::visit(
+                kernel::Overloaded {
+                    // The job may have been accepted since its record was read.
+                    [&](const AcceptedBy& accepted) {
+                        attempts > 1 ? self->cancel(accepted.service, job, attempts - 1, callback)
+                                     : callback(Unavailable {});
+                    },
+                    [&](const NotAccepted&) { self->preventAcceptance(service, job, attempts, callback); },
+                    [&](const CancelledEarly&) { callback(NoSuchJob {}); },
+                    [&](const Unavailable&) { self->retryCancel(service, job, attempts, callback); },
+                },
+                acceptance);
+        });
+}
+
+void Agent::preventAcceptance(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+    const store::Callback<StateOutcome>& callback)
+{
+    const auto key = keys::acceptance(job);
+    this->environment.store->change({ { { key, {} } }, { { key, {} } }, {} },
+        [self = shared_from_this(), service, job, attempts, callback](const store::ChangeOutcome& outcome) {
+            if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
+                kernel::logEvent("job-cancelled-early",
+                    { { "job", job.text() }, { "revision", committed->revision.value } });
+                callback(NoSuchJob {});
+            } else if (std::holds_alternative<store::Conflict>(outcome) && attempts > 1) {
+                self->cancel(service, job, attempts - 1, callback);
             } else {
-                handlers.found(model::ServiceId { (*entry)->value });
+                self->retryCancel(service, job, attempts, callback);
             }
         });
 }
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <variant>
 
 namespace wasabiroad::agent {
 
@@ -90,24 +91,30 @@
     void beginDuty(const std::string& duty, ports::Term term);
     void endDuty(const std::string& duty);
     void onUpstreams();
-    void readState(const model::ServiceId& service, const jobs::JobId& job, bool searchOtherServices,
+    /** @param readsAcceptance Whether a job without a record is looked up in the service that accepted it. */
+    void readState(const model::ServiceId& service, const jobs::JobId& job, bool readsAcceptance,
         store::Callback<StateOutcome> callback);
-    /** Handlers of `findAcceptedService`. */
-    struct AcceptanceHandlers {
-        /** @brief The job was accepted for another service. */
-        const std::function<void(const model::ServiceId&)> found;
-        /** @brief The job was accepted for the given service, or for none. */
-        const std::function<void()> missing;
-        /** @brief The store did not answer. */
-        const std::function<void()> unavailable;
+    /** @brief The job was accepted for a service. */
+    struct AcceptedBy {
+        const model::ServiceId service;
     };
 
-    /**
-     * Looks up whether the job was accepted for another service than the given one: its queue may have been
-     * reassigned since.
+    /** @brief No daemon has accepted the job so far. */
+    struct NotAccepted { };
+
+    /** @brief The job was cancelled before it was accepted, and cannot be accepted any more. */
+    struct CancelledEarly { };
+
+    using Acceptance = std::variant<AcceptedBy, NotAccepted, CancelledEarly, Unavailable>;
+
+    void readAcceptance(const jobs::JobId& job, store::Callback<Acceptance> callback);
+    /** @brief Cancels a job without a record: its queue may have been reassigned, or it is not accepted yet.
      */
-    void findAcceptedService(
-        const model::ServiceId& service, const jobs::JobId& job, const AcceptanceHandlers& handlers);
+    void cancelUnrecorded(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+        const store::Callback<StateOutcome>& callback);
+    /** @brief Cancels a job that was not accepted so far, also for submissions that are still under way. */
+    void preventAcceptance(const model::ServiceId& service, const jobs::JobId& job, int attempts,
+        const store::Callback<StateOutcome>& callback);
     void retryCancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
         const store::Callback<StateOutcome>& callback);
     void cancelRecord(const model::ServiceId& service, const jobs::JobId& job, int attempts,
--- a/src/wasabiroad/agent/job_api.hpp
+++ b/src/wasabiroad/agent/job_api.hpp
@@ -18,7 +18,7 @@
 /** @brief The job is not stored and never runs. */
 struct Rejected {
     const kernel::ResultCode code { kernel::ResultCode::PlatformUnreachable };
-    /** @brief Time after which the caller may try again. */
+    /** @brief Time after which the caller may try again; 0 if that cannot succeed. */
     const kernel::Duration retryAfter {};
 
     friend auto operator<=>(const Rejected&, const Rejected&) = default;
@@ -47,7 +47,8 @@
 struct JobApi {
     const std::function<void(jobs::Job, kernel::Duration deadline, store::Callback<SubmitOutcome>)> submit;
     const std::function<void(model::ServiceId, jobs::JobId, store::Callback<StateOutcome>)> state;
-    /** @brief Cancels a job; the outcome is the state of the job afterwards. */
+    /** @brief Cancels a job; the outcome is the state of the job afterwards. A job that was not accepted so
+     * far cannot be accepted any more. */
     const std::function<void(model::ServiceId, jobs::JobId, store::Callback<StateOutcome>)> cancel;
     /** @brief Counts the jobs of a queue that have not begun; empty if the count is unknown. */
     const std::function<void(model::ServiceId, jobs::QueueId, store::Callback<std::optional<std::uint64_t>>)>
--- a/src/wasabiroad/agent/keys.hpp
+++ b/src/wasabiroad/agent/keys.hpp
@@ -23,7 +23,11 @@
 
 inline std::string poolOwner(const model::ServiceId& service) { return owner(poolDuty + service.text()); }
 
-/** Key of the service that accepted a job. Created only if absent: job ids are unique over all services. */
+/**
+ * Key of the service that accepted a job. Created only if absent: job ids are unique over all services. The
+ * value is empty if a caller cancelled the job before it was accepted, so that a submission that arrives
+ * later is rejected.
+ */
 inline std::string acceptance(const jobs::JobId& job) { return "accepted/" + job.text(); }
 
 /** Prefix of the keys that the owner of a pool watches: open jobs and drains. */
--- a/src/wasabiroad/agent/submissions.cpp
+++ b/src/wasabiroad/agent/submissions.cpp
@@ -49,6 +49,16 @@
         outcome);
 }
 
+std::uint16_t codeOf(const SubmitOutcome& outcome)
+{
+    return std::visit(kernel::Overloaded {
+                          [](const Accepted&) { return number(ResultCode::Ok); },
+                          [](const Rejected& rejected) { return number(rejected.code); },
+                          [](const Undecided&) { return number(ResultCode::OutcomeUnknown); },
+                      },
+        outcome);
+}
+
 } // namespace
 
 Submissions::Submissions(boost::asio::io_context& ioContext, std::shared_ptr<const store::Store> jobStore,
@@ -63,8 +73,8 @@
 void Submissions::submit(jobs::Job job, Duration deadline, store::Callback<SubmitOutcome> callback)
 {
     const auto wait = std::min(maxRetryTime, Duration { deadline.milliseconds / 2 });
-    auto submission = std::make_shared<PendingSubmission>(
-        PendingSubmission { std::move(job), std::move(callback), kernel::bootNow() + wait });
+    auto submission = std::make_shared<PendingSubmission>(PendingSubmission {
+        std::move(job), std::move(callback), kernel::bootNow() + wait, kernel::bootNow() + deadline });
     const bool unavailable
         = this->failures >= storeFailureThreshold && kernel::bootNow() - this->lastFailure < probeInterval;
     if (unavailable || this->queue.size() >= queueLimit) {
@@ -97,6 +107,11 @@
             && ids.insert(this->queue.front()->job.id).second) {
             auto submission = std::move(this->queue.front());
             this->queue.pop_front();
+            // The process may have stood still since it read the request.
+            if (!submission->outcomeUnknown && kernel::bootNow() > submission->deadline) {
+                answer(*submission, Rejected { ResultCode::DeadlineExceeded, retryAfter });
+                continue;
+            }
             const auto& job = submission->job;
             conditions.push_back({ keys::acceptance(job.id), {} });
             puts.push_back({ keys::acceptance(job.id), job.service.text() });
@@ -104,6 +119,9 @@
             puts.push_back({ keys::job(job.service, job.id), jobs::encode(job) });
             batch.push_back(std::move(submission));
         }
+        if (batch.empty()) {
+            continue;
+        }
         this->store->change({ std::move(conditions), std::move(puts), {} },
             [self = shared_from_this(), batch](
                 const store::ChangeOutcome& outcome) { self->onOutcome(batch, outcome); });
@@ -136,10 +154,14 @@
 {
     for (const auto& submission : batch) {
         const auto key = keys::acceptance(submission->job.id);
-        if (std::ranges::any_of(conflict.current, [&](const auto& entry) { return entry.key == key; })) {
-            answer(*submission, Accepted {});
-        } else {
+        const auto acceptance = std::ranges::find(conflict.current, key, &store::Entry::key);
+        if (acceptance == conflict.current.end()) {
             this->queue.push_back(submission);
+        } else if (acceptance->value.empty()) {
+            // No attempt of this submission was carried out, as the key would name its service.
+            answer(*submission, Rejected { ResultCode::Cancelled });
+        } else {
+            answer(*submission, Accepted {});
         }
     }
     if (!this->queue.empty()) {
@@ -171,7 +193,7 @@
     kernel::logEvent("job-submitted",
         { { "job", submission.job.id.text() }, { "queue", submission.job.queue.text() },
             { "pool", submission.job.service.text() }, { "outcome", outcomeName(outcome) },
-            { "store_failures", this->failures } });
+            { "code", codeOf(outcome) }, { "store_failures", this->failures } });
     this->metrics->count("wasabiroad_submissions_total",
         { { "queue", submission.job.queue.text() }, { "outcome", std::string { outcomeName(outcome) } } });
     submission.callback(outcome);
--- a/src/wasabiroad/agent/submissions.hpp
+++ b/src/wasabiroad/agent/submissions.hpp
@@ -29,6 +29,8 @@
         const store::Callback<SubmitOutcome> callback;
         /** @brief Boot clock until which failed attempts are retried; the caller then gets the outcome. */
         const kernel::Instant retryUntil;
+        /** @brief Boot clock until which the caller waits. */
+        const kernel::Instant deadline;
         /** @brief The result of an attempt is unknown: the job may be stored already, or still be stored. */
         bool outcomeUnknown { false };
     };
--- a/test/wasabiroad/agent/jobs.cpp
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -230,6 +230,77 @@
     BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
 }
 
+/** Faults of the stores that the daemon of the submission and that of the cancellation see. */
+struct EarlyCancelRow {
+    const char* title;
+    /** @brief The store carries out the submission this much later than the cancellation begins; negative if
+     * it is submitted only after the cancellation. */
+    const std::int64_t submissionDelay;
+    const bool answersAreLost;
+
+    friend std::ostream& operator<<(std::ostream& out, const EarlyCancelRow& row) { return out << row.title; }
+};
+
+const std::vector<EarlyCancelRow> earlyCancels {
+    { "the submission waited in a machine that stood still", -1, false },
+    { "the store carries out the submission late", 1200, false },
+    { "the answer to the cancellation is lost", -1, true },
+    { "the answer to the cancellation is lost and the submission is late", 2500, true },
+};
+
+/** Guards against a job that runs after a caller was told that there is none to cancel. */
+BOOST_DATA_TEST_CASE(job_cancelled_before_it_is_stored_never_runs, data::make(earlyCancels), row)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.waitForOwner());
+    site.runFor(300);
+    std::optional<SubmitOutcome> outcome;
+    const auto submit = [&] {
+        site.daemons[0]->jobApi.submit(
+            makeJob("a"), { 3000 }, [&](const SubmitOutcome& result) { outcome.emplace(result); });
+    };
+    if (row.submissionDelay >= 0) {
+        site.daemons[0]->storeFaults->changeDelay = { row.submissionDelay };
+        submit();
+        site.runFor(50);
+        site.daemons[0]->storeFaults->changeDelay = {};
+    }
+    site.daemons[1]->storeFaults->losesAnswers = row.answersAreLost;
+    BOOST_TEST((site.cancel("a", 1) == StateOutcome { NoSuchJob {} }));
+    site.daemons[1]->storeFaults->losesAnswers = false;
+    if (row.submissionDelay < 0) {
+        submit();
+    }
+    BOOST_REQUIRE(site.runUntil([&] { return outcome.has_value(); }));
+    BOOST_TEST((*outcome == SubmitOutcome { Rejected { kernel::ResultCode::Cancelled } }));
+    site.runFor(std::max<std::int64_t>(row.submissionDelay, 0) + 500);
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 0);
+    for (const std::size_t daemon : { 0, 1 }) {
+        BOOST_TEST((site.state("a", daemon) == StateOutcome { NoSuchJob {} }));
+        BOOST_TEST((site.cancel("a", daemon) == StateOutcome { NoSuchJob {} }));
+    }
+}
+
+/** Guards against a cancellation that finds no job as it is accepted at the same moment. */
+BOOST_DATA_TEST_CASE(cancellation_races_the_acceptance, data::xrange(0, 16), delay)
+{
+    Site site { 2 };
+    BOOST_REQUIRE(site.waitForOwner());
+    site.runFor(300);
+    std::optional<SubmitOutcome> submitted;
+    site.daemons[0]->jobApi.submit(
+        makeJob("a", 20000), { 3000 }, [&](const SubmitOutcome& result) { submitted.emplace(result); });
+    site.runFor(delay);
+    const auto cancelled = site.cancel("a", 1);
+    BOOST_REQUIRE(site.runUntil([&] { return submitted.has_value(); }));
+    const bool isAccepted = *submitted == SubmitOutcome { Accepted {} };
+    BOOST_TEST(
+        (cancelled == (isAccepted ? StateOutcome { JobState::Cancelled } : StateOutcome { NoSuchJob {} })));
+    site.runFor(1500);
+    BOOST_TEST(site.workers.runningCount() == 0);
+    BOOST_TEST((site.state("a", 0) == cancelled));
+}
+
 /** Guards against counts of waiting jobs that only the owner can return. */
 BOOST_AUTO_TEST_CASE(every_daemon_counts_the_jobs_that_wait)
 {
--- a/test/wasabiroad/agent/submissions.cpp
+++ b/test/wasabiroad/agent/submissions.cpp
@@ -1,5 +1,8 @@
 #include "wasabiroad/agent/site.hpp"
 
+#include <chrono>
+#include <thread>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
@@ -49,6 +52,25 @@
     BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
 }
 
+/** Guards against storing a job whose caller has left, as the process stood still after it read the request.
+ */
+BOOST_DATA_TEST_CASE(submission_is_not_stored_after_its_deadline, data::make({ false, true }), standsStill)
+{
+    Site site { 1 };
+    BOOST_REQUIRE(site.waitForOwner());
+    std::optional<SubmitOutcome> outcome;
+    constexpr kernel::Duration deadline { 300 };
+    site.daemons[0]->jobApi.submit(
+        makeJob("a"), deadline, [&](const SubmitOutcome& result) { outcome.emplace(result); });
+    if (standsStill) {
+        std::this_thread::sleep_for(std::chrono::milliseconds { deadline.milliseconds + 50 });
+    }
+    BOOST_REQUIRE(site.runUntil([&] { return outcome.has_value(); }));
+    BOOST_TEST(nameOf(*outcome) == (standsStill ? "rejected" : "accepted"));
+    site.runFor(300);
+    BOOST_TEST(site.store.find("accepted/a").has_value() == !standsStill);
+}
+
 /** Guards against callers that wait for a store that is known to be unavailable. */
 BOOST_AUTO_TEST_CASE(callers_are_rejected_at_once_while_the_store_is_unavailable)
 {
