Send starts only while the owner may start tasks

A start that waits for its connection is sent once that is free, whatever has happened since the decision: the process may have stood still, the owner's lease may have ended or its view may miss a cancellation. A suspended process does not count that time in the timeout of the call. Orders to VMs ask for permission right before they are written; starts did not.

change: starts ask whether the owner may start tasks. A call without permission, or that waited too long, fails with a result code of its own (407 call-not-tried) in place of a text that was compared.

The test call_that_only_waited_is_untried checks the code, and that the call counts as unsent.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -421,7 +421,8 @@
             { "upstream", order.upstream.text() }, { "resumes", order.checkpoint.empty() ? "no" : "yes" } });
     this->startCounter.increment();
     ++this->startsInFlight;
-    upstream.upstreamLink().start(order, this->term, this->taskLease,
+    const auto permission = [self = shared_from_this()] { return !self->closed && self->mayStartTasks(); };
+    upstream.upstreamLink().start(order, this->term, this->taskLease, permission,
         [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run](
             const ports::StartOutcome& outcome) {
             --self->startsInFlight;
--- a/src/wasabiroad/http/channel.cpp
+++ b/src/wasabiroad/http/channel.cpp
@@ -34,8 +34,6 @@
 /** Calls that may wait on one channel; more fail at once. */
 constexpr std::size_t queueLimit = 512;
 
-constexpr std::string_view waitedTooLong = "waited too long for the connection";
-
 struct Call {
     Request request;
     kernel::Duration timeout;
@@ -122,7 +120,7 @@
             call.deadline = kernel::now(kernel::SteadyClock {}) + call.timeout;
         }
         if (left(call).milliseconds <= 0) {
-            co_return failure(ResultCode::PlatformUnreachable, std::string { waitedTooLong });
+            co_return failure(ResultCode::CallNotTried, "waited too long for the connection");
         }
         if (const auto failed = co_await connect(call)) {
             disconnect();
@@ -132,8 +130,7 @@
             co_return failure(ResultCode::PlatformUnreachable, "connected too late");
         }
         if (call.permission && !call.permission()) {
-            co_return failure(
-                ResultCode::PlatformUnreachable, "the permission to send the request has ended");
+            co_return failure(ResultCode::CallNotTried, "the permission to send the request has ended");
         }
         this->extensions = 0;
         startTime(left(call));
@@ -183,9 +180,9 @@
     bool closed { false };
 };
 
-bool isUntried(const kernel::Error& error)
+bool isUnsent(const kernel::Error& error)
 {
-    return error.code == ResultCode::PlatformUnreachable && error.found == waitedTooLong;
+    return error.code == ResultCode::PlatformUnreachable || error.code == ResultCode::CallNotTried;
 }
 
 Channel::Channel(asio::io_context& context, asio::ip::tcp::endpoint endpoint)
--- a/src/wasabiroad/http/channel.hpp
+++ b/src/wasabiroad/http/channel.hpp
@@ -13,8 +13,8 @@
 
 namespace wasabiroad::http {
 
-/** @return Whether a call on a channel failed because it waited too long for others: nothing was tried. */
-bool isUntried(const kernel::Error& error);
+/** @return Whether a call failed before anything was sent, so that it has no effect. */
+bool isUnsent(const kernel::Error& error);
 
 /**
  * @brief A persistent HTTP/1.1 connection to one server that sends one request after another.
@@ -25,8 +25,9 @@
 class Channel {
 public:
     /**
-     * @brief Receives the response. Errors: PlatformUnreachable when nothing was sent, PlatformTimeout when
-     * the request may have taken effect.
+     * @brief Receives the response. Errors: PlatformUnreachable when the server could not be reached and
+     * CallNotTried when that was not attempted, so nothing was sent; PlatformTimeout when the request may
+     * have taken effect.
      */
     using Callback = std::function<void(kernel::Expected<Response>)>;
 
@@ -46,7 +47,7 @@
      * @param timeout Time for waiting in the queue, connecting, sending and reading together.
      * @param callback Called exactly once, on the context.
      * @param permission Checked after waiting and connecting: the process may have been suspended meanwhile,
-     * which the timeout does not count. Without it the call fails with PlatformUnreachable. Empty for none.
+     * which the timeout does not count. Without it the call fails with CallNotTried. Empty for none.
      */
     void call(Request request, kernel::Duration timeout, Callback callback, Permission permission = {});
 
--- a/src/wasabiroad/kernel/result_code.cpp
+++ b/src/wasabiroad/kernel/result_code.cpp
@@ -75,6 +75,8 @@
     ResultCodeInfo { ResultCode::KeyNotFound, "key-not-found", "The key does not exist." },
     ResultCodeInfo { ResultCode::PlatformRejected, "platform-rejected", "The platform rejected the call." },
     ResultCodeInfo { ResultCode::LeaseExpired, "lease-expired", "The lease has expired." },
+    ResultCodeInfo { ResultCode::CallNotTried, "call-not-tried",
+        "A call was not sent, as it waited too long or its permission had ended." },
     ResultCodeInfo { ResultCode::GenerationConflict, "generation-conflict",
         "Another manifest generation came into force since the plan." },
     ResultCodeInfo {
--- a/src/wasabiroad/kernel/result_code.hpp
+++ b/src/wasabiroad/kernel/result_code.hpp
@@ -53,6 +53,7 @@
     KeyNotFound = 404,
     PlatformRejected = 405,
     LeaseExpired = 406,
+    CallNotTried = 407,
 
     GenerationConflict = 501,
     BudgetExhausted = 502,
--- a/src/wasabiroad/ports/fleet.hpp
+++ b/src/wasabiroad/ports/fleet.hpp
@@ -77,9 +77,6 @@
 
 enum class VmOrderResult : unsigned char { Done, Fenced, Busy, NotInWave, Rejected, Overloaded, Unknown };
 
-/** @brief Whether the owner's lease still permits an order; called right before the order is sent. */
-using Permission = std::function<bool()>;
-
 /** @brief Calls to the platform about configuration, upstreams and VMs. Control thread only. */
 struct Fleet {
     /** @brief Reads all that the operator has written. */
--- a/src/wasabiroad/ports/upstreams.hpp
+++ b/src/wasabiroad/ports/upstreams.hpp
@@ -57,11 +57,14 @@
 /** @brief True when the upstream has answered. */
 using OrderOutcome = std::variant<bool, Superseded, OtherUpstream>;
 
+/** @brief Whether an order may still be sent; asked right before it is written to its connection. */
+using Permission = std::function<bool()>;
+
 /** @brief Connections to one upstream; it closes them when it is destroyed. Control thread only. */
 struct UpstreamLink {
     const std::function<void(Look, store::Callback<LookOutcome>)> look;
     const std::function<void(
-        scheduling::StartTask, Term, kernel::Duration lease, store::Callback<StartOutcome>)>
+        scheduling::StartTask, Term, kernel::Duration lease, Permission, store::Callback<StartOutcome>)>
         start;
     const std::function<void(scheduling::StopTask, Term, store::Callback<OrderOutcome>)> stop;
     const std::function<void(scheduling::PaceTask, Term, store::Callback<OrderOutcome>)> pace;
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -316,14 +316,18 @@
                 },
             .start =
                 [this, isCut](const scheduling::StartTask& order, ports::Term term, Duration lease,
+                    const ports::Permission& permission,
                     const store::Callback<ports::StartOutcome>& callback) {
                     if (isCut(order.upstream)) {
                         kernel::callLater(
                             this->context, silence, [callback] { callback(StartResult::Unknown); });
                         return;
                     }
-                    kernel::callLater(this->context, latency,
-                        [this, order, term, lease, callback] { callback(start(order, term, lease)); });
+                    kernel::callLater(
+                        this->context, latency, [this, order, term, lease, permission, callback] {
+                            callback(permission() ? start(order, term, lease)
+                                                  : ports::StartOutcome { StartResult::NotTried });
+                        });
                 },
             .stop =
                 [this, isCut](const scheduling::StopTask& order, ports::Term term,
--- a/test/wasabiroad/http/untried.cpp
+++ b/test/wasabiroad/http/untried.cpp
@@ -50,8 +50,9 @@
     }
     context.run();
     BOOST_REQUIRE_EQUAL(errors.size(), 2);
-    BOOST_TEST(!isUntried(errors.front()));
-    BOOST_TEST(isUntried(errors.back()) == row.secondIsUntried);
+    BOOST_TEST((errors.front().code != kernel::ResultCode::CallNotTried));
+    BOOST_TEST((errors.back().code == kernel::ResultCode::CallNotTried) == row.secondIsUntried);
+    BOOST_TEST(isUnsent(errors.back()));
 }
 
 } // namespace
