--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -143,7 +143,17 @@
     for (const auto& [vm, at] : this->orderTimes) {
         vms.push_back(vm.text());
     }
-    changeInTerm({ { keys::recentOrders, jobs::encode(vms) } }, {},
+    std::vector<store::Put> puts { { keys::recentOrders, jobs::encode(vms) } };
+    std::set<std::uint64_t> orderedWaves;
+    for (const auto& order : this->queuedOrders) {
+        if (const auto* const maintenance = std::get_if<MaintenanceOrder>(&order)) {
+            orderedWaves.insert(maintenance->wave);
+        }
+    }
+    for (const auto number : orderedWaves) {
+        puts.push_back(unansweredOrdersOf(this->waves.at(number)));
+    }
+    changeInTerm(std::move(puts), {},
         [self = shared_from_this(), orders = std::exchange(this->queuedOrders, {})](
             const store::ChangeOutcome& outcome) {
             const bool recorded = std::holds_alternative<store::Committed>(outcome) && self->mayOrder();
@@ -236,39 +246,74 @@
 
 void FleetAgent::loadWave(std::uint64_t number)
 {
-    auto& wave = this->waves.at(number);
-    wave.loading = true;
+    this->waves.at(number).loading = true;
     this->environment.store->read(keys::waveProgress(number),
         [self = shared_from_this(), number](const kernel::Expected<std::optional<store::Entry>>& entry) {
-            auto& wave = self->waves.at(number);
-            wave.loading = false;
             if (!entry || self->closed) {
+                self->waves.at(number).loading = false;
                 return;
             }
-            std::vector<std::string> done;
-            if (*entry) {
-                if (auto known = jobs::decodeUpstreams((*entry)->value)) {
-                    done = std::move(*known);
-                } else {
-                    // Ordering a VM again is safe: the platform answers that its maintenance is done.
-                    kernel::logEvent("wave-progress-unreadable",
-                        { { "wave", number }, { "revision", (*entry)->revision.value } });
-                }
-            }
-            for (const auto& vm : wave.request.vms) {
-                // An ordered VM may still be in maintenance; a later list of VMs shows when it is up again.
-                const bool wasOrdered = std::ranges::find(done, vm.text()) != done.end();
-                wave.vms[vm].stage = wasOrdered ? WaveStage::InMaintenance : WaveStage::Waiting;
-                wave.vms[vm].stageChangedAt = kernel::bootNow();
+            // If the progress is unreadable, VMs are ordered again: the platform answers that their
+            // maintenance is done.
+            self->loadUnansweredOrders(number, self->decodeVms(number, *entry));
+        });
+}
+
+void FleetAgent::loadUnansweredOrders(std::uint64_t number, const std::vector<std::string>& done)
+{
+    this->environment.store->read(keys::unansweredOrders(number),
+        [self = shared_from_this(), number, done](
+            const kernel::Expected<std::optional<store::Entry>>& entry) {
+            self->waves.at(number).loading = false;
+            if (entry && !self->closed) {
+                self->startWave(number, done, self->decodeVms(number, *entry));
             }
-            wave.loaded = true;
-            wave.loadedAt = kernel::bootNow();
-            kernel::logEvent("wave-loaded",
-                { { "wave", number }, { "vms", wave.vms.size() }, { "done", done.size() },
-                    { "term", self->term.value } });
         });
 }
 
+std::vector<std::string> FleetAgent::decodeVms(
+    std::uint64_t wave, const std::optional<store::Entry>& entry) const
+{
+    if (!entry) {
+        return {};
+    }
+    auto vms = jobs::decodeUpstreams(entry->value);
+    if (!vms) {
+        kernel::logEvent("wave-progress-unreadable",
+            { { "wave", wave }, { "key", entry->key }, { "revision", entry->revision.value } });
+    }
+    return vms.value_or(std::vector<std::string> {});
+}
+
+void FleetAgent::startWave(
+    std::uint64_t number, const std::vector<std::string>& done, const std::vector<std::string>& unanswered)
+{
+    auto& wave = this->waves.at(number);
+    const auto contains = [](const auto& names, const model::VmId& vm) {
+        return std::ranges::find(names, vm.text()) != names.end();
+    };
+    for (const auto& name : wave.request.vms) {
+        auto& vm = wave.vms[name];
+        vm.stageChangedAt = kernel::bootNow();
+        if (contains(done, name)) {
+            // An ordered VM may still be in maintenance; a later list of VMs shows when it is up again.
+            vm.stage = WaveStage::InMaintenance;
+        } else if (contains(unanswered, name)) {
+            // It counts as out of service until an order of this term, which fences the earlier one, is
+            // answered.
+            vm.stage = WaveStage::Draining;
+            vm.mayBeTakenDown = true;
+        } else {
+            vm.stage = WaveStage::Waiting;
+        }
+    }
+    wave.loaded = true;
+    wave.loadedAt = kernel::bootNow();
+    kernel::logEvent("wave-loaded",
+        { { "wave", number }, { "vms", wave.vms.size() }, { "done", done.size() },
+            { "unanswered", unanswered.size() }, { "term", this->term.value } });
+}
+
 void FleetAgent::onVms(const std::vector<ports::VmFacts>& facts)
 {
     this->vmCount = facts.size();
@@ -583,10 +628,12 @@
             vm.upstream = current.upstream;
             break;
         case WaveStage::Draining:
-            if (!vm.orderInFlight && (current.upstream != vm.upstream || current.pool != vm.pool)) {
+            if (up && !vm.orderInFlight
+                && (current.upstream != vm.upstream || current.pool != vm.pool
+                    || !this->poolsWithJobs.contains(vm.pool))) {
                 vm.pool = current.pool;
                 vm.upstream = current.upstream;
-                requestDrain(wave, name, vm);
+                takeOutOfService(wave, name, vm);
             }
             break;
         case WaveStage::Done:
@@ -638,12 +685,28 @@
         auto& vm = wave.vms.at(name);
         vm.stage = WaveStage::Draining;
         vm.stageChangedAt = kernel::bootNow();
-        if (this->poolsWithJobs.contains(vm.pool)) {
-            requestDrain(wave, name, vm);
-        } else {
-            queueMaintenance(wave.request.number, name);
+        takeOutOfService(wave, name, vm);
+    }
+}
+
+void FleetAgent::takeOutOfService(Wave& wave, const model::VmId& name, WaveVmState& vm)
+{
+    if (this->poolsWithJobs.contains(vm.pool)) {
+        requestDrain(wave, name, vm);
+    } else {
+        queueMaintenance(wave.request.number, name);
+    }
+}
+
+store::Put FleetAgent::unansweredOrdersOf(const Wave& wave)
+{
+    std::vector<std::string> names;
+    for (const auto& [name, vm] : wave.vms) {
+        if (vm.orderInFlight || vm.mayBeTakenDown) {
+            names.push_back(name.text());
         }
     }
+    return { keys::unansweredOrders(wave.request.number), jobs::encode(names) };
 }
 
 void FleetAgent::requestDrain(Wave& wave, const model::VmId& name, WaveVmState& vm)
@@ -658,6 +721,9 @@
             auto& vm = self->waves.at(number).vms.at(name);
             if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
                 vm.drainRevision = committed->revision;
+            } else if (vm.mayBeTakenDown) {
+                // The next list of VMs requests the drain again.
+                vm.upstream = {};
             } else {
                 // The next list of VMs decides whether it is selected again.
                 vm.stage = vm.stage == WaveStage::Draining ? WaveStage::Waiting : vm.stage;
@@ -719,7 +785,7 @@
 {
     auto& vm = this->waves.at(order.wave).vms.at(order.vm);
     vm.orderInFlight = false;
-    if (!this->poolsWithJobs.contains(vm.pool)) {
+    if (!this->poolsWithJobs.contains(vm.pool) && !vm.mayBeTakenDown) {
         vm.stage = WaveStage::Waiting;
     }
 }
@@ -742,20 +808,24 @@
     case VmOrderResult::Done:
         vm.stage = WaveStage::InMaintenance;
         vm.stageChangedAt = kernel::bootNow();
+        vm.mayBeTakenDown = false;
         recordProgress(wave, name, vm);
         return;
     case VmOrderResult::NotInWave:
     case VmOrderResult::Rejected:
         vm.stage = WaveStage::Done;
+        vm.mayBeTakenDown = false;
         recordProgress(wave, name, vm);
         return;
     case VmOrderResult::Fenced:
         close();
         return;
+    case VmOrderResult::Unknown:
+        vm.mayBeTakenDown = true;
+        return;
     case VmOrderResult::Busy:
     case VmOrderResult::Overloaded:
-    case VmOrderResult::Unknown:
-        if (!this->poolsWithJobs.contains(vm.pool)) {
+        if (!this->poolsWithJobs.contains(vm.pool) && !vm.mayBeTakenDown) {
             vm.stage = WaveStage::Waiting;
         }
         return;
@@ -770,7 +840,8 @@
             done.push_back(other.text());
         }
     }
-    changeInTerm({ { keys::waveProgress(wave.request.number), jobs::encode(done) } },
+    changeInTerm(
+        { { keys::waveProgress(wave.request.number), jobs::encode(done) }, unansweredOrdersOf(wave) },
         { keys::drain(vm.pool, name), keys::drainedVms + name.text() }, [](const store::ChangeOutcome&) {});
 }
 
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -63,6 +63,9 @@
         /** @brief When this agent last set the stage; VM lists requested before do not reflect it. */
         kernel::Instant stageChangedAt {};
         bool orderInFlight { false };
+        /** @brief An order was not answered and may still be carried out, until an order of a term as high or
+         * higher is answered. */
+        bool mayBeTakenDown { false };
         /** @brief The last list showed it in maintenance, ordered by a previous owner or for another wave. */
         bool seenInMaintenance { false };
         /** @brief Consecutive lists without the VM. */
@@ -140,6 +143,10 @@
     void removeDrain(const model::ServiceId& pool, const model::VmId& vm);
     bool isDraining(const model::VmId& vm) const;
     void loadWave(std::uint64_t number);
+    void loadUnansweredOrders(std::uint64_t number, const std::vector<std::string>& done);
+    void startWave(std::uint64_t number, const std::vector<std::string>& done,
+        const std::vector<std::string>& unanswered);
+    std::vector<std::string> decodeVms(std::uint64_t wave, const std::optional<store::Entry>& entry) const;
     void onVms(const std::vector<ports::VmFacts>& facts);
     /** @return Whether a VM of a move or a wave is being drained. */
     bool isAwaitingDrain() const;
@@ -147,6 +154,10 @@
     void onDrained(const store::Listing& listing);
     void updateStages(Wave& wave, const std::map<model::VmId, const ports::VmFacts*>& facts);
     void advance(Wave& wave, const std::vector<ports::VmFacts>& facts);
+    /** Drains a VM for its maintenance, or orders it at once if its pool runs no jobs. */
+    void takeOutOfService(Wave& wave, const model::VmId& name, WaveVmState& vm);
+    /** @return The record of the VMs of a wave with unanswered orders. */
+    static store::Put unansweredOrdersOf(const Wave& wave);
     void requestDrain(Wave& wave, const model::VmId& name, WaveVmState& vm);
     void queueMaintenance(std::uint64_t number, const model::VmId& name);
     void onMaintenanceOrderResult(std::uint64_t number, const model::VmId& name, ports::VmOrderResult result);
--- a/src/wasabiroad/agent/keys.hpp
+++ b/src/wasabiroad/agent/keys.hpp
@@ -57,6 +57,9 @@
 /** VMs of a wave that need no further order. */
 inline std::string waveProgress(std::uint64_t wave) { return "wave/" + std::to_string(wave); }
 
+/** VMs of a wave with a maintenance order that was not answered; written before the orders are sent. */
+inline std::string unansweredOrders(std::uint64_t wave) { return "wave-orders/" + std::to_string(wave); }
+
 /** Prefix of the state records of the jobs of a pool, including jobs that have ended. */
 inline std::string recordsOf(const model::ServiceId& service) { return "record/" + service.text() + "/"; }
 
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -61,6 +61,58 @@
     BOOST_TEST(site.reaches("a", jobs::JobState::Completed, 1 - owner));
 }
 
+/** Pool of the VMs of a wave whose orders are carried out late, and whether the owner changes meanwhile. */
+struct LateRow {
+    const char* title;
+    const bool isSpare;
+    const OwnerEvent ownerEvent;
+
+    friend std::ostream& operator<<(std::ostream& out, const LateRow& row) { return out << row.title; }
+};
+
+const std::vector<LateRow> lateRows {
+    { "the owner stays", false, OwnerEvent::Stays },
+    { "the owner stops", false, OwnerEvent::Stops },
+    { "the owner crashes", false, OwnerEvent::Crashes },
+    { "the owner of spare VMs stays", true, OwnerEvent::Stays },
+    { "the owner of spare VMs stops", true, OwnerEvent::Stops },
+};
+
+/** Guards against a second VM of a wave that goes down while an unanswered order for the first may still be
+ * carried out. */
+BOOST_DATA_TEST_CASE(unanswered_order_counts_until_it_is_settled, data::make(lateRows), row)
+{
+    Site site { 2 };
+    site.workers.setDownTime({ 1500 });
+    for (const auto* const name : { "r0", "r1" }) {
+        site.workers.add(name, spare, 4000);
+    }
+    const std::vector<model::VmId> vms { model::VmId { row.isSpare ? "r0" : "vm0" },
+        model::VmId { row.isSpare ? "r1" : "vm1" } };
+    for (const auto& vm : vms) {
+        site.lateMaintenance.emplace(vm, kernel::Duration { 3000 });
+    }
+    BOOST_REQUIRE(site.waitForOwner());
+    site.runFor(500);
+    site.waves.push_back({ model::WaveId { "1" }, 1, vms, { 20000 }, 1 });
+    BOOST_REQUIRE(site.runUntil([&] { return site.lateTerm != 0; }));
+    site.runFor(300);
+    const std::size_t owner = site.store.find("owner/fleet")->value.starts_with("entry-0") ? 0 : 1;
+    if (row.ownerEvent == OwnerEvent::Stops) {
+        site.daemons[owner]->agent->stop([] {});
+    } else if (row.ownerEvent == OwnerEvent::Crashes) {
+        site.daemons[owner]->agent->abandon();
+    }
+    BOOST_TEST(site.runUntil([&] {
+        const auto status = site.store.find("status/1");
+        return status && status->value == "completed";
+    }));
+    // Orders that are late may still be carried out.
+    site.runFor(3500);
+    BOOST_TEST(site.workers.mostDown() == 1);
+    BOOST_TEST(site.workers.maintained().size() == vms.size());
+}
+
 /** Guards against upstreams that get no more tasks after the daemon that drained them is gone. */
 BOOST_AUTO_TEST_CASE(drains_of_a_previous_owner_are_removed)
 {
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -23,6 +24,9 @@
 /** Maximum wait for a condition; reached only in a failing test. */
 inline constexpr kernel::Duration waitTimeout { 30000 };
 
+/** Time for which orders are carried out late, see Site::lateMaintenance. */
+inline constexpr kernel::Duration lateOrdersSpan { 1000 };
+
 /** @return A job with one step of `count` tasks, each of which runs for `runMs`. */
 inline jobs::Job makeJob(const std::string& id, std::int64_t runMs = 50, std::uint32_t count = 2)
 {
@@ -186,6 +190,11 @@
     standin::Workers workers;
     std::vector<std::unique_ptr<Daemon>> daemons {};
     std::vector<ports::WaveRequest> waves {};
+    /** @brief VMs whose maintenance orders by the first term are not answered and are carried out this much
+     * later. */
+    std::map<model::VmId, kernel::Duration> lateMaintenance {};
+    std::uint64_t lateTerm { 0 };
+    kernel::Instant lateUntil {};
     /** @brief Number of reads of the whole list of upstreams by all daemons. */
     std::size_t upstreamLists { 0 };
 
@@ -258,6 +267,19 @@
             .maintain =
                 [=, this](const model::VmId& vm, std::uint64_t, ports::Term term, const ports::Permission&,
                     const store::Callback<ports::VmOrderResult>& callback) {
+                    const auto late = this->lateMaintenance.find(vm);
+                    const auto now = kernel::now(kernel::SteadyClock {});
+                    if (this->lateTerm == 0) {
+                        this->lateUntil = now + lateOrdersSpan;
+                    }
+                    if (late != this->lateMaintenance.end() && now < this->lateUntil
+                        && (this->lateTerm == 0 || this->lateTerm == term.value)) {
+                        this->lateTerm = term.value;
+                        kernel::callLater(this->context, late->second,
+                            [this, vm, term] { this->workers.maintain(vm, term.value); });
+                        answer(callback, ports::VmOrderResult::Unknown);
+                        return;
+                    }
                     answer(callback, this->workers.maintain(vm, term.value));
                 },
             .move =
