A run that was started after all is not stopped for its unanswered start

cause: after a start without an answer the scheduler stops the run, so that the task can be placed elsewhere, and repeats the stop until one is answered. The list that shows the run has settled the question already.

change: a run that is listed while only its unanswered start is being stopped, and no stop was answered, counts as running. Stops under way may still end it; the next run has a higher number.

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -435,8 +435,12 @@
         attach(running.task, *task);
         markDirty(running.task.job, running.task.position.occurrence);
     }
-    if (task->phase == Phase::Starting) {
+    // A start that was not answered and has been carried out needs no stop, unless one may have taken effect.
+    const bool wasCarriedOut = task->phase == Phase::Stopping && task->stopsUnansweredStart
+        && !task->stopAnswered && !task->done && !jobs::isFinal(entry->state);
+    if (task->phase == Phase::Starting || wasCarriedOut) {
         setPhase(*task, Phase::Running);
+        task->lastProgress = now.steady;
     }
     if (running.percent != task->percent) {
         task->lastProgress = now.steady;
@@ -483,6 +487,7 @@
         this->upstreams[event.upstream].suspectUntil = now.steady + this->policy.refusalRetryDelay;
         markDirty(event.upstream);
         stop(event.task, *task, now, "start was not answered");
+        task->stopsUnansweredStart = true;
         return;
     case StartResult::NoRoom:
     case StartResult::Refused:
@@ -779,6 +784,7 @@
         return;
     }
     setPhase(task, Phase::Stopping);
+    task.stopsUnansweredStart = false;
     task.stopAnswered.reset();
     task.stopSent = now.steady;
     this->orders.push_back(StopTask { task.upstream, id, task.run, std::string { reason } });
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -53,6 +53,47 @@
     }
 }
 
+/** What happens between a start without an answer and a list that shows its run, and the stops ordered by the
+ * end. */
+struct LateStartRow {
+    const char* title;
+    const bool stopIsAnswered;
+    const bool jobIsCancelled;
+    const std::size_t stops;
+
+    friend std::ostream& operator<<(std::ostream& out, const LateStartRow& row) { return out << row.title; }
+};
+
+const std::vector<LateStartRow> lateStartRows {
+    { "the stop is not answered", false, false, 1 },
+    { "the stop is answered", true, false, 1 },
+    { "the job is cancelled and the stop is not answered", false, true, 3 },
+};
+
+/** Guards against stops that are repeated until they end a run which was started after all. */
+BOOST_DATA_TEST_CASE(run_that_was_started_after_all_goes_on, data::make(lateStartRows), row)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = fixture.starts.front();
+    fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 810);
+    fixture.apply(StopAnswered { first.upstream, first.task, first.run, row.stopIsAnswered }, 820);
+    if (row.jobIsCancelled) {
+        fixture.apply(JobCancelled { first.task.job }, 830);
+    }
+    for (std::int64_t time = 900; time < 3500; time += 100) {
+        fixture.applyTaskList("u1", { { first.task, first.run, "", time / 100 } }, {}, time);
+        fixture.apply(Tick {}, time + 10);
+    }
+    BOOST_TEST(fixture.stops.size() == row.stops);
+    BOOST_TEST(fixture.starts.size() == 1);
+    // The run ends as usual, whether or not a stop has taken effect.
+    const auto kind = row.stops == 1 && !row.stopIsAnswered ? EndKind::Done : EndKind::Stopped;
+    fixture.applyTaskList("u1", {}, { { 1, first.task, first.run, kind, "" } }, 4000);
+    fixture.apply(Tick {}, 4010);
+    BOOST_TEST(fixture.starts.size() == (row.stopIsAnswered ? 2 : 1));
+}
+
 /** Result of a start that was not carried out, and whether it makes the upstream suspect. */
 struct SuspicionRow {
     const StartResult result;
