--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -6,6 +6,7 @@
 #include "wasabiroad/kernel/overloaded.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace wasabiroad::agent {
 
@@ -25,6 +26,9 @@
 /** Maximum age of the pending counts that are returned to callers. */
 constexpr Duration countAgeLimit { 2000 };
 
+/** Maximum time to record the state of the owned pools before their duties are released. */
+constexpr Duration handOverTimeout { 400 };
+
 /** Attempts to cancel a job whose record changes concurrently. */
 constexpr int cancelAttempts = 6;
 
@@ -73,7 +77,30 @@
     readOperator();
 }
 
-void Agent::stop(std::function<void()> done) { this->duties->release(std::move(done)); }
+void Agent::stop(std::function<void()> done)
+{
+    const auto release
+        = [duties = this->duties, done = std::move(done), released = std::make_shared<bool>(false)] {
+              if (!std::exchange(*released, true)) {
+                  duties->release(done);
+              }
+          };
+    if (this->poolAgents.empty()) {
+        release();
+        return;
+    }
+    kernel::callLater(this->environment.context, handOverTimeout, release);
+    const auto remaining = std::make_shared<std::size_t>(this->poolAgents.size());
+    // The release removes the agents.
+    const auto owned = this->poolAgents;
+    for (const auto& [service, agent] : owned) {
+        agent->handOver([release, remaining] {
+            if (--*remaining == 0) {
+                release();
+            }
+        });
+    }
+}
 
 void Agent::abandon()
 {
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -169,14 +169,13 @@
                 self->retryLoad(entry.error());
                 return;
             }
-            const auto ids = *entry ? jobs::decodeUpstreams((*entry)->value) : std::nullopt;
-            if (*entry && !ids) {
+            const auto used = *entry ? jobs::decodeUsedUpstreams((*entry)->value) : std::nullopt;
+            if (*entry && !used) {
                 kernel::logEvent("used-upstreams-unreadable",
                     { { "pool", self->service.text() }, { "revision", (*entry)->revision.value } });
             }
             self->readPool(progress,
-                { ids.value_or(std::vector<std::string> {}),
-                    *entry ? (*entry)->revision : store::Revision {} });
+                { used.value_or(jobs::UsedUpstreams {}), *entry ? (*entry)->revision : store::Revision {} });
         });
 }
 
@@ -207,21 +206,29 @@
 {
     const auto readAt = kernel::bootNow();
     this->loaded = true;
-    this->recordedUpstreams.insert(previouslyRecorded.ids.begin(), previouslyRecorded.ids.end());
+    const auto& used = previouslyRecorded.used;
+    this->recordLimitsLeases = !used.leaseLeft.empty();
+    if (!this->recordLimitsLeases) {
+        this->recordedUpstreams.insert(used.ids.begin(), used.ids.end());
+    }
     this->recordedUpstreamsRevision = previouslyRecorded.revision;
     std::vector<UpstreamId> ids;
-    ids.reserve(previouslyRecorded.ids.size());
-    for (const auto& id : previouslyRecorded.ids) {
+    ids.reserve(used.ids.size());
+    for (const auto& id : used.ids) {
         ids.emplace_back(id);
     }
-    this->scheduler.emplace(makePolicy(this->taskLease), this->term.value, now(), ids);
+    std::map<UpstreamId, Duration> leaseLeft;
+    for (const auto& [id, left] : used.leaseLeft) {
+        leaseLeft.emplace(UpstreamId { id }, left);
+    }
+    this->scheduler.emplace(makePolicy(this->taskLease), this->term.value, now(), ids, leaseLeft);
     this->unreconciled = ids.size();
     addJobs(pool, progress, true);
     kernel::logEvent("pool-loaded",
         { { "pool", this->service.text() }, { "term", this->term.value },
-            { "jobs", this->scheduler->jobCount() }, { "used", previouslyRecorded.ids.size() },
-            { "used_revision", previouslyRecorded.revision.value }, { "revision", pool.asOf.value },
-            { "read_ms", (readAt - this->termStartedAt).milliseconds },
+            { "jobs", this->scheduler->jobCount() }, { "used", used.ids.size() },
+            { "limited", used.leaseLeft.size() }, { "used_revision", previouslyRecorded.revision.value },
+            { "revision", pool.asOf.value }, { "read_ms", (readAt - this->termStartedAt).milliseconds },
             { "load_ms", (kernel::bootNow() - this->termStartedAt).milliseconds } });
     this->watched = pool.asOf;
     applyMembers();
@@ -493,7 +500,11 @@
         .onReplaced
         = unlessClosed([](PoolAgent& self, const UpstreamId& id) { self.onUpstreamReplaced(id); }),
         .onSuperseded = unlessClosed([](PoolAgent& self) { self.onSuperseded(); }),
-        .mayRenewLeases = this->environment.mayRenewLeases,
+        .mayRenewLeases =
+            [weak = weak_from_this()] {
+                const auto self = weak.lock();
+                return self && !self->recordLimitsLeases && self->environment.mayRenewLeases();
+            },
         .needsFrequentPolling =
             [weak = weak_from_this()](const UpstreamId& id) {
                 const auto self = weak.lock();
@@ -683,7 +694,7 @@
         [&](const auto& facts) { return this->recordedUpstreams.contains(facts.id.text()); });
     apply(scheduling::MembersListed { std::move(usable) });
     if (const auto wanted = upstreamsInUse();
-        wanted != this->recordedUpstreams && !this->writingRecordedUpstreams) {
+        (this->recordLimitsLeases || wanted != this->recordedUpstreams) && !this->writingRecordedUpstreams) {
         writeRecordedUpstreams(wanted);
     }
 }
@@ -702,9 +713,11 @@
         }
     }
     // Tasks of the previous owner may run there until their leases have expired.
+    for (const auto& id : this->scheduler->unreconciledUpstreams()) {
+        ids.insert(id.text());
+    }
     for (const auto& id : this->recordedUpstreams) {
-        if (this->scheduler->isUnreconciled(UpstreamId { id })
-            || this->scheduler->hasTasks(UpstreamId { id })) {
+        if (this->scheduler->hasTasks(UpstreamId { id })) {
             ids.insert(id);
         }
     }
@@ -743,6 +756,7 @@
     if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
         this->recordedUpstreamsRevision = committed->revision;
         this->recordedUpstreams = ids;
+        this->recordLimitsLeases = false;
         applyMembers();
     } else if (const auto* const conflict = std::get_if<store::Conflict>(&outcome)) {
         // An earlier write without an answer was applied; the next write replaces it.
@@ -873,6 +887,39 @@
     return this->loaded && !this->closed ? std::optional { this->scheduler->pendingCounts() } : std::nullopt;
 }
 
+void PoolAgent::handOver(std::function<void()> done)
+{
+    if (!this->loaded || this->closed || this->writingRecordedUpstreams) {
+        close();
+        done();
+        return;
+    }
+    const auto ids = upstreamsInUse();
+    // From here on no lease is renewed, so their ends are known.
+    close();
+    const auto at = now();
+    std::map<std::string, Duration> leaseLeft;
+    for (const auto& id : ids) {
+        auto left = this->scheduler->leaseLeft(UpstreamId { id }, at);
+        if (const auto agent = this->upstreamAgents.find(UpstreamId { id });
+            agent != this->upstreamAgents.end()) {
+            const auto renewed
+                = agent->second->lastRenewalSent() + makePolicy(this->taskLease).maxLeaseDuration;
+            left = std::max(left, renewed - at.steady);
+        }
+        leaseLeft.emplace(id, left);
+    }
+    this->writer->replace({ keys::usedUpstreams(this->service),
+                              jobs::encode(jobs::UsedUpstreams { { ids.begin(), ids.end() }, leaseLeft }) },
+        this->recordedUpstreamsRevision,
+        [self = shared_from_this(), done = std::move(done)](const store::ChangeOutcome& outcome) {
+            kernel::logEvent("pool-handed-over",
+                { { "pool", self->service.text() }, { "term", self->term.value },
+                    { "recorded", std::holds_alternative<store::Committed>(outcome) ? "yes" : "no" } });
+            done();
+        });
+}
+
 void PoolAgent::close()
 {
     this->closed = true;
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -60,6 +60,9 @@
     /** @brief Ends the term; no further orders are sent. */
     void close();
 
+    /** @brief Ends the term and records how long leases can last, so that the next owner waits no longer. */
+    void handOver(std::function<void()> done);
+
 private:
     /** @brief The ends that one incarnation of an upstream has listed, up to a number. */
     struct ListedEnds {
@@ -72,7 +75,7 @@
 
     /** @brief Upstreams that the previous owner recorded as used, and the revision of that record. */
     struct RecordedUpstreams {
-        const std::vector<std::string> ids {};
+        const jobs::UsedUpstreams used {};
         const store::Revision revision {};
     };
 
@@ -151,6 +154,9 @@
     /** @brief Last known revision of that record. */
     store::Revision recordedUpstreamsRevision {};
     bool writingRecordedUpstreams { false };
+    /** @brief The record tells how long leases of the previous owner can last. No lease is renewed and no
+     * task started until it is replaced, or an owner after a crash of this one would not wait for these. */
+    bool recordLimitsLeases { false };
     /** @brief Revision up to which the scheduler has received the changes of the pool. */
     store::Revision watched {};
     /** @brief Boot clock time at which the term began. */
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -40,6 +40,9 @@
     const scheduling::UpstreamFacts& facts() const { return this->upstream; }
     const ports::UpstreamLink& upstreamLink() const { return *this->link; }
 
+    /** @return Boot clock time at which the last call that renews leases was sent. */
+    kernel::Instant lastRenewalSent() const { return this->lastRenewal; }
+
     /** @return Whether the last poll was answered. */
     bool isAnswering() const { return this->answering; }
 
--- a/src/wasabiroad/jobs/codec.cpp
+++ b/src/wasabiroad/jobs/codec.cpp
@@ -120,6 +120,33 @@
     return target.SerializeAsString();
 }
 
+std::string encode(const UsedUpstreams& used)
+{
+    wire::UsedUpstreams target;
+    for (const auto& id : used.ids) {
+        target.add_ids(id);
+    }
+    for (const auto& [id, left] : used.leaseLeft) {
+        auto& lease = *target.add_leases();
+        lease.set_upstream(id);
+        lease.set_left_ms(left.milliseconds);
+    }
+    return target.SerializeAsString();
+}
+
+std::optional<UsedUpstreams> decodeUsedUpstreams(std::string_view bytes)
+{
+    wire::UsedUpstreams source;
+    if (!source.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    std::map<std::string, kernel::Duration> leaseLeft;
+    for (const auto& lease : source.leases()) {
+        leaseLeft.emplace(lease.upstream(), kernel::Duration { lease.left_ms() });
+    }
+    return UsedUpstreams { { source.ids().begin(), source.ids().end() }, std::move(leaseLeft) };
+}
+
 std::string encode(const Drain& drain)
 {
     wire::Drain target;
--- a/src/wasabiroad/jobs/codec.hpp
+++ b/src/wasabiroad/jobs/codec.hpp
@@ -19,6 +19,22 @@
 /** @return The serialized list of upstream ids. */
 std::string encode(const std::vector<std::string>& upstreams);
 
+/** @brief Upstreams that may run tasks of a pool. */
+struct UsedUpstreams {
+    const std::vector<std::string> ids {};
+    /** @brief Longest time for which leases last after the owner that wrote this has stopped; an upstream is
+     * absent if its leases may still be renewed. */
+    const std::map<std::string, kernel::Duration> leaseLeft {};
+
+    friend bool operator==(const UsedUpstreams&, const UsedUpstreams&) = default;
+};
+
+/** @return The serialized record of used upstreams. */
+std::string encode(const UsedUpstreams& used);
+
+/** @return The record of used upstreams, or nothing when the bytes cannot be parsed. */
+std::optional<UsedUpstreams> decodeUsedUpstreams(std::string_view bytes);
+
 /** @brief Number of pending jobs by queue: jobs that have not begun and have no due time of their own. */
 using PendingCounts = std::map<QueueId, std::uint64_t>;
 
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -89,13 +89,16 @@
 
 } // namespace
 
-PoolScheduler::PoolScheduler(
-    Policy limits, std::uint64_t ownTerm, Moment started, const std::vector<UpstreamId>& used)
+PoolScheduler::PoolScheduler(Policy limits, std::uint64_t ownTerm, Moment started,
+    const std::vector<UpstreamId>& used, const std::map<UpstreamId, Duration>& leaseLeft)
     : policy(limits)
     , term(ownTerm)
-    , termStart(started)
-    , unreconciled(used.begin(), used.end())
 {
+    for (const auto& id : used) {
+        const auto left = leaseLeft.find(id);
+        this->unreconciled.emplace(
+            id, started.steady + (left != leaseLeft.end() ? left->second : this->policy.takeoverTimeout));
+    }
 }
 
 std::vector<Order> PoolScheduler::apply(const Event& event, Moment now)
@@ -552,16 +555,15 @@
 
 void PoolScheduler::on(const Tick&, Moment now)
 {
-    if (!this->unreconciled.empty() && now.steady - this->termStart.steady > this->policy.takeoverTimeout) {
-        // An upstream that answers has ends that it has not listed yet.
-        std::erase_if(this->unreconciled, [&](const UpstreamId& id) {
-            const auto upstream = this->upstreams.find(id);
-            return upstream == this->upstreams.end()
-                || (!upstream->second.listed && now.steady > upstream->second.leaseEnd);
-        });
-        if (this->unreconciled.empty()) {
-            resolveTasks();
-        }
+    // An upstream that answers has ends that it has not listed yet.
+    const auto expired = std::erase_if(this->unreconciled, [&](const auto& entry) {
+        const auto upstream = this->upstreams.find(entry.first);
+        return now.steady > entry.second
+            && (upstream == this->upstreams.end()
+                || (!upstream->second.listed && now.steady > upstream->second.leaseEnd));
+    });
+    if (expired > 0 && this->unreconciled.empty()) {
+        resolveTasks();
     }
     std::vector<UpstreamId> lapsed;
     for (const auto& [id, upstream] : this->upstreams) {
@@ -941,6 +943,26 @@
         && (found == this->upstreams.end() || found->second.tasks.empty());
 }
 
+std::vector<UpstreamId> PoolScheduler::unreconciledUpstreams() const
+{
+    std::vector<UpstreamId> ids;
+    for (const auto& [id, expiry] : this->unreconciled) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+Duration PoolScheduler::leaseLeft(const UpstreamId& id, Moment now) const
+{
+    const auto upstream = this->upstreams.find(id);
+    const auto previous = this->unreconciled.find(id);
+    auto end = upstream != this->upstreams.end() ? upstream->second.leaseEnd : now.steady;
+    if (previous != this->unreconciled.end()) {
+        end = std::max(end, previous->second);
+    }
+    return std::max(Duration {}, end - now.steady);
+}
+
 bool PoolScheduler::hasTasks(const UpstreamId& upstream) const
 {
     const auto found = this->upstreams.find(upstream);
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -30,9 +30,11 @@
      * @param term Term of ownership; runs of a later term have higher numbers.
      * @param started When the term began.
      * @param used Upstreams that may run tasks started by a previous owner.
+     * @param leaseLeft Longest time for which leases of some of these can last; it is Policy::takeoverTimeout
+     * for the others.
      */
-    PoolScheduler(
-        Policy policy, std::uint64_t term, Moment started, const std::vector<UpstreamId>& used = {});
+    PoolScheduler(Policy policy, std::uint64_t term, Moment started, const std::vector<UpstreamId>& used = {},
+        const std::map<UpstreamId, kernel::Duration>& leaseLeft = {});
 
     /**
      * @brief Applies one event.
@@ -79,6 +81,12 @@
      * wait. */
     std::size_t unreconciledCount() const { return this->unreconciled.size(); }
 
+    /** @return Upstreams that are not reconciled. */
+    std::vector<UpstreamId> unreconciledUpstreams() const;
+
+    /** @return Longest time for which a lease of tasks on the upstream can last, unless it is renewed. */
+    kernel::Duration leaseLeft(const UpstreamId& upstream, Moment now) const;
+
     /** @return Sequence number of the last task end applied for an upstream. */
     std::uint64_t lastEndNumber(const UpstreamId& upstream) const;
 
@@ -205,7 +213,6 @@
 
     const Policy policy;
     const std::uint64_t term;
-    const Moment termStart;
     /** @brief Run numbers assigned in this term; the members of a gang share one. */
     std::uint64_t assignedRuns { 0 };
     std::size_t unansweredStarts { 0 };
@@ -215,8 +222,9 @@
     bool active { true };
     bool schedulingNeeded { false };
     bool urgent { false };
-    /** @brief Upstreams that may have tasks or ends of a previous owner that they have not listed yet. */
-    std::set<UpstreamId> unreconciled;
+    /** @brief Upstreams that may have tasks or ends of a previous owner that they have not listed yet, and
+     * when a lease there has surely expired unless it was renewed in this term. */
+    std::map<UpstreamId, kernel::Instant> unreconciled {};
     /** @brief Upstreams to be drained. */
     std::map<UpstreamId, internal::DrainState> drains {};
     std::unordered_map<jobs::JobId, JobEntry> jobEntries {};
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -354,6 +354,13 @@
     return found != this->starts.end() ? found->second : 0;
 }
 
+scheduling::UpstreamId Workers::busiest() const
+{
+    return std::ranges::max_element(this->workers, {}, [](const Worker& worker) {
+        return worker.running.size();
+    })->id;
+}
+
 std::size_t Workers::runningCount() const
 {
     std::size_t count = 0;
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -77,6 +77,9 @@
     /** @return Tasks that run now. */
     std::size_t runningCount() const;
 
+    /** @return The upstream that runs the most tasks. */
+    scheduling::UpstreamId busiest() const;
+
     /** @return Most VMs that were down for maintenance at once. */
     std::size_t mostDown() const { return this->downAtMost; }
 
--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -159,6 +159,56 @@
     BOOST_TEST(site.workers.broken().empty());
 }
 
+/** How each owner in turn gives up the pool after an upstream was lost. */
+struct HandOverRow {
+    const char* title;
+    const bool lastCrashes;
+    /** @brief Maximum time after the loss until its tasks run elsewhere, in ms. */
+    const std::int64_t limit;
+
+    friend std::ostream& operator<<(std::ostream& out, const HandOverRow& row) { return out << row.title; }
+};
+
+const std::vector<HandOverRow> handOvers {
+    { "all owners stop", false, 10000 },
+    { "the last owner crashes", true, 20000 },
+};
+
+/** Guards against a task of a lost upstream that stays away as each new owner waits for its lease anew. */
+BOOST_DATA_TEST_CASE(owners_in_turn_wait_for_a_lost_upstream_once, data::make(handOvers), row)
+{
+    Site site { 4, 3 };
+    BOOST_REQUIRE(site.waitForOwner());
+    BOOST_REQUIRE(site.runUntil([&] { return usedCount(site) == 3; }));
+    site.submit(makeJob("a", 60000, 4));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 4; }));
+    site.runFor(500);
+    const auto lost = site.workers.busiest();
+    const auto lostAt = kernel::now(kernel::SteadyClock {});
+    for (const auto& daemon : site.daemons) {
+        daemon->workerFaults->cut.insert(lost);
+    }
+    for (int turn = 0; turn < 3; ++turn) {
+        site.runFor(1300);
+        BOOST_REQUIRE(site.waitForOwner());
+        const auto owner = *site.owner();
+        const auto term = site.store.find(keys::poolOwner(service))->revision;
+        if (row.lastCrashes && turn == 2) {
+            site.daemons[owner]->agent->abandon();
+        } else {
+            site.daemons[owner]->agent->stop([] {});
+        }
+        BOOST_REQUIRE(site.runUntil([&] {
+            const auto entry = site.store.find(keys::poolOwner(service));
+            return entry && entry->revision > term;
+        }));
+    }
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.startsOf(jobs::JobId { "a" }) == 8; }));
+    const auto away = kernel::now(kernel::SteadyClock {}) - lostAt;
+    BOOST_TEST(away.milliseconds < row.limit);
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 /** Guards against tasks of a crashed upstream that are not started again. */
 BOOST_AUTO_TEST_CASE(tasks_of_a_crashed_upstream_run_again)
 {
--- a/test/wasabiroad/jobs/codec.cpp
+++ b/test/wasabiroad/jobs/codec.cpp
@@ -75,6 +75,10 @@
     const PoolReport report { { { QueueId { "q" }, 7 }, { QueueId { "r" }, 0 } }, { 1, 2, 3 }, { 1, 1 }, 4,
         { "u1" }, 5, 6 };
     BOOST_TEST((decodePoolReport(encode(report)) == report));
+    const UsedUpstreams used { { "u1", "u2" }, { { "u2", { 700 } } } };
+    BOOST_TEST((decodeUsedUpstreams(encode(used)) == used));
+    BOOST_TEST((decodeUpstreams(encode(used)) == upstreams));
+    BOOST_TEST((decodeUsedUpstreams(encode(upstreams)) == UsedUpstreams { upstreams }));
     const Drain drain { "u1", true };
     BOOST_TEST((decodeDrain(encode(drain)) == drain));
     BOOST_TEST(!decodeDrain("").has_value());
