Compare look-ups of an acceptance; capture no structured binding

cause: clang-tidy rejects a lambda that captures a structured binding, which GCC accepts; found by the linter on the changed files. The new alternatives of an acceptance had no comparison operators, as other value types have.

change: the position of a task is built in a variable of its own; the alternatives are comparable.

--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -97,13 +97,19 @@
     /** @brief The job was accepted for a service. */
     struct AcceptedBy {
         const model::ServiceId service;
+
+        friend auto operator<=>(const AcceptedBy&, const AcceptedBy&) = default;
     };
 
     /** @brief No daemon has accepted the job so far. */
-    struct NotAccepted { };
+    struct NotAccepted {
+        friend auto operator<=>(const NotAccepted&, const NotAccepted&) = default;
+    };
 
     /** @brief The job was cancelled before it was accepted, and cannot be accepted any more. */
-    struct CancelledEarly { };
+    struct CancelledEarly {
+        friend auto operator<=>(const CancelledEarly&, const CancelledEarly&) = default;
+    };
 
     using Acceptance = std::variant<AcceptedBy, NotAccepted, CancelledEarly, Unavailable>;
 
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -28,11 +28,14 @@
 /** Calls `visit(id, task)` for each task of the open occurrences that is held in full. */
 template <typename Visit> void forEachHeldTask(internal::JobEntry& entry, Visit visit)
 {
-    for (auto& [occurrence, open] : entry.open) {
-        for (std::uint32_t step = 0; step < open.steps.size(); ++step) {
-            open.steps[step].tasks.forEachHeld([&](std::uint32_t index, internal::Task& task) {
-                visit(TaskId { entry.job.id, { occurrence, step, index } }, task);
+    for (auto& [number, occurrence] : entry.open) {
+        jobs::TaskPosition position { .occurrence = number };
+        for (auto& step : occurrence.steps) {
+            step.tasks.forEachHeld([&](std::uint32_t index, internal::Task& task) {
+                position.index = index;
+                visit(TaskId { entry.job.id, position }, task);
             });
+            ++position.step;
         }
     }
 }
@@ -41,15 +44,18 @@
 std::vector<jobs::TaskProgress> progressOf(const internal::JobEntry& entry)
 {
     std::vector<jobs::TaskProgress> progress;
-    for (const auto& [occurrence, open] : entry.open) {
-        for (std::uint32_t step = 0; step < open.steps.size(); ++step) {
-            open.steps[step].tasks.forEachTouched([&](std::uint32_t index, const internal::Task& task) {
+    for (const auto& [number, occurrence] : entry.open) {
+        jobs::TaskPosition position { .occurrence = number };
+        for (const auto& step : occurrence.steps) {
+            step.tasks.forEachTouched([&](std::uint32_t index, const internal::Task& task) {
+                position.index = index;
                 if (task.done || !task.failedRuns.empty() || !task.checkpoint.empty()) {
-                    progress.push_back({ { occurrence, step, index }, task.done,
-                        { task.failedRuns.begin(), task.failedRuns.end() },
-                        task.done ? std::string {} : task.checkpoint });
+                    progress.push_back(
+                        { position, task.done, { task.failedRuns.begin(), task.failedRuns.end() },
+                            task.done ? std::string {} : task.checkpoint });
                 }
             });
+            ++position.step;
         }
     }
     return progress;
