--- a/test/platform/requests.cpp
+++ b/test/platform/requests.cpp
@@ -1,6 +1,5 @@
 #include "platform/requests.hpp"
 
-#include <algorithm>
 #include <limits>
 
 #include <boost/test/data/monomorphic.hpp>
@@ -101,8 +100,9 @@
         BOOST_TEST(reduced >= 1'000'000);
         BOOST_TEST(reduced <= 100'000'000'000'000);
     }
-    const auto counts = { step.maxPerUpstream, step.maxUnavailable };
-    BOOST_TEST(std::ranges::min(counts) == std::numeric_limits<std::uint32_t>::max());
+    constexpr auto mostTasks = std::numeric_limits<std::uint32_t>::max();
+    BOOST_TEST(step.maxPerUpstream == mostTasks);
+    BOOST_TEST(step.maxUnavailable == mostTasks);
     const auto limit = std::numeric_limits<std::int64_t>::max();
     BOOST_TEST(step.count * step.resources.cpu <= limit / step.estimate.milliseconds);
     BOOST_TEST(job->interval.milliseconds <= (limit - job->firstDue.milliseconds) / job->occurrences);
--- a/test/wasabiroad/scheduling/occurrences.cpp
+++ b/test/wasabiroad/scheduling/occurrences.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint32_t manyOccurrences = 10000;
 constexpr std::uint32_t manyTasks = 1000;
-const kernel::Duration hour { 3600 * 1000 };
+constexpr kernel::Duration hour { 3'600'000 };
 
 /** Steps that the scheduler may hold for each job: those that wait, and those of the running tasks. */
 const auto stepsPerJob = Policy {}.maxWaitingStepsPerJob + 4;
