--- a/tools/exchange_cost.cpp
+++ b/tools/exchange_cost.cpp
@@ -139,7 +139,8 @@
     });
     measure("start", RUSAGE_THREAD, [&] {
         repeat(context, [&](const auto& next) {
-            link->start(order, { 7 }, { 2000 }, [next](const ports::StartOutcome&) { next(); });
+            link->start(
+                order, { 7 }, { 2000 }, [] { return true; }, [next](const ports::StartOutcome&) { next(); });
         });
     });
 }
