A duty without progress is renounced, and views of its owner never go back

What callers see: jobs of a whole pool are accepted and nothing of them runs any more, until the daemon that holds the pool restarts (LOST).

cause: two beliefs about a duty were not tied to each other. Duties renews the lease on the key, and the agent of the duty does the work; when the agent ended (an upstream had seen a higher term, a write met a changed key, an order was fenced) or could not work (its watch got no answers), the lease was renewed all the same, and no other daemon could take the duty. Besides, lists, watches and answers to own changes arrive on different connections: a list that was made before the lease ended revived the lost term, whose writes all fail, while the key has a newer one.

change: at each renewal Duties asks for the health of each duty (a variant). A duty whose agent has ended, or has been hindered for 4 s, is renounced: its key is removed on the condition of its term, and any daemon takes it in a new term, which is above any that upstreams have seen. What is known of a duty has the revision of the store that showed it, and older news is ignored. The owners are also read every 2 s beside the watch, so a key that vanished without an event is noticed. Duties vacant for longer than a takeover takes are logged (duty-vacant).

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -72,6 +72,10 @@
                     self->endDuty(duty);
                 }
             },
+            [weak](const std::string& duty) {
+                const auto self = weak.lock();
+                return self ? self->dutyHealth(duty) : DutyHealth { DutyWorking {} };
+            },
         });
     this->duties->start();
     readOperator();
@@ -79,6 +83,7 @@
 
 void Agent::stop(std::function<void()> done)
 {
+    this->stopping = true;
     const auto release
         = [duties = this->duties, done = std::move(done), released = std::make_shared<bool>(false)] {
               if (!std::exchange(*released, true)) {
@@ -352,6 +357,18 @@
     }
 }
 
+DutyHealth Agent::dutyHealth(const std::string& duty) const
+{
+    if (this->stopping) {
+        return DutyWorking {};
+    }
+    if (duty == keys::fleetDuty) {
+        return this->fleetAgent ? this->fleetAgent->health() : DutyEnded { "no agent" };
+    }
+    const auto found = this->poolAgents.find(model::ServiceId { duty.substr(keys::poolDuty.size()) });
+    return found != this->poolAgents.end() ? found->second->health() : DutyEnded { "no agent" };
+}
+
 void Agent::onUpstreams()
 {
     const auto upstreams = this->directory->upstreams();
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -90,6 +90,8 @@
     void beginFleetDuty(ports::Term term);
     void beginDuty(const std::string& duty, ports::Term term);
     void endDuty(const std::string& duty);
+    /** @return Whether the agent of a held duty makes progress. */
+    DutyHealth dutyHealth(const std::string& duty) const;
     void onUpstreams();
     /** @param readsAcceptance Whether a job without a record is looked up in the service that accepted it. */
     void readState(const model::ServiceId& service, const jobs::JobId& job, bool readsAcceptance,
@@ -143,6 +145,8 @@
     std::shared_ptr<UpstreamDirectory> directory {};
     kernel::Instant lastOperatorAnswer {};
     bool abandoned { false };
+    /** @brief The pools are being handed over; their agents have ended before the duties are released. */
+    bool stopping { false };
 };
 
 } // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/duties.cpp
+++ b/src/wasabiroad/agent/duties.cpp
@@ -31,6 +31,19 @@
 
 constexpr Duration retryInterval { 300 };
 
+/** Interval between reads of the owners beside the watch; limits the time for which a missed change counts.
+ */
+constexpr Duration auditInterval { 2000 };
+
+/** Time without an owner after a crash is at most the lease lifetime and the delay of the candidates. */
+constexpr Duration expectedVacancy { 3500 };
+
+/** Time for which a duty may be hindered; shorter hindrances are cheaper than a takeover. */
+constexpr Duration hindranceLimit { 4000 };
+
+/** Time for which a renounced duty is left to other daemons; longer than any of them waits for a vacancy. */
+constexpr Duration renunciationDelay { 2000 };
+
 } // namespace
 
 Duties::Duties(boost::asio::io_context& ioContext, std::shared_ptr<const store::Store> dutyStore,
@@ -76,6 +89,8 @@
         return;
     }
     this->leaseTimer.start(renewInterval, [self = shared_from_this()] { self->keepLease(); });
+    checkHealth();
+    auditOwners();
     const auto sent = kernel::bootNow();
     if (this->lease && !this->renewing) {
         this->renewing = true;
@@ -134,24 +149,60 @@
                 kernel::callLater(self->context, retryInterval, [self] { self->readOwners(); });
                 return;
             }
-            self->ownersLoaded = true;
-            std::set<std::string> present;
-            for (const auto& found : listing->entries) {
-                const auto duty = found.key.substr(keys::owners.size());
-                present.insert(duty);
-                self->onOwner(duty, found.value, found.created);
-            }
-            const auto known = self->owners;
-            for (const auto& [duty, owner] : known) {
-                if (!present.contains(duty)) {
-                    self->onVacant(duty);
-                }
-            }
-            self->setWanted(self->wanted);
+            self->applyOwners(*listing);
             self->watchOwners(listing->asOf);
         });
 }
 
+void Duties::auditOwners()
+{
+    if (!this->ownersLoaded || this->auditing || kernel::bootNow() - this->lastAudit < auditInterval) {
+        return;
+    }
+    this->auditing = true;
+    this->store->list(
+        keys::owners, [self = shared_from_this()](const kernel::Expected<store::Listing>& listing) {
+            self->auditing = false;
+            if (listing && !self->stopping) {
+                self->applyOwners(*listing);
+            }
+        });
+}
+
+void Duties::applyOwners(const store::Listing& listing)
+{
+    this->ownersLoaded = true;
+    this->lastAudit = kernel::bootNow();
+    std::set<std::string> present;
+    for (const auto& found : listing.entries) {
+        const auto duty = found.key.substr(keys::owners.size());
+        present.insert(duty);
+        onOwner(duty, found.value, found.created);
+    }
+    const auto known = this->owners;
+    for (const auto& [duty, owner] : known) {
+        if (!present.contains(duty)) {
+            onVacant(duty, listing.asOf);
+        }
+    }
+    setWanted(this->wanted);
+    logVacancies();
+}
+
+void Duties::logVacancies() const
+{
+    for (const auto& [duty, since] : this->vacantSince) {
+        const auto vacant = kernel::bootNow() - since;
+        if (this->wanted.contains(duty) && vacant > expectedVacancy) {
+            kernel::logEvent("duty-vacant",
+                { { "duty", duty }, { "vacant_ms", vacant.milliseconds },
+                    { "lease_valid", isLeaseValid() ? "yes" : "no" },
+                    { "taking", this->taking.contains(duty) ? "yes" : "no" },
+                    { "deferred", this->deferredUntil.contains(duty) ? "yes" : "no" } });
+        }
+    }
+}
+
 void Duties::watchOwners(store::Revision after)
 {
     this->store->watch(keys::owners, after, watchWait,
@@ -159,64 +210,165 @@
             if (self->stopping) {
                 return;
             }
-            std::visit(kernel::Overloaded {
-                           [&](const store::KeyEvents& changes) {
-                               for (const auto& event : changes.events) {
-                                   std::visit(kernel::Overloaded {
-                                                  [&](const store::Entry& found) {
-                                                      self->onOwner(found.key.substr(keys::owners.size()),
-                                                          found.value, found.created);
-                                                  },
-                                                  [&](const store::Removed& removed) {
-                                                      self->onVacant(removed.key.substr(keys::owners.size()));
-                                                  },
-                                              },
-                                       event);
-                               }
-                               self->takeVacantDuties();
-                               self->watchOwners(std::max(changes.asOf, after));
-                           },
-                           [&](const store::HistoryGone&) { self->readOwners(); },
-                           [&](const kernel::Error&) {
-                               kernel::callLater(
-                                   self->context, retryInterval, [self] { self->readOwners(); });
-                           },
-                       },
+            std::visit(
+                kernel::Overloaded {
+                    [&](const store::KeyEvents& changes) {
+                        for (const auto& event : changes.events) {
+                            std::visit(kernel::Overloaded {
+                                           [&](const store::Entry& found) {
+                                               self->onOwner(found.key.substr(keys::owners.size()),
+                                                   found.value, found.created);
+                                           },
+                                           [&](const store::Removed& removed) {
+                                               self->onVacant(
+                                                   removed.key.substr(keys::owners.size()), removed.revision);
+                                           },
+                                       },
+                                event);
+                        }
+                        self->takeVacantDuties();
+                        self->watchOwners(std::max(changes.asOf, after));
+                    },
+                    [&](const store::HistoryGone&) { self->readOwners(); },
+                    [&](const kernel::Error&) {
+                        kernel::callLater(self->context, retryInterval, [self] { self->readOwners(); });
+                    },
+                },
                 outcome);
         });
 }
 
+bool Duties::isNews(const std::string& duty, store::Revision asOf)
+{
+    auto& known = this->knownAsOf[duty];
+    // Lists, watches and answers to own changes arrive on different connections, in any order.
+    if (asOf <= known) {
+        return false;
+    }
+    known = asOf;
+    return true;
+}
+
 void Duties::onOwner(const std::string& duty, const std::string& owner, store::Revision created)
 {
+    if (!isNews(duty, created)) {
+        return;
+    }
     const auto since = this->vacantSince.find(duty);
     const auto vacant = since != this->vacantSince.end() ? kernel::bootNow() - since->second : Duration {};
     this->owners[duty] = owner;
     this->vacantSince.erase(duty);
-    const auto mine = this->held.find(duty);
-    if (owner == ownerName()) {
-        if (mine == this->held.end() && this->lease) {
-            const ports::Term term { created.value };
-            this->held.emplace(duty, term);
-            kernel::logEvent("duty-taken",
-                { { "duty", duty }, { "term", term.value }, { "vacant_ms", vacant.milliseconds },
-                    { "held", this->held.size() }, { "cpu", this->vm.cpu },
-                    { "link_mbps", this->vm.linkMbps } });
-            this->handlers.begin(duty, term);
-        }
-    } else if (mine != this->held.end()) {
-        loseDuty(duty, "another owner");
+    this->renounced.erase(duty);
+    if (this->held.contains(duty)) {
+        loseDuty(duty, owner == ownerName() ? "newer term" : "another owner");
+    }
+    if (owner == ownerName() && this->lease) {
+        const ports::Term term { created.value };
+        this->held.emplace(duty, term);
+        kernel::logEvent("duty-taken",
+            { { "duty", duty }, { "term", term.value }, { "vacant_ms", vacant.milliseconds },
+                { "held", this->held.size() }, { "cpu", this->vm.cpu }, { "link_mbps", this->vm.linkMbps } });
+        this->handlers.begin(duty, term);
     }
 }
 
-void Duties::onVacant(const std::string& duty)
+void Duties::onVacant(const std::string& duty, store::Revision asOf)
 {
+    if (!isNews(duty, asOf)) {
+        return;
+    }
     this->owners.erase(duty);
+    this->renounced.erase(duty);
     this->vacantSince.try_emplace(duty, kernel::bootNow());
     if (this->held.contains(duty)) {
         loseDuty(duty, "key removed");
     }
 }
 
+void Duties::checkHealth()
+{
+    const auto now = kernel::bootNow();
+    if (!isLeaseValid()) {
+        // The store is not reached, so nobody can be asked to take over.
+        this->hinderedSince.clear();
+        return;
+    }
+    const auto duties = this->held;
+    for (const auto& [duty, term] : duties) {
+        if (const auto failure = failureOf(duty, now)) {
+            renounce(duty, *failure);
+        }
+    }
+    const auto terms = this->renounced;
+    for (const auto& [duty, term] : terms) {
+        removeOwnKey(duty, term);
+    }
+}
+
+std::optional<std::string> Duties::failureOf(const std::string& duty, Instant now)
+{
+    return std::visit(kernel::Overloaded {
+                          [&](const DutyWorking&) -> std::optional<std::string> {
+                              this->hinderedSince.erase(duty);
+                              return std::nullopt;
+                          },
+                          [&](const DutyHindered& hindered) -> std::optional<std::string> {
+                              const auto since = this->hinderedSince.try_emplace(duty, now).first->second;
+                              return now - since > hindranceLimit ? std::optional { hindered.reason }
+                                                                  : std::nullopt;
+                          },
+                          [](const DutyEnded& ended) -> std::optional<std::string> { return ended.reason; },
+                      },
+        this->handlers.health(duty));
+}
+
+void Duties::renounce(const std::string& duty, std::string_view reason)
+{
+    const auto term = this->held.at(duty);
+    kernel::logEvent("duty-renounced", { { "duty", duty }, { "term", term.value }, { "reason", reason } });
+    this->renounced.insert_or_assign(duty, term);
+    this->deferredUntil.insert_or_assign(duty, kernel::bootNow() + renunciationDelay);
+    loseDuty(duty, reason);
+}
+
+void Duties::removeOwnKey(const std::string& duty, ports::Term term)
+{
+    if (!this->removing.insert(duty).second) {
+        return;
+    }
+    const auto key = keys::owner(duty);
+    this->store->change({ { { key, { term.value } } }, {}, { key } },
+        [self = shared_from_this(), duty, term](const store::ChangeOutcome& outcome) {
+            self->removing.erase(duty);
+            if (!self->stopping) {
+                self->onKeyRemoval(duty, term, outcome);
+            }
+        });
+}
+
+void Duties::onKeyRemoval(const std::string& duty, ports::Term term, const store::ChangeOutcome& outcome)
+{
+    std::visit(kernel::Overloaded {
+                   [&](const store::Committed& committed) { onVacant(duty, committed.revision); },
+                   [&](const store::Conflict& conflict) {
+                       // The next audit shows who owns it.
+                       if (const auto found = this->renounced.find(duty);
+                           found != this->renounced.end() && found->second == term) {
+                           this->renounced.erase(found);
+                       }
+                       for (const auto& found : conflict.current) {
+                           onOwner(duty, found.value, found.created);
+                       }
+                   },
+                   // Repeated at the next renewal.
+                   [](const store::LeaseEnded&) {},
+                   [](const store::NotDone&) {},
+                   [](const store::OutcomeUnknown&) {},
+               },
+        outcome);
+    takeVacantDuties();
+}
+
 void Duties::takeVacantDuties()
 {
     if (this->stopping) {
@@ -248,6 +400,13 @@
     if (!this->ownersLoaded || !this->lease || now >= this->leaseValidUntil) {
         return retryInterval;
     }
+    const auto deferred = this->deferredUntil.find(duty);
+    if (deferred != this->deferredUntil.end()) {
+        if (now < deferred->second) {
+            return deferred->second - now;
+        }
+        this->deferredUntil.erase(deferred);
+    }
     const auto decision = decideVacancy({ this->vm, this->held.size() + this->taking.size() }, now - since);
     return std::visit(kernel::Overloaded {
                           [&](const TakeDuty&) {
@@ -305,12 +464,15 @@
     kernel::logEvent(
         "duty-lost", { { "duty", duty }, { "term", this->held.at(duty).value }, { "reason", reason } });
     this->held.erase(duty);
+    this->hinderedSince.erase(duty);
     this->handlers.end(duty);
 }
 
 void Duties::loseAllDuties(std::string_view reason)
 {
     const auto lost = this->held;
+    // The keys were removed with the lease.
+    this->renounced.clear();
     for (const auto& [duty, term] : lost) {
         loseDuty(duty, reason);
         this->owners.erase(duty);
--- a/src/wasabiroad/agent/duties.hpp
+++ b/src/wasabiroad/agent/duties.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wasabiroad/agent/duty_health.hpp"
 #include "wasabiroad/kernel/timer.hpp"
 #include "wasabiroad/model/identifier.hpp"
 #include "wasabiroad/ports/upstreams.hpp"
@@ -19,6 +20,8 @@
 struct DutyHandlers {
     const std::function<void(const std::string& duty, ports::Term)> begin;
     const std::function<void(const std::string& duty)> end;
+    /** @brief Reports whether a held duty makes progress; asked at each renewal of the lease. */
+    const std::function<DutyHealth(const std::string& duty)> health;
 };
 
 /**
@@ -27,6 +30,9 @@
  * The term of a duty is the revision at which its key was created, so terms increase from owner to owner. A
  * daemon whose lease may have expired keeps its duties, but must not act on them until a renewal confirms the
  * lease.
+ *
+ * The lease alone does not show that a duty is carried out. A duty that makes no progress while the lease is
+ * renewed is renounced: its key is removed, and its next term may begin in any daemon.
  */
 class Duties : public std::enable_shared_from_this<Duties> {
 public:
@@ -67,9 +73,23 @@
     void onLeaseGranted(const kernel::Expected<store::Lease>& lease, kernel::Instant sent);
     void onRenewed(const kernel::Expected<bool>& alive, kernel::Instant sent);
     void readOwners();
+    /** Reads the owners once, beside the watch, which may miss a change. */
+    void auditOwners();
+    void applyOwners(const store::Listing& listing);
+    /** Logs duties that have had no owner for longer than a takeover takes. */
+    void logVacancies() const;
     void watchOwners(store::Revision after);
     void onOwner(const std::string& duty, const std::string& owner, store::Revision created);
-    void onVacant(const std::string& duty);
+    void onVacant(const std::string& duty, store::Revision asOf);
+    /** @return Whether the state of a duty at a revision is newer than the known one, which it replaces. */
+    bool isNews(const std::string& duty, store::Revision asOf);
+    /** Renounces the held duties that make no progress. */
+    void checkHealth();
+    std::optional<std::string> failureOf(const std::string& duty, kernel::Instant now);
+    void renounce(const std::string& duty, std::string_view reason);
+    /** Removes the key of a renounced duty; repeated until the store has answered. */
+    void removeOwnKey(const std::string& duty, ports::Term term);
+    void onKeyRemoval(const std::string& duty, ports::Term term, const store::ChangeOutcome& outcome);
     /** Takes the vacant duties that are due, and sets the timer for the next check. */
     void takeVacantDuties();
     /** Takes a vacant duty if this daemon's delay for it is over. @return Time until the next check. */
@@ -96,6 +116,18 @@
     std::map<std::string, std::string> owners {};
     std::map<std::string, ports::Term> held {};
     std::map<std::string, kernel::Instant> vacantSince {};
+    /** @brief Revisions of the store of which the states of the duties are known. */
+    std::map<std::string, store::Revision> knownAsOf {};
+    /** @brief Boot clock times since which held duties have been hindered. */
+    std::map<std::string, kernel::Instant> hinderedSince {};
+    /** @brief Terms of renounced duties whose keys may still exist. */
+    std::map<std::string, ports::Term> renounced {};
+    /** @brief Renounced duties with a removal of their key in flight. */
+    std::set<std::string> removing {};
+    /** @brief Boot clock times until which renounced duties are left to other daemons. */
+    std::map<std::string, kernel::Instant> deferredUntil {};
+    bool auditing { false };
+    kernel::Instant lastAudit {};
     /** @brief Duties with a request for ownership in flight. */
     std::set<std::string> taking {};
     kernel::Timer leaseTimer;
--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -874,6 +874,11 @@
         { std::move(conditions), std::move(puts), std::move(removals) }, std::move(callback));
 }
 
+DutyHealth FleetAgent::health() const
+{
+    return this->closed ? DutyHealth { DutyEnded { "an order was fenced" } } : DutyWorking {};
+}
+
 void FleetAgent::close()
 {
     this->closed = true;
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wasabiroad/agent/duty_health.hpp"
 #include "wasabiroad/kernel/timer.hpp"
 #include "wasabiroad/ports/fleet.hpp"
 #include "wasabiroad/scheduling/move_plan.hpp"
@@ -49,6 +50,9 @@
     /** @brief Sets the pools that run jobs, and the spare pools. */
     void setPools(std::set<model::ServiceId> withJobs, std::set<model::ServiceId> spare);
 
+    /** @return Whether waves and moves are carried out. */
+    DutyHealth health() const;
+
     void close();
 
 private:
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -47,6 +47,15 @@
 constexpr Duration viewAgeLimit { 2000 };
 constexpr Duration retryInterval { 300 };
 
+/** Time to read the open jobs of a pool; beyond it the owner counts as hindered. */
+constexpr Duration loadTimeout { 10000 };
+
+/** Age of the list of upstreams beyond which the owner counts as hindered; entries change each 1.5 s. */
+constexpr Duration membersAgeLimit { 5000 };
+
+/** Time without a tick beyond which the owner counts as hindered. */
+constexpr Duration tickTimeout { 2000 };
+
 /** Interval of updating the members in the scheduler and the record of used upstreams. */
 constexpr Duration membersUpdateInterval { 200 };
 
@@ -589,6 +598,7 @@
         return;
     }
     this->tickTimer.start(tickInterval, [self = shared_from_this()] { self->tick(); });
+    this->lastTickAt = kernel::bootNow();
     apply(scheduling::Tick {});
     logReconciled();
     if (kernel::bootNow() - this->membersAppliedAt >= membersUpdateInterval) {
@@ -920,6 +930,28 @@
         });
 }
 
+DutyHealth PoolAgent::health() const
+{
+    const auto at = kernel::bootNow();
+    if (this->closed) {
+        return DutyEnded { "superseded" };
+    }
+    if (!this->loaded) {
+        return at - this->termStartedAt > loadTimeout ? DutyHealth { DutyHindered { "pool not read" } }
+                                                      : DutyWorking {};
+    }
+    if (at - this->lastTickAt > tickTimeout) {
+        return DutyHindered { "no tick" };
+    }
+    if (const auto age = this->environment.maxViewAge(this->watched); !age || *age > viewAgeLimit) {
+        return DutyHindered { "view of the pool is outdated" };
+    }
+    if (at - this->environment.upstreamsUpdatedAt() > membersAgeLimit) {
+        return DutyHindered { "list of upstreams is outdated" };
+    }
+    return DutyWorking {};
+}
+
 void PoolAgent::close()
 {
     this->closed = true;
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wasabiroad/agent/duty_health.hpp"
 #include "wasabiroad/agent/record_writer.hpp"
 #include "wasabiroad/agent/revision_clock.hpp"
 #include "wasabiroad/agent/upstream_agent.hpp"
@@ -57,6 +58,9 @@
     /** @return Revision up to which this owner has received the changes of the pool. */
     store::Revision watchedRevision() const { return this->watched; }
 
+    /** @return Whether the pool is scheduled from current views of its jobs and upstreams. */
+    DutyHealth health() const;
+
     /** @brief Ends the term; no further orders are sent. */
     void close();
 
@@ -161,6 +165,7 @@
     store::Revision watched {};
     /** @brief Boot clock time at which the term began. */
     kernel::Instant termStartedAt {};
+    kernel::Instant lastTickAt {};
     /** @brief Number of upstreams of the previous owner that had not answered at the last tick. */
     std::size_t unreconciled { 0 };
     /** @brief Result of the last check whether the view of the pool is recent enough to start tasks. */
--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -304,6 +304,12 @@
     }
 }
 
+void KeyValue::removeUnseen(const std::string& key)
+{
+    ++this->revision;
+    this->items.erase(key);
+}
+
 void KeyValue::endLeases()
 {
     const auto all = this->leases;
--- a/src/wasabiroad/standin/key_value.hpp
+++ b/src/wasabiroad/standin/key_value.hpp
@@ -58,6 +58,9 @@
     /** @brief Forgets all changes; watches that ask for them are told so. */
     void dropHistory();
 
+    /** @brief Removes a key without an event, as a store does that loses leased keys in an outage. */
+    void removeUnseen(const std::string& key);
+
     /** @brief Ends all leases, as after an outage. */
     void endLeases();
 
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -348,6 +348,13 @@
     } };
 }
 
+void Workers::raiseFence(const std::string& name, std::uint64_t term)
+{
+    auto& worker = *std::ranges::find(this->workers, name, &Worker::name);
+    worker.fence = std::max(worker.fence, term);
+    worker.vmFence = std::max(worker.vmFence, term);
+}
+
 std::size_t Workers::startsOf(const jobs::JobId& job) const
 {
     const auto found = this->starts.find(job);
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -68,6 +68,9 @@
     /** @brief Lets an upstream lose all that it runs and start again. */
     void crash(const std::string& name);
 
+    /** @brief Raises the highest term that an upstream and its VM have seen, as an unknown caller can. */
+    void raiseFence(const std::string& name, std::uint64_t term);
+
     /** @return Promises that were broken, in order. */
     const std::vector<std::string>& broken() const { return this->faults; }
 
