Keep a connection alive when a caller's function throws

Callers see: after one exception in the callback of a call, each later call on that connection to the store, the VM service or an upstream waits for ever, without a timeout, until its queue of 512 is full. cause: callbacks ran inside the coroutine of the channel; an exception ended the coroutine, and `working` stayed true. change: callbacks run through kernel::runIsolated, which logs `handler-failed`; an exception in the exchange, such as one of a permission, fails that call alone.

--- a/src/wasabiroad/http/channel.cpp
+++ b/src/wasabiroad/http/channel.cpp
@@ -2,6 +2,7 @@
 
 #include "wasabiroad/http/endpoint.hpp"
 #include "wasabiroad/http/transfer.hpp"
+#include "wasabiroad/kernel/isolation.hpp"
 #include "wasabiroad/kernel/timer.hpp"
 
 #include <deque>
@@ -146,13 +147,33 @@
         co_return std::move(*response);
     }
 
+    /** Exchanges a call; an exception, such as one of its permission, fails this call alone. */
+    asio::awaitable<kernel::Expected<Response>> tryExchange(Call& call)
+    {
+        std::string thrown;
+        try {
+            co_return co_await exchange(call);
+        } catch (const std::exception& exception) {
+            thrown = exception.what();
+        }
+        this->timer.cancel();
+        disconnect();
+        co_return failure(ResultCode::PlatformTimeout, thrown);
+    }
+
+    /** Hands a result to the caller, whose exceptions must not end the work on the calls behind. */
+    void complete(const Call& call, kernel::Expected<Response> result) const
+    {
+        kernel::runIsolated({ "server", toText(this->endpoint) }, [&] { call.callback(std::move(result)); });
+    }
+
     asio::awaitable<void> work(std::shared_ptr<State> self)
     {
         while (!self->closed && !self->queue.empty()) {
             Call call = std::move(self->queue.front());
             self->queue.pop_front();
-            auto result = co_await self->exchange(call);
-            call.callback(std::move(result));
+            auto result = co_await self->tryExchange(call);
+            self->complete(call, std::move(result));
         }
         self->working = false;
         self->fail();
@@ -163,7 +184,7 @@
         while (this->closed && !this->queue.empty()) {
             auto call = std::move(this->queue.front());
             this->queue.pop_front();
-            call.callback(failure(ResultCode::PlatformUnreachable, "the channel is closed"));
+            complete(call, failure(ResultCode::PlatformUnreachable, "the channel is closed"));
         }
     }
 
--- a/src/wasabiroad/kernel/threads.cpp
+++ b/src/wasabiroad/kernel/threads.cpp
@@ -1,8 +1,7 @@
 #include "wasabiroad/kernel/threads.hpp"
 
-#include "wasabiroad/kernel/log.hpp"
+#include "wasabiroad/kernel/isolation.hpp"
 
-#include <exception>
 #include <string_view>
 
 #include <boost/asio/post.hpp>
@@ -17,15 +16,8 @@
  */
 void runHandlers(boost::asio::io_context& context, std::string_view thread)
 {
-    for (;;) {
-        try {
-            context.run();
-            return;
-        } catch (const std::exception& exception) {
-            logEvent("handler-failed", { { "thread", thread }, { "reason", exception.what() } });
-        } catch (...) {
-            logEvent("handler-failed", { { "thread", thread }, { "reason", "unknown exception" } });
-        }
+    while (!runIsolated({ "thread", thread }, [&context] { context.run(); })) {
+        // The context goes on with its next handler.
     }
 }
 
--- a/test/wasabiroad/http/channel.cpp
+++ b/test/wasabiroad/http/channel.cpp
@@ -2,9 +2,12 @@
 
 #include "wasabiroad/http/endpoint.hpp"
 #include "wasabiroad/http/server.hpp"
+#include "wasabiroad/kernel/threads.hpp"
+#include "wasabiroad/kernel/timer.hpp"
 
 #include <algorithm>
 #include <ostream>
+#include <stdexcept>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -126,4 +129,56 @@
     BOOST_TEST((outcomes.back() == body));
 }
 
+/** A function of a caller that throws within its call. */
+struct ThrowingRow {
+    const char* title;
+    const http::Channel::Permission permission;
+    const http::Channel::Callback callback;
+    /** @brief Waits in the queue of a channel that is closed. */
+    const bool closed;
+};
+
+std::ostream& operator<<(std::ostream& stream, const ThrowingRow& row) { return stream << row.title; }
+
+const http::Channel::Callback throwError
+    = [](const kernel::Expected<http::Response>&) { throw std::out_of_range { "map::at" }; };
+
+const std::vector<ThrowingRow> throwingRows {
+    { "a callback", {}, throwError, false },
+    { "a callback that throws a number", {}, [](const auto&) { throw 7; }, false },
+    { "a permission", []() -> bool { throw std::out_of_range { "map::at" }; }, [](const auto&) {}, false },
+    { "a callback of a closed channel", {}, throwError, true },
+};
+
+/** Guards against a connection that carries no further call once a caller's function has thrown. */
+BOOST_DATA_TEST_CASE(calls_go_on_after_a_caller_has_thrown, boost::unit_test::data::make(throwingRows), row)
+{
+    kernel::Threads threads { 1 };
+    auto& context = threads.control();
+    http::Server server { context, [](http::Request request) -> boost::asio::awaitable<http::Response> {
+                             co_return http::respond(request, 200, "text/plain", "");
+                         } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address.has_value());
+    http::Channel channel { context, http::parseEndpoint(*address).value() };
+    std::size_t answered = 0;
+    const auto count = [&](const kernel::Expected<http::Response>& response) {
+        BOOST_TEST(response.has_value() == !row.closed);
+        if (++answered == 2) {
+            threads.stop();
+        }
+    };
+    channel.call(http::makeRequest(verb::get, "/"), patient, row.callback, row.permission);
+    channel.call(http::makeRequest(verb::get, "/"), patient, count);
+    // The last call finds the channel idle, unless it is closed.
+    kernel::callLater(
+        context, hasty, [&] { channel.call(http::makeRequest(verb::get, "/"), patient, count); });
+    if (row.closed) {
+        channel.close();
+    }
+    kernel::callLater(context, medium, [&] { threads.stop(); });
+    threads.run();
+    BOOST_TEST(answered == 2U);
+}
+
 } // namespace
