Pause before the next accept when descriptors are used up

Callers see: a daemon without free descriptors uses a whole core on the thread of the listener. The readiness checks are accepted on the control thread, so its leases, watches and pools stand beside it. cause: an accept that fails at once was repeated at once. change: the server waits 100 ms after a failed accept and logs `accept-failed` and `accept-resumed` once each. before: test-http accepting_pauses_while_descriptors_are_used_up, on the code before: "check context.run_for(std::chrono::milliseconds { 300 }) < fewHandlers has failed [374137 >= 20]". after: the test passes.

--- a/src/wasabiroad/http/server.cpp
+++ b/src/wasabiroad/http/server.cpp
@@ -1,10 +1,12 @@
 #include "wasabiroad/http/server.hpp"
 
 #include "wasabiroad/http/endpoint.hpp"
+#include "wasabiroad/kernel/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -17,6 +19,14 @@
 namespace beast = boost::beast;
 using asio::ip::tcp;
 
+namespace {
+
+/** Pause after a connection could not be accepted, usually since the process has no free descriptor, in ms.
+ */
+constexpr kernel::Duration acceptRetryInterval { 100 };
+
+} // namespace
+
 struct Server::State {
     asio::io_context& context;
     tcp::acceptor acceptor;
@@ -25,6 +35,8 @@
     bool draining { false };
     std::size_t inFlight { 0 };
     bool closed { false };
+    /** @brief The bound address, for the log. */
+    std::string address {};
 };
 
 namespace {
@@ -62,11 +74,27 @@
 
 template <typename State> asio::awaitable<void> accept(std::shared_ptr<State> state)
 {
+    asio::steady_timer pause { state->context };
+    bool failing = false;
     while (!state->closed) {
         boost::system::error_code failed;
         auto socket
             = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failed));
+        if (state->closed) {
+            break;
+        }
+        // A caller that has left already costs its own connection and no descriptor.
+        if (failed == asio::error::connection_aborted) {
+            continue;
+        }
+        if (const bool fails { failed }; fails != failing) {
+            failing = fails;
+            kernel::logEvent(failing ? "accept-failed" : "accept-resumed",
+                { { "address", state->address }, { "reason", failed.message() } });
+        }
         if (failed) {
+            pause.expires_after(acceptRetryInterval.chrono());
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
             continue;
         }
         socket.set_option(tcp::no_delay(true), failed);
@@ -86,6 +114,7 @@
 {
     auto bound = http::listen(this->state->acceptor, address);
     if (bound) {
+        this->state->address = *bound;
         asio::co_spawn(this->state->context, accept(this->state), asio::detached);
     }
     return bound;
