Answer a call whose handler fails, and end its count

Callers see: a daemon that is told to stop after a handler has thrown never ends its drain and is killed with its duties still leased; the caller of that call gets no answer. cause: the count of calls in flight was raised and lowered around the handler, not tied to the call. change: the count is tied to the lifetime of the call, also when its coroutine is destroyed; an exception is logged as `request-failed` and answered with status 500. before: test-http failed_handler_leaves_no_request_in_flight, on the code before, in the rows of errors and of a destroyed handler: "check server.inFlight() == 0U has failed [1 != 0]". after: test-http passes.

--- a/src/wasabiroad/http/server.cpp
+++ b/src/wasabiroad/http/server.cpp
@@ -3,6 +3,8 @@
 #include "wasabiroad/http/endpoint.hpp"
 #include "wasabiroad/kernel/log.hpp"
 
+#include <exception>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -41,6 +43,48 @@
 
 namespace {
 
+/** @brief Counts a request as in flight while it exists, also if the coroutine that owns it is destroyed. */
+class InFlight {
+public:
+    explicit InFlight(std::size_t& requests)
+        : count(requests)
+    {
+        ++this->count;
+    }
+    ~InFlight() { --this->count; }
+    InFlight(const InFlight&) = delete;
+    InFlight& operator=(const InFlight&) = delete;
+
+private:
+    std::size_t& count;
+};
+
+Response respondFailure(const Request& request, std::string_view reason)
+{
+    kernel::logEvent("request-failed",
+        { { "method", std::string_view { request.method_string().data(), request.method_string().size() } },
+            { "reason", reason } });
+    auto response = respond(request, 500, "text/plain", "");
+    response.keep_alive(false);
+    return response;
+}
+
+/** @return The response of the handler, or status 500 if an exception leaves it. */
+asio::awaitable<Response> answer(const Handler& handler, Request request)
+{
+    // The head outlives the request, which is moved to the handler.
+    const Request head { request.base() };
+    std::string reason;
+    try {
+        co_return co_await handler(std::move(request));
+    } catch (const std::exception& exception) {
+        reason = exception.what();
+    } catch (...) {
+        reason = "unknown exception";
+    }
+    co_return respondFailure(head, reason);
+}
+
 template <typename State> asio::awaitable<void> serve(std::shared_ptr<State> state, beast::tcp_stream stream)
 {
     beast::flat_buffer buffer;
@@ -56,15 +100,14 @@
             break;
         }
         stream.expires_never();
-        ++state->inFlight;
-        auto response = co_await state->handler(parser.release());
+        const InFlight counted { state->inFlight };
+        auto response = co_await answer(state->handler, parser.release());
         if (state->draining) {
             response.keep_alive(false);
         }
         stream.expires_after(state->limits.writeTimeout.chrono());
         co_await beast::http::async_write(
             stream, response, asio::redirect_error(asio::use_awaitable, failed));
-        --state->inFlight;
         if (failed || !response.keep_alive()) {
             break;
         }
