--- a/src/wasabiroad/http/server.cpp
+++ b/src/wasabiroad/http/server.cpp
@@ -1,10 +1,14 @@
 #include "wasabiroad/http/server.hpp"
 
 #include "wasabiroad/http/endpoint.hpp"
+#include "wasabiroad/kernel/log.hpp"
+
+#include <exception>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -17,6 +21,14 @@
 namespace beast = boost::beast;
 using asio::ip::tcp;
 
+namespace {
+
+/** Pause after a connection could not be accepted, usually since the process has no free descriptor, in ms.
+ */
+constexpr kernel::Duration acceptRetryInterval { 100 };
+
+} // namespace
+
 struct Server::State {
     asio::io_context& context;
     tcp::acceptor acceptor;
@@ -25,10 +37,54 @@
     bool draining { false };
     std::size_t inFlight { 0 };
     bool closed { false };
+    /** @brief The bound address, for the log. */
+    std::string address {};
 };
 
 namespace {
 
+/** @brief Counts a request as in flight while it exists, also if the coroutine that owns it is destroyed. */
+class InFlight {
+public:
+    explicit InFlight(std::size_t& requests)
+        : count(requests)
+    {
+        ++this->count;
+    }
+    ~InFlight() { --this->count; }
+    InFlight(const InFlight&) = delete;
+    InFlight& operator=(const InFlight&) = delete;
+
+private:
+    std::size_t& count;
+};
+
+Response respondFailure(const Request& request, std::string_view reason)
+{
+    kernel::logEvent("request-failed",
+        { { "method", std::string_view { request.method_string().data(), request.method_string().size() } },
+            { "reason", reason } });
+    auto response = respond(request, 500, "text/plain", "");
+    response.keep_alive(false);
+    return response;
+}
+
+/** @return The response of the handler, or status 500 if an exception leaves it. */
+asio::awaitable<Response> answer(const Handler& handler, Request request)
+{
+    // The head outlives the request, which is moved to the handler.
+    const Request head { request.base() };
+    std::string reason;
+    try {
+        co_return co_await handler(std::move(request));
+    } catch (const std::exception& exception) {
+        reason = exception.what();
+    } catch (...) {
+        reason = "unknown exception";
+    }
+    co_return respondFailure(head, reason);
+}
+
 template <typename State> asio::awaitable<void> serve(std::shared_ptr<State> state, beast::tcp_stream stream)
 {
     beast::flat_buffer buffer;
@@ -44,15 +100,14 @@
             break;
         }
         stream.expires_never();
-        ++state->inFlight;
-        auto response = co_await state->handler(parser.release());
+        const InFlight counted { state->inFlight };
+        auto response = co_await answer(state->handler, parser.release());
         if (state->draining) {
             response.keep_alive(false);
         }
         stream.expires_after(state->limits.writeTimeout.chrono());
         co_await beast::http::async_write(
             stream, response, asio::redirect_error(asio::use_awaitable, failed));
-        --state->inFlight;
         if (failed || !response.keep_alive()) {
             break;
         }
@@ -62,11 +117,27 @@
 
 template <typename State> asio::awaitable<void> accept(std::shared_ptr<State> state)
 {
+    asio::steady_timer pause { state->context };
+    bool failing = false;
     while (!state->closed) {
         boost::system::error_code failed;
         auto socket
             = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failed));
+        if (state->closed) {
+            break;
+        }
+        // A caller that has left already costs its own connection and no descriptor.
+        if (failed == asio::error::connection_aborted) {
+            continue;
+        }
+        if (const bool fails { failed }; fails != failing) {
+            failing = fails;
+            kernel::logEvent(failing ? "accept-failed" : "accept-resumed",
+                { { "address", state->address }, { "reason", failed.message() } });
+        }
         if (failed) {
+            pause.expires_after(acceptRetryInterval.chrono());
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
             continue;
         }
         socket.set_option(tcp::no_delay(true), failed);
@@ -86,6 +157,7 @@
 {
     auto bound = http::listen(this->state->acceptor, address);
     if (bound) {
+        this->state->address = *bound;
         asio::co_spawn(this->state->context, accept(this->state), asio::detached);
     }
     return bound;
