Let the list of upstreams survive what its handler does

Callers see: an owner that never learns of another upstream. Its view grows older than 2 s, so it holds its starts, and the jobs of its pools stand until the daemon restarts. cause: each watch is started by the answer to the one before, after the handler of changes. A handler that throws ended the chain, as did a call without an outcome; a handler that stops the directory left the chain running beside the next one. change: the handler is called through kernel::runIsolated; the list is read again when a call has no outcome in time, logged as `upstreams-not-answered`; the chain ends when the handler has stopped the directory. before: test-agent directory_goes_on_after_an_interruption, on the code before: "check calls.answered >= 4U has failed [1 < 4]", "[2 < 4]" and "[0 < 4]" in its three rows; directory_can_be_stopped_by_its_handler: "check watches == static_cast<std::size_t>(call - 1) has failed [1 != 0]" and "check calls.watches.size() == watches has failed [2 != 1]". after: these and the other directory tests pass.

--- a/src/wasabiroad/agent/upstream_directory.cpp
+++ b/src/wasabiroad/agent/upstream_directory.cpp
@@ -1,5 +1,6 @@
 #include "wasabiroad/agent/upstream_directory.hpp"
 
+#include "wasabiroad/kernel/isolation.hpp"
 #include "wasabiroad/kernel/log.hpp"
 #include "wasabiroad/kernel/overloaded.hpp"
 
@@ -17,6 +18,12 @@
 
 constexpr Duration retryInterval { 300 };
 
+/** Time for a list with all its pages, in ms; a call that has no answer by then is given up. */
+constexpr Duration listLimit { 30000 };
+
+/** The same for a watch, whose calls end by themselves before. */
+constexpr Duration watchLimit { 5000 };
+
 } // namespace
 
 UpstreamDirectory::UpstreamDirectory(boost::asio::io_context& context,
@@ -55,8 +62,20 @@
     return all;
 }
 
+void UpstreamDirectory::notify() const { kernel::runIsolated({ "chain", "upstreams" }, this->onChange); }
+
+void UpstreamDirectory::awaitAnswer(Duration limit)
+{
+    this->timer.start(limit, [self = shared_from_this()] {
+        kernel::logEvent("upstreams-not-answered");
+        ++self->epoch;
+        self->list();
+    });
+}
+
 void UpstreamDirectory::list()
 {
+    awaitAnswer(listLimit);
     this->fleet->listUpstreams([self = shared_from_this(), epoch = this->epoch](
                                    const kernel::Expected<ports::UpstreamListing>& listing) {
         if (epoch != self->epoch) {
@@ -75,13 +94,17 @@
             self->facts.insert_or_assign(
                 upstream.id, std::make_shared<const scheduling::UpstreamFacts>(upstream));
         }
-        self->onChange();
-        self->watch(listing->asOf);
+        self->notify();
+        // The handler may have stopped the directory.
+        if (epoch == self->epoch) {
+            self->watch(listing->asOf);
+        }
     });
 }
 
 void UpstreamDirectory::watch(store::Revision after)
 {
+    awaitAnswer(watchLimit);
     this->fleet->watchUpstreams(after, watchWait,
         [self = shared_from_this(), after, epoch = this->epoch](const ports::UpstreamOutcome& outcome) {
             if (epoch != self->epoch) {
@@ -90,6 +113,9 @@
             std::visit(kernel::Overloaded {
                            [&](const ports::UpstreamChanges& changes) {
                                self->onChanges(changes);
+                               if (epoch != self->epoch) {
+                                   return;
+                               }
                                self->timer.start(batchDelay,
                                    [self, next = std::max(changes.asOf, after)] { self->watch(next); });
                            },
@@ -120,7 +146,7 @@
         changed = this->facts.erase(id) != 0 || changed;
     }
     if (changed) {
-        this->onChange();
+        notify();
     }
 }
 
--- a/src/wasabiroad/agent/upstream_directory.hpp
+++ b/src/wasabiroad/agent/upstream_directory.hpp
@@ -41,6 +41,10 @@
     void list();
     void watch(store::Revision after);
     void onChanges(const ports::UpstreamChanges& changes);
+    /** @brief Calls `onChange`; an exception in it does not end the watch. */
+    void notify() const;
+    /** @brief Reads the list again if the present call has no answer within a time. */
+    void awaitAnswer(kernel::Duration limit);
 
     const std::shared_ptr<const ports::Fleet> fleet;
     const std::function<void()> onChange;
--- a/test/wasabiroad/agent/upstream_directory.cpp
+++ b/test/wasabiroad/agent/upstream_directory.cpp
@@ -2,6 +2,9 @@
 
 #include "wasabiroad/agent/site.hpp"
 
+#include <stdexcept>
+#include <utility>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
@@ -10,6 +13,7 @@
 namespace {
 
 namespace data = boost::unit_test::data;
+using kernel::Duration;
 using scheduling::UpstreamFacts;
 using scheduling::UpstreamId;
 
@@ -47,6 +51,7 @@
 /** @brief A fake fleet that keeps the callbacks until a test calls them. */
 struct DeferredFleet {
     std::size_t lists { 0 };
+    std::size_t answered { 0 };
     std::vector<store::Callback<kernel::Expected<ports::UpstreamListing>>> listings {};
     std::vector<store::Callback<ports::UpstreamOutcome>> watches {};
 
@@ -92,6 +97,88 @@
     directory->stop();
 }
 
+/** Number of the call of `onChange` that throws, or the watch that is never answered. */
+struct InterruptedRow {
+    const char* title;
+    const std::size_t throwing;
+    const bool lostWatch;
+
+    friend std::ostream& operator<<(std::ostream& out, const InterruptedRow& row) { return out << row.title; }
+};
+
+const std::vector<InterruptedRow> interruptions {
+    { "the handler throws after the list", 1, false },
+    { "the handler throws after a change", 2, false },
+    { "a watch is never answered", 0, true },
+};
+
+/** Guards against a directory that stops following changes once a handler has thrown or a call was lost. */
+BOOST_DATA_TEST_CASE(directory_goes_on_after_an_interruption, data::make(interruptions), row)
+{
+    boost::asio::io_context context { 1 };
+    DeferredFleet calls;
+    std::size_t changes = 0;
+    const auto directory = std::make_shared<UpstreamDirectory>(context, calls.makeFleet(), [&] {
+        if (++changes == row.throwing) {
+            throw std::out_of_range { "map::at" };
+        }
+    });
+    const auto answerAll = [&] {
+        try {
+            for (const auto& answer : std::exchange(calls.listings, {})) {
+                ++calls.answered;
+                answer(ports::UpstreamListing { both, { 1 } });
+            }
+            for (const auto& answer : std::exchange(calls.watches, {})) {
+                ++calls.answered;
+                answer(ports::UpstreamChanges { { makeFacts("c") }, {}, { 2 } });
+            }
+        } catch (const std::exception&) {
+            // The threads of the daemon log what a handler throws and go on.
+        }
+    };
+    directory->start();
+    if (row.lostWatch) {
+        std::exchange(calls.listings, {}).front()(ports::UpstreamListing { both, { 1 } });
+        calls.watches.clear();
+    }
+    constexpr Duration interval { 50 };
+    constexpr Duration limit { 8000 };
+    const auto end = kernel::now(kernel::SteadyClock {}) + limit;
+    while (calls.answered < 4 && kernel::now(kernel::SteadyClock {}) < end) {
+        answerAll();
+        context.restart();
+        context.run_for(interval.chrono());
+    }
+    BOOST_TEST(calls.answered >= 4U);
+    BOOST_TEST(directory->upstreams().size() == 3U);
+    directory->stop();
+}
+
+/** Guards against a directory that goes on, beside its next start, when its handler has stopped it. */
+BOOST_DATA_TEST_CASE(directory_can_be_stopped_by_its_handler, data::make({ 1, 2 }), call)
+{
+    boost::asio::io_context context { 1 };
+    DeferredFleet calls;
+    int changes = 0;
+    std::shared_ptr<UpstreamDirectory> directory;
+    directory = std::make_shared<UpstreamDirectory>(context, calls.makeFleet(), [&] {
+        if (++changes == call) {
+            directory->stop();
+        }
+    });
+    directory->start();
+    calls.listings.at(0)(ports::UpstreamListing { both, { 1 } });
+    const auto watches = calls.watches.size();
+    if (call == 2) {
+        calls.watches.at(0)(ports::UpstreamChanges { { makeFacts("c") }, {}, { 2 } });
+    }
+    constexpr Duration beyondDelays { 500 };
+    context.run_for(beyondDelays.chrono());
+    BOOST_TEST(watches == static_cast<std::size_t>(call - 1));
+    BOOST_TEST(calls.watches.size() == watches);
+}
+
 /** Guards against repeated reads of the list, which fill a slow link and delay the owner's lease renewals. */
 BOOST_AUTO_TEST_CASE(upstreams_are_listed_once_and_then_watched)
 {
