Decide nothing from a response of the store that cannot be read

Callers see: jobs of a whole pool stand while its owner keeps the lease of the pool; an upstream whose entry was replaced by unreadable bytes stays in use; a daemon reads a list again and again. cause: the status alone decided. A 412 without a readable body meant "no key of the conditions exists", so the owner of a pool took its own key for removed and ended its work for good. A 200 without a revision gave the term or revision 0. A watch without a readable body was an answer without events up to revision 0, repeated at once. An event whose value is no base64 was dropped, so the entry before it stayed in use. An event without a key under the prefix reached callers that cut the prefix off, which throws. A lease without a lifetime, or with one of 292 million years, was used. change: such a 412 is NotDone: its status says that nothing was changed, so the change may be sent again, and its answer then tells which condition failed. Such a 200 is OutcomeUnknown, since the change was made. An unreadable watch or lease response is an error. An entry whose value cannot be read is reported with an empty value, and rows without a key under the prefix are skipped.

--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -87,6 +87,10 @@
         { { "a", "c" } } },
     { "an empty page that is truncated", { { "", R"({"items":[],"truncated":true,"asOf":1})" } },
         std::nullopt },
+    { "a page that repeats itself",
+        { { "", R"({"items":[{"key":"a","value":""}],"truncated":true,"asOf":1})" },
+            { "a", R"({"items":[{"key":"a","value":""}],"truncated":true,"asOf":1})" } },
+        std::nullopt },
     { "no items", { { "", R"({"asOf":1})" } }, std::nullopt },
     { "no revision", { { "", R"({"items":[]})" } }, std::nullopt },
     { "no JSON", { { "", "<" } }, std::nullopt },
@@ -158,6 +162,168 @@
     BOOST_TEST(listed == lists);
 }
 
+/** Response to a change, and the expected outcome. */
+struct ChangeRow {
+    const char* title;
+    const unsigned status;
+    const std::string body;
+    const std::size_t kind;
+    /** @brief Revisions of the entries of a conflict. */
+    const std::vector<std::uint64_t> current {};
+
+    friend std::ostream& operator<<(std::ostream& out, const ChangeRow& row) { return out << row.title; }
+};
+
+constexpr std::size_t committed = 0;
+constexpr std::size_t conflict = 1;
+constexpr std::size_t notDone = 3;
+constexpr std::size_t outcomeUnknown = 4;
+
+const std::vector<ChangeRow> changes {
+    { "committed", 200, R"({"revision":5})", committed },
+    { "without a revision", 200, "{}", outcomeUnknown },
+    { "a revision below zero", 200, R"({"revision":-5})", outcomeUnknown },
+    { "a revision of another type", 200, R"({"revision":"5"})", outcomeUnknown },
+    { "no JSON", 200, "<", outcomeUnknown },
+    { "no key of the conditions exists", 412, R"({"items":[]})", conflict },
+    { "a key exists", 412, R"({"items":[{"key":"a","value":"YQ==","revision":7}]})", conflict, { 7 } },
+    { "a key exists with a value that is no base64", 412,
+        R"({"items":[{"key":"a","value":"%","revision":7}]})", conflict, { 7 } },
+    { "a conflict without items", 412, "{}", notDone },
+    { "a conflict whose items are no list", 412, R"({"items":{"key":"a"}})", notDone },
+    { "a conflict with an item without a key", 412, R"({"items":[{"value":"YQ==","revision":7}]})", notDone },
+    { "a conflict that is no JSON", 412, "<html>", notDone },
+    { "a conflict that is cut off", 412, R"({"items":[{"key":"a")", notDone },
+    { "a conflict without a body", 412, "", notDone },
+};
+
+/** Guards against an unreadable response that passes for keys that are gone, or for a revision of 0. */
+BOOST_DATA_TEST_CASE(unreadable_response_to_a_change_decides_nothing, data::make(changes), row)
+{
+    boost::asio::io_context context { 1 };
+    http::Server server { context, [&](http::Request request) -> boost::asio::awaitable<http::Response> {
+                             co_return http::respond(request, row.status, "application/json", row.body);
+                         } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address);
+    const auto client = std::make_shared<StoreClient>(context, *http::parseEndpoint(*address));
+    std::optional<store::ChangeOutcome> outcome;
+    client->makeStore().change({ { { "a", { 1 } } }, {}, {} }, [&](const store::ChangeOutcome& answer) {
+        outcome.emplace(answer);
+        context.stop();
+    });
+    context.run_for(std::chrono::seconds { 20 });
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(outcome->index() == row.kind);
+    if (const auto* const found = std::get_if<store::Conflict>(&*outcome)) {
+        std::vector<std::uint64_t> revisions;
+        std::ranges::transform(found->current, std::back_inserter(revisions),
+            [](const store::Entry& entry) { return entry.revision.value; });
+        BOOST_TEST(revisions == row.current, boost::test_tools::per_element());
+    }
+}
+
+/** Response to a watch of "p/", and the reported events as key=value or -key; nothing for an error. */
+struct WatchRow {
+    const char* title;
+    const std::string body;
+    const std::optional<std::vector<std::string>> events;
+
+    friend std::ostream& operator<<(std::ostream& out, const WatchRow& row) { return out << row.title; }
+};
+
+const std::vector<WatchRow> watches {
+    { "no event", R"({"events":[],"asOf":4})", { std::vector<std::string> {} } },
+    { "an entry and a removal",
+        R"({"events":[{"key":"p/a","value":"YQ==","revision":2},{"key":"p/b","tombstone":true}],"asOf":4})",
+        { { "p/a=a", "-p/b" } } },
+    { "a value that is no base64", R"({"events":[{"key":"p/a","value":"%","revision":2}],"asOf":4})",
+        { { "p/a=" } } },
+    { "a value of another type", R"({"events":[{"key":"p/a","value":[1],"revision":2}],"asOf":4})",
+        { { "p/a=" } } },
+    { "events that name no key under the prefix",
+        R"({"events":[{"tombstone":true},{"key":"q","value":""},{"key":7,"value":""},{"key":"","value":""},7,
+        {"key":"p","tombstone":true},{"key":"p/a","value":"YQ=="}],"asOf":4})",
+        { { "p/a=a" } } },
+    { "no events", R"({"asOf":4})", std::nullopt },
+    { "no revision", R"({"events":[]})", std::nullopt },
+    { "a revision below zero", R"({"events":[],"asOf":-4})", std::nullopt },
+    { "no JSON", "<", std::nullopt },
+};
+
+/** Guards against events that are lost, name no key of the watch, or pass for none although unreadable. */
+BOOST_DATA_TEST_CASE(watch_reports_only_what_it_can_read, data::make(watches), row)
+{
+    boost::asio::io_context context { 1 };
+    http::Server server { context, [&](http::Request request) -> boost::asio::awaitable<http::Response> {
+                             co_return http::respond(request, 200, "application/json", row.body);
+                         } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address);
+    const auto client = std::make_shared<StoreClient>(context, *http::parseEndpoint(*address));
+    std::optional<std::vector<std::string>> events;
+    bool answered = false;
+    client->makeStore().watch("p/", { 1 }, {}, [&](const store::WatchOutcome& outcome) {
+        if (const auto* const changed = std::get_if<store::KeyEvents>(&outcome)) {
+            events.emplace();
+            for (const auto& event : changed->events) {
+                const auto* const entry = std::get_if<store::Entry>(&event);
+                events->push_back(entry != nullptr ? entry->key + "=" + entry->value
+                                                   : "-" + std::get<store::Removed>(event).key);
+            }
+            BOOST_TEST(changed->asOf.value == 4U);
+        }
+        answered = true;
+        context.stop();
+    });
+    context.run_for(std::chrono::seconds { 20 });
+    BOOST_REQUIRE(answered);
+    BOOST_TEST((events == row.events));
+}
+
+/** Response to a request for a lease, and its lifetime; nothing for an error. */
+struct LeaseRow {
+    const std::string body;
+    const std::optional<std::int64_t> lifetime;
+
+    friend std::ostream& operator<<(std::ostream& out, const LeaseRow& row) { return out << row.body; }
+};
+
+const std::vector<LeaseRow> leases {
+    { R"({"lease":3,"ttlMs":2000})", 2000 },
+    { R"({"lease":3,"ttlMs":9223372036854775807})", 600000 },
+    { R"({"lease":3,"ttlMs":-1})", std::nullopt },
+    { R"({"lease":3})", std::nullopt },
+    { R"({"lease":0,"ttlMs":2000})", std::nullopt },
+    { R"({"lease":-3,"ttlMs":2000})", std::nullopt },
+    { R"({"ttlMs":2000})", std::nullopt },
+    { "<", std::nullopt },
+};
+
+/** Guards against a lease whose id or lifetime is a guess. */
+BOOST_DATA_TEST_CASE(lease_without_its_fields_is_not_used, data::make(leases), row)
+{
+    boost::asio::io_context context { 1 };
+    http::Server server { context, [&](http::Request request) -> boost::asio::awaitable<http::Response> {
+                             co_return http::respond(request, 200, "application/json", row.body);
+                         } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address);
+    const auto client = std::make_shared<StoreClient>(context, *http::parseEndpoint(*address));
+    std::optional<std::int64_t> lifetime;
+    bool answered = false;
+    client->makeStore().grant({ 2000 }, [&](const kernel::Expected<store::Lease>& lease) {
+        if (lease) {
+            lifetime = lease->lifetime.milliseconds;
+        }
+        answered = true;
+        context.stop();
+    });
+    context.run_for(std::chrono::seconds { 20 });
+    BOOST_REQUIRE(answered);
+    BOOST_TEST((lifetime == row.lifetime));
+}
+
 } // namespace
 
 } // namespace wasabiroad::platform
