Start a run again that its upstream does not list any more

What callers see: a long-running task that counts as running and does not run, for as long as its owner keeps the pool. cause: a run in the phase Running ended only by an end that its upstream listed or by the stall check, which does not apply to a long-running task that is ready. change: a complete list that was requested after the run was confirmed, and contains neither the run nor its end, has the run stopped. It is started again once the stop is answered and a later list does not contain it, as after a start without an answer. before: run_that_is_not_listed_any_more_is_started_again/_1, "list of a long-running task": check fixture.starts.size() == 1 + row.stops has failed [1 != 2] after: passes

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -343,7 +343,7 @@
     }
     adjustPace(upstream, now);
     if (!event.moreEnds) {
-        releaseStopped(event, now);
+        resolveUnlisted(event, now);
         markReconciled(event.upstream);
     }
     this->schedulingNeeded = true;
@@ -436,6 +436,7 @@
         task->run = running.run;
         task->unresolved = false;
         task->started = now.steady;
+        task->confirmed = now.steady;
         task->resumed = true;
         task->lastProgress = now.steady;
         task->percent = running.percent;
@@ -449,6 +450,7 @@
         && !task->stopAnswered && !task->done && !jobs::isFinal(entry->state);
     if (task->phase == Phase::Starting || wasCarriedOut) {
         setPhase(*task, Phase::Running);
+        task->confirmed = now.steady;
         task->lastProgress = now.steady;
     }
     if (running.percent != task->percent) {
@@ -462,7 +464,7 @@
     markRunning(*entry);
 }
 
-void PoolScheduler::releaseStopped(const TasksListed& event, Moment now)
+void PoolScheduler::resolveUnlisted(const TasksListed& event, Moment now)
 {
     std::set<TaskId> present;
     for (const auto& running : event.running) {
@@ -471,8 +473,13 @@
     const auto tasks = this->upstreams[event.upstream].tasks;
     for (const auto& id : tasks) {
         const auto [entry, task] = find(id);
-        if (task != nullptr && task->phase == Phase::Stopping && task->stopAnswered
-            && *task->stopAnswered <= event.sent && !present.contains(id)) {
+        if (task == nullptr || present.contains(id)) {
+            continue;
+        }
+        if (task->phase == Phase::Running && task->confirmed <= event.sent) {
+            stop(id, *task, now, "run is not listed any more");
+        } else if (task->phase == Phase::Stopping && task->stopAnswered
+            && *task->stopAnswered <= event.sent) {
             detach(id, *task);
             requeue(id, *task, now);
             eraseIfEnded(id.job);
@@ -489,6 +496,7 @@
     switch (event.result) {
     case StartResult::Started:
         setPhase(*task, Phase::Running);
+        task->confirmed = now.steady;
         task->lastProgress = now.steady;
         markRunning(*entry);
         return;
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -139,7 +139,8 @@
     void closeIfCompleted(JobEntry& entry, std::uint32_t number);
     void applyEnd(const UpstreamId& id, const EndedTask& end, Moment now);
     void applyRunning(const UpstreamId& id, const RunningTask& running, Moment now);
-    void releaseStopped(const TasksListed& event, Moment now);
+    /** @brief Resolves tasks of an upstream that a complete list does not contain. */
+    void resolveUnlisted(const TasksListed& event, Moment now);
     void releaseAll(const UpstreamId& id, Moment now, bool restarted);
     void resolveTasks();
     void markReconciled(const UpstreamId& id);
--- a/src/wasabiroad/scheduling/task.hpp
+++ b/src/wasabiroad/scheduling/task.hpp
@@ -39,6 +39,8 @@
     kernel::Instant notBefore {};
     kernel::Instant lastProgress {};
     kernel::Instant started {};
+    /** @brief When the owner learned that the run was carried out; later lists contain it or its end. */
+    kernel::Instant confirmed {};
     /** @brief The run began at a checkpoint or was adopted, so its duration is not that of the whole task. */
     bool resumed { false };
     kernel::Instant readySince {};
