Resolve starts that are never answered

What callers see: a task that does not run, and room of its upstream that stays taken, for as long as the owner keeps the pool; 256 such starts stop the whole pool. cause: an order for an upstream without an agent, for example after its new address could not be opened, is dropped, and the phase Starting had no time-out. Such an upstream also kept counting as answering. change: a complete list that is requested 3 s after the order and does not contain the run has it stopped, like a start whose outcome is unknown. The time of the call counts, so an owner that was paused does not stop runs whose answers it has yet to read.

--- a/src/wasabiroad/scheduling/policy.hpp
+++ b/src/wasabiroad/scheduling/policy.hpp
@@ -14,6 +14,12 @@
     /** @brief Tasks of an upstream whose latest list is older count as unavailable: their lease may expire
      * soon. */
     const kernel::Duration taskListMaxAge { 2000 };
+    /** @brief An upstream whose latest list is older counts as unresponsive; exceeds the longest wait for a
+     * list. */
+    const kernel::Duration taskListTimeout { 6000 };
+    /** @brief A start that was neither answered nor listed by this time after its order counts as
+     * unanswered. */
+    const kernel::Duration startAnswerTimeout { 3000 };
     /** @brief Tasks of a previous owner that no upstream has listed by this time after the takeover are
      * considered lost. */
     const kernel::Duration takeoverTimeout { 11000 };
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -478,6 +478,9 @@
         }
         if (task->phase == Phase::Running && task->confirmed <= event.sent) {
             stop(id, *task, now, "run is not listed any more");
+        } else if (task->phase == Phase::Starting
+            && event.sent - task->started > this->policy.startAnswerTimeout) {
+            stopUnanswered(id, *task, now);
         } else if (task->phase == Phase::Stopping && task->stopAnswered
             && *task->stopAnswered <= event.sent) {
             detach(id, *task);
@@ -503,8 +506,7 @@
     case StartResult::Unknown:
         this->upstreams[event.upstream].suspectUntil = now.steady + this->policy.refusalRetryDelay;
         markDirty(event.upstream);
-        stop(event.task, *task, now, "start was not answered");
-        task->stopsUnansweredStart = true;
+        stopUnanswered(event.task, *task, now);
         return;
     case StartResult::NoRoom:
     case StartResult::Refused:
@@ -569,6 +571,7 @@
 
 void PoolScheduler::on(const Tick&, Moment now)
 {
+    checkTaskLists(now);
     // An upstream that answers has ends that it has not listed yet.
     const auto expired = std::erase_if(this->unreconciled, [&](const auto& entry) {
         const auto upstream = this->upstreams.find(entry.first);
@@ -593,6 +596,20 @@
     this->schedulingNeeded = true;
 }
 
+void PoolScheduler::checkTaskLists(Moment now)
+{
+    for (auto& [id, upstream] : this->upstreams) {
+        // Without tasks, the first start that gets no answer shows that it is unresponsive.
+        if (upstream.listed && !upstream.tasks.empty()
+            && now.steady - upstream.listedAt > this->policy.taskListTimeout) {
+            upstream.listed = false;
+            // A call without an answer may have renewed the lease until now.
+            upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.maxLeaseDuration);
+            markDirty(id);
+        }
+    }
+}
+
 void PoolScheduler::checkStalls(Moment now)
 {
     for (auto& [upstreamId, upstream] : this->upstreams) {
@@ -806,6 +823,12 @@
     this->orders.push_back(StopTask { task.upstream, id, task.run, std::string { reason } });
 }
 
+void PoolScheduler::stopUnanswered(const TaskId& id, Task& task, Moment now)
+{
+    stop(id, task, now, "start was not answered");
+    task.stopsUnansweredStart = true;
+}
+
 void PoolScheduler::stopUnexpected(
     const UpstreamId& upstream, const TaskId& id, jobs::Run run, std::string_view reason)
 {
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -141,6 +141,8 @@
     void applyRunning(const UpstreamId& id, const RunningTask& running, Moment now);
     /** @brief Resolves tasks of an upstream that a complete list does not contain. */
     void resolveUnlisted(const TasksListed& event, Moment now);
+    /** @brief Marks upstreams without a recent list as unresponsive. */
+    void checkTaskLists(Moment now);
     void releaseAll(const UpstreamId& id, Moment now, bool restarted);
     void resolveTasks();
     void markReconciled(const UpstreamId& id);
@@ -157,6 +159,8 @@
     void attach(const jobs::TaskId& id, const Task& task);
     void detach(const jobs::TaskId& id, Task& task);
     void stop(const jobs::TaskId& id, Task& task, Moment now, std::string_view reason);
+    /** @brief Stops a run whose start was not answered and may still be carried out. */
+    void stopUnanswered(const jobs::TaskId& id, Task& task, Moment now);
     void stopUnexpected(
         const UpstreamId& upstream, const jobs::TaskId& id, jobs::Run run, std::string_view reason);
     void markChanged(const jobs::JobId& job, bool isUrgent);
--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -46,6 +46,31 @@
     BOOST_TEST(fixture.starts.size() == 1 + row.stops);
 }
 
+/** Guards against a start that is never answered and occupies its upstream forever. */
+BOOST_DATA_TEST_CASE(start_without_any_answer_is_resolved, data::make({ true, false }), listsTasks)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = fixture.starts.front();
+    // The other upstream joins later, so the task starts on the one that does not answer.
+    fixture.apply(MembersListed { { makeUpstream("u1"), makeUpstream("u2") } }, 20);
+    constexpr std::int64_t end = 15000;
+    for (std::int64_t time = 500; time < end; time += 500) {
+        if (listsTasks) {
+            fixture.applyTaskList("u1", {}, {}, time);
+        }
+        fixture.applyTaskList("u2", {}, {}, time);
+        if (!fixture.stops.empty() && listsTasks) {
+            const auto& stop = fixture.stops.back();
+            fixture.apply(StopAnswered { stop.upstream, stop.task, stop.run, true }, time + 10);
+        }
+        fixture.apply(Tick {}, time + 20);
+        BOOST_TEST((fixture.starts.size() == 1 || !listsTasks || !fixture.stops.empty()));
+    }
+    BOOST_REQUIRE_GE(fixture.starts.size(), 2);
+    BOOST_TEST((fixture.starts[1].run > first.run));
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
