Resolve starts that cannot happen any more without an answered stop

What callers see: a task whose start was not answered does not run again while its upstream rejects the stop. cause: the phase Stopping ended only by a listed end or by a stop that was answered. change: a complete list without the run also ends it when the lease in the start order has expired before the list was requested: the upstream rejects the order from then on. before: rejected_stop_of_an_unanswered_start_is_resolved_when_the_start_has_expired: check fixture.starts.size() == 2 has failed [1 != 2] after: passes

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -481,11 +481,15 @@
         } else if (task->phase == Phase::Starting
             && event.sent - task->started > this->policy.startAnswerTimeout) {
             stopUnanswered(id, *task, now);
-        } else if (task->phase == Phase::Stopping && task->stopAnswered
-            && *task->stopAnswered <= event.sent) {
-            detach(id, *task);
-            requeue(id, *task, now);
-            eraseIfEnded(id.job);
+        } else if (task->phase == Phase::Stopping) {
+            // By then the lease in the start order has expired, so the upstream rejects the order.
+            const auto rejected
+                = task->started + this->policy.startAnswerTimeout + this->policy.maxLeaseDuration;
+            if ((task->stopAnswered && *task->stopAnswered <= event.sent) || rejected < event.sent) {
+                detach(id, *task);
+                requeue(id, *task, now);
+                eraseIfEnded(id.job);
+            }
         }
     }
 }
--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -71,6 +71,24 @@
     BOOST_TEST((fixture.starts[1].run > first.run));
 }
 
+/** Guards against a task that waits forever for the answer to a stop, and against one that is started while
+ * its first start may still be carried out. */
+BOOST_AUTO_TEST_CASE(rejected_stop_of_an_unanswered_start_is_resolved_when_the_start_has_expired)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = fixture.starts.front();
+    fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 810);
+    const auto expired = 10 + Policy {}.maxLeaseDuration.milliseconds;
+    for (std::int64_t time = 1000; time < 2 * expired; time += 500) {
+        fixture.apply(StopAnswered { first.upstream, first.task, first.run, false }, time);
+        fixture.applyTaskList("u1", {}, {}, time);
+        fixture.apply(Tick {}, time + 10);
+        BOOST_TEST((time > expired || fixture.starts.size() == 1));
+    }
+    BOOST_TEST(fixture.starts.size() == 2);
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
