Keep the begin of an occurrence that a previous owner started early

What callers see: tasks of an occurrence that is due do not start until a task of it ends. cause: the time at which the next occurrence is opened and the time at which its first step may start shared a key in the index of times. When an upstream listed a task of the occurrence before its time, which a previous owner with a clock ahead may have started, opening it removed both. change: the opening of an occurrence has a key of its own. before: occurrence_that_was_started_early_continues_on_time: check fixture.starts.size() == 1 has failed [0 != 1] after: passes

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "wasabiroad/kernel/overloaded.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace wasabiroad::scheduling {
 
@@ -20,6 +21,10 @@
  * must not. */
 constexpr std::size_t failedJobsLimit = 2;
 
+/** Stands for the next occurrence in the times at which steps have to be indexed again, apart from the steps
+ * of an occurrence that is open before its time. */
+constexpr std::uint32_t openingStep = std::numeric_limits<std::uint32_t>::max();
+
 bool isActive(const internal::Task& task)
 {
     return task.phase == Phase::Starting || task.phase == Phase::Running || task.phase == Phase::Stopping;
@@ -195,7 +200,7 @@
             const auto begin = internal::beginOf(entry.job, next);
             if (begin > now.wall) {
                 entry.nextDue = begin;
-                this->wallWakes.emplace(begin, StepId { entry.job.id, next, 0 });
+                this->wallWakes.emplace(begin, StepId { entry.job.id, next, openingStep });
                 return;
             }
             // It is opened once the tasks of another occurrence have started.
@@ -215,7 +220,7 @@
 void PoolScheduler::cancelOpening(JobEntry& entry)
 {
     if (entry.nextDue) {
-        this->wallWakes.erase({ *entry.nextDue, StepId { entry.job.id, entry.nextOccurrence, 0 } });
+        this->wallWakes.erase({ *entry.nextDue, StepId { entry.job.id, entry.nextOccurrence, openingStep } });
         entry.nextDue.reset();
     }
 }
--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -89,6 +89,19 @@
     BOOST_TEST(fixture.starts.size() == 2);
 }
 
+/** Guards against a time at which an occurrence begins that is forgotten when a previous owner, whose clock
+ * is ahead, has started a task of it. */
+BOOST_AUTO_TEST_CASE(occurrence_that_was_started_early_continues_on_time)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    fixture.apply(JobAdded { makePeriodicJob("j", { makeStep(2) }, 1, at(1000).wall, { 500 }) }, 10);
+    const jobs::TaskId early { jobs::JobId { "j" }, { 0, 0, 0 } };
+    fixture.applyTaskList("u1", { { early, { 3 }, "", 10 } }, {}, 900);
+    BOOST_TEST(fixture.starts.empty());
+    fixture.apply(Tick {}, 1000);
+    BOOST_TEST(fixture.starts.size() == 1);
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
