Keep half of a pool usable when jobs fail everywhere

What callers see: no task of a pool starts for up to 8 s, again and again, though its upstreams are idle. cause: an upstream on which tasks of two jobs fail, or that rejects a start, gets no tasks for 2 to 8 s. Faulty jobs fail on all upstreams, and a lost connection of the owner makes starts fail on all of them. The duration was never reset in a pool with long-running tasks only, since none of them completes. change: at most half of the members may be suspect at once; the others pause for the 200 ms of a retry.

--- a/src/wasabiroad/scheduling/policy.hpp
+++ b/src/wasabiroad/scheduling/policy.hpp
@@ -32,6 +32,9 @@
     /** @brief Time for which a suspect upstream gets no new tasks; doubled each time it becomes suspect
      * again, up to a limit. */
     const kernel::Duration suspectDuration { 2000 };
+    /** @brief Percentage of the members that may be suspect at once; when more fail tasks or reject starts,
+     * upstreams are rarely the cause, and the others get tasks after Policy::refusalRetryDelay. */
+    const std::size_t maxSuspectPercent { 50 };
     /** @brief Delay before the start of a task is retried after a start that failed. */
     const kernel::Duration refusalRetryDelay { 200 };
     /** @brief Interval at which an unanswered stop order is repeated. */
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -754,6 +754,12 @@
     if (upstream.suspectUntil > now.steady) {
         return;
     }
+    if (!admitsSuspect(now)) {
+        upstream.suspectUntil = now.steady + this->policy.refusalRetryDelay;
+        upstream.failedJobs.clear();
+        markDirty(id);
+        return;
+    }
     const auto doublings = std::min(upstream.suspectCount, maxDoublings);
     upstream.suspectUntil = now.steady + this->policy.suspectDuration * (std::int64_t { 1 } << doublings);
     ++upstream.suspectCount;
@@ -761,6 +767,17 @@
     markDirty(id);
 }
 
+bool PoolScheduler::admitsSuspect(Moment now) const
+{
+    std::size_t members = 0;
+    std::size_t suspects = 0;
+    for (const auto& [id, upstream] : this->upstreams) {
+        members += upstream.member ? 1 : 0;
+        suspects += upstream.member && upstream.suspectUntil > now.steady ? 1 : 0;
+    }
+    return (suspects + 1) * 100 <= members * this->policy.maxSuspectPercent;
+}
+
 void PoolScheduler::setPhase(Task& task, Phase phase)
 {
     const auto upstream = this->upstreams.find(task.upstream);
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -153,6 +153,8 @@
     void taskDone(JobEntry& entry, const jobs::TaskId& id, Task& task, Moment now);
     void taskFailed(JobEntry& entry, const jobs::TaskId& id, Task& task, const UpstreamId& where, Moment now);
     void markSuspect(const UpstreamId& id, Moment now);
+    /** @return Whether one more member may be suspect. */
+    bool admitsSuspect(Moment now) const;
     void setPhase(Task& task, internal::Phase phase);
     void requeue(const jobs::TaskId& id, Task& task, Moment now);
     void markRunning(JobEntry& entry);
--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -1,5 +1,7 @@
 #include "wasabiroad/scheduling/fixture.hpp"
 
+#include <set>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -102,6 +104,57 @@
     BOOST_TEST(fixture.starts.size() == 1);
 }
 
+/** Upstreams on which tasks of several jobs fail, and those that get tasks afterwards. */
+struct FailuresRow {
+    const std::size_t failing;
+    const std::set<std::string> usable;
+
+    friend std::ostream& operator<<(std::ostream& out, const FailuresRow& row)
+    {
+        return out << row.failing << " of 4 upstreams fail tasks";
+    }
+};
+
+const std::vector<FailuresRow> failuresRows {
+    { 1, { "u1", "u2", "u3" } },
+    { 2, { "u2", "u3" } },
+    { 4, { "u2", "u3" } },
+};
+
+/** Guards against faulty jobs that make all upstreams of a pool suspect, so that no task starts. */
+BOOST_DATA_TEST_CASE(faulty_jobs_leave_upstreams_usable, data::make(failuresRows), row)
+{
+    constexpr std::size_t count = 4;
+    std::vector<UpstreamFacts> members;
+    for (std::size_t index = 0; index < count; ++index) {
+        members.push_back(makeUpstream("u" + std::to_string(index), 1000));
+    }
+    SchedulerFixture fixture { members };
+    std::uint64_t number = 0;
+    for (const auto* const name : { "a", "b" }) {
+        fixture.apply(JobAdded { makeJob(name, { makeStep(count) }) }, 10);
+        ++number;
+        for (std::size_t index = 0; index < row.failing; ++index) {
+            const jobs::TaskId task { jobs::JobId { name }, { 0, 0, static_cast<std::uint32_t>(index) } };
+            fixture.applyTaskList(
+                "u" + std::to_string(index), {}, { { number, task, { number }, EndKind::Failed, "" } }, 20);
+        }
+        fixture.apply(JobCancelled { jobs::JobId { name } }, 30);
+    }
+    const auto startedBefore = fixture.starts.size();
+    for (std::size_t index = 0; index < startedBefore; ++index) {
+        const auto start = fixture.starts[index];
+        fixture.applyTaskList(
+            start.upstream.text(), {}, { { 10 + index, start.task, start.run, EndKind::Stopped, "" } }, 50);
+    }
+    fixture.apply(JobAdded { makeJob("sound", { makeStep(count) }) }, 300);
+    std::set<std::string> used;
+    for (std::size_t index = startedBefore; index < fixture.starts.size(); ++index) {
+        used.insert(fixture.starts[index].upstream.text());
+    }
+    BOOST_TEST(used == row.usable, boost::test_tools::per_element());
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
