Limit the wait for the rack of the data to 2 s

What callers see: a task with a long estimate does not run although other racks have room, also when the rack of its data has no upstream. cause: a task waited as long for that rack as its caller expects it to run. change: it waits 2 s at most. before: task_waits_briefly_for_the_rack_of_its_data/_2, "estimate 30000 ms": check fixture.starts.size() == 1 has failed [0 != 1] after: passes

--- a/src/wasabiroad/scheduling/readiness.cpp
+++ b/src/wasabiroad/scheduling/readiness.cpp
@@ -79,7 +79,7 @@
     });
     forEachDeciding(declared, step, now, [&](const Task& task) {
         if (internal::waitsForRack(declared, task, now)) {
-            wake = earlier(wake, task.readySince + declared.estimate);
+            wake = earlier(wake, internal::rackWaitEnd(declared, task));
         }
     });
     return wake;
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -5,6 +5,7 @@
 #include "wasabiroad/scheduling/task_table.hpp"
 #include "wasabiroad/scheduling/waiting_index.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <optional>
@@ -121,10 +122,20 @@
     bool hasUnknownTasks { false };
 };
 
+/** @brief Longest time, in ms, for which a task waits for the rack of its data while other racks have room.
+ */
+inline constexpr kernel::Duration maxRackWait { 2000 };
+
+/** @return Time at which a task that was not started on the rack of its data may run on any other. */
+inline kernel::Instant rackWaitEnd(const jobs::Step& step, const Task& task)
+{
+    return task.readySince + std::min(step.estimate, maxRackWait);
+}
+
 /** @return Whether a task may still run only on the rack of its data. */
 inline bool waitsForRack(const jobs::Step& step, const Task& task, Moment now)
 {
-    return !step.dataRack.empty() && now.steady - task.readySince < step.estimate;
+    return !step.dataRack.empty() && now.steady < rackWaitEnd(step, task);
 }
 
 /** @return Free millicores that a start requires; none for fillers, which use only cpu left over by other
--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -155,6 +155,33 @@
     BOOST_TEST(used == row.usable, boost::test_tools::per_element());
 }
 
+/** Estimate of a task whose data is on a rack without upstreams, and when it starts elsewhere. */
+struct RackRow {
+    const std::int64_t estimateMs;
+    const std::int64_t startMs;
+
+    friend std::ostream& operator<<(std::ostream& out, const RackRow& row)
+    {
+        return out << "estimate " << row.estimateMs << " ms";
+    }
+};
+
+const std::vector<RackRow> rackRows { { 500, 500 }, { 2000, 2000 }, { 30000, 2000 } };
+
+/** Guards against a long task that waits for the rack of its data although other racks have room. */
+BOOST_DATA_TEST_CASE(task_waits_briefly_for_the_rack_of_its_data, data::make(rackRows), row)
+{
+    SchedulerFixture fixture { { makeUpstream("u1", 4000, "r1") } };
+    const jobs::Step step {
+        .count = 1, .resources = { 100, 100, 0 }, .estimate = { row.estimateMs }, .dataRack = "r2"
+    };
+    fixture.apply(JobAdded { makeJob("j", { step }) }, 0);
+    fixture.apply(Tick {}, row.startMs - 1);
+    BOOST_TEST(fixture.starts.empty());
+    fixture.apply(Tick {}, row.startMs);
+    BOOST_TEST(fixture.starts.size() == 1);
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
