Stop long-running tasks for a drain only if another upstream may run them

What callers see: a long-running task is stopped by an order and not started again: each other upstream of the pool already runs as many tasks of its step as it may, or none has the label or the capacity. cause: a drain stopped long-running tasks without regard to where they can go. change: the tasks are stopped only while other members may run more tasks of the step than are waiting or being stopped. Free resources do not count, since long-running tasks get the next ones. In a drain for maintenance, tasks are stopped after Policy::drainTimeout in any case, so that a wave ends. before: drain_stops_tasks_that_another_upstream_may_run/_2, "no upstream takes it": check fixture.stops.size() == row.stopsAtOnce has failed [1 != 0] after: passes

--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -258,11 +258,10 @@
     return longest;
 }
 
-std::uint32_t PoolScheduler::countOfStep(const Upstream& upstream, const ReadyStep& ready) const
+std::uint32_t PoolScheduler::countOfStep(const Upstream& upstream, const StepId& step)
 {
-    const TaskId first { ready.entry->job.id, { ready.occurrence, ready.step, 0 } };
-    const TaskId last { ready.entry->job.id,
-        { ready.occurrence, ready.step, std::numeric_limits<std::uint32_t>::max() } };
+    const TaskId first { step.job, { step.occurrence, step.step, 0 } };
+    const TaskId last { step.job, { step.occurrence, step.step, std::numeric_limits<std::uint32_t>::max() } };
     return static_cast<std::uint32_t>(
         std::distance(upstream.tasks.lower_bound(first), upstream.tasks.upper_bound(last)));
 }
@@ -283,7 +282,8 @@
     const bool counts = step.longRunning || step.maxPerUpstream > 0;
     for (const auto& id : group) {
         ++this->upstreamsExamined;
-        if (step.maxPerUpstream == 0 || countOfStep(this->upstreams.at(id), ready) < step.maxPerUpstream) {
+        if (step.maxPerUpstream == 0
+            || countOfStep(this->upstreams.at(id), ready.id()) < step.maxPerUpstream) {
             found.push_back(&id);
         }
         // Upstreams of a group are equivalent, so the first on which the task has not failed stands for the
@@ -316,7 +316,7 @@
         const auto load = loadWith(step, room, kind.capacity);
         for (const auto* const id : candidates(ready, task, group->second)) {
             Key key { task.failedOn.contains(*id), outsideDataRack,
-                step.longRunning ? countOfStep(this->upstreams.at(*id), ready) / tasksPerVm(step) : 0U,
+                step.longRunning ? countOfStep(this->upstreams.at(*id), ready.id()) / tasksPerVm(step) : 0U,
                 // Long-running tasks are kept on few VMs, so that the other VMs can change their pool.
                 step.longRunning && !room.hasLongRunning,
                 // Other tasks are placed on the most loaded VMs first, so that the rest can be released.
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -668,8 +668,10 @@
             }
             const auto& step = stepOf(id);
             if (step.longRunning) {
-                if (step.maxUnavailable == 0 || draining
-                    || countOtherUnavailable(*entry, id, now) < step.maxUnavailable) {
+                const bool mayStop = step.maxUnavailable == 0 || draining
+                    || countOtherUnavailable(*entry, id, now) < step.maxUnavailable;
+                const bool mustStop = drainRequested && !withinTimeout;
+                if (mayStop && (mustStop || hasDestination(*entry, id))) {
                     stop(id, *task, now, "upstream is being drained");
                 }
             } else if (drainRequested && !withinTimeout) {
@@ -679,6 +681,40 @@
     }
 }
 
+bool PoolScheduler::hasDestination(const JobEntry& entry, const TaskId& id) const
+{
+    const auto& step = entry.job.steps[id.position.step];
+    const auto& tasks = entry.open.at(id.position.occurrence).steps[id.position.step].tasks;
+    auto unplaced = tasks.waitingCount();
+    tasks.forEachHeld(
+        [&](std::uint32_t, const Task& task) { unplaced += task.phase == Phase::Stopping ? 1 : 0; });
+    std::size_t places = 0;
+    for (const auto& [other, upstream] : this->upstreams) {
+        if (!mayHost(other, upstream, step)) {
+            continue;
+        }
+        if (step.maxPerUpstream == 0) {
+            return true;
+        }
+        const auto count = countOfStep(upstream, { id.job, id.position.occurrence, id.position.step });
+        places += step.maxPerUpstream - std::min(count, step.maxPerUpstream);
+    }
+    return places > unplaced;
+}
+
+bool PoolScheduler::mayHost(const UpstreamId& id, const Upstream& upstream, const jobs::Step& step) const
+{
+    if (!upstream.facts || !upstream.member || !upstream.listed || upstream.facts->draining
+        || this->drains.contains(id)) {
+        return false;
+    }
+    const auto& capacity = upstream.facts->capacity;
+    const auto& labels = upstream.facts->labels;
+    return internal::requiredCpu(step) <= capacity.cpu && step.resources.memory <= capacity.memory
+        && step.resources.accelerators <= capacity.accelerators
+        && (step.label.empty() || std::ranges::find(labels, step.label) != labels.end());
+}
+
 bool PoolScheduler::isUnavailable(const Task& task, Moment now) const
 {
     if (task.phase != Phase::Running || task.percent < 100) {
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -168,6 +168,10 @@
     void markChanged(const jobs::JobId& job, bool isUrgent);
     void checkStalls(Moment now);
     void drainUpstreams(Moment now);
+    /** @return Whether another upstream may run a task of a long-running step besides those of the step that
+     * wait or are being stopped, once it has free resources. */
+    bool hasDestination(const JobEntry& entry, const jobs::TaskId& id) const;
+    bool mayHost(const UpstreamId& id, const Upstream& upstream, const jobs::Step& step) const;
     void adjustPace(Upstream& upstream, Moment now);
 
     /** @brief A step with tasks to start. */
@@ -175,6 +179,8 @@
         JobEntry* entry;
         std::uint32_t occurrence;
         std::uint32_t step;
+
+        StepId id() const { return { this->entry->job.id, this->occurrence, this->step }; }
     };
 
     void markDirty(const jobs::JobId& job, std::uint32_t occurrence)
@@ -209,7 +215,7 @@
     bool isSchedulable(const UpstreamId& id, const Upstream& upstream, Moment now) const;
     /** @return Expected time until its tasks have ended, or nothing if it exceeds the limit for a release. */
     std::optional<kernel::Duration> timeToDrain(const Upstream& upstream, Moment now) const;
-    std::uint32_t countOfStep(const Upstream& upstream, const ReadyStep& ready) const;
+    static std::uint32_t countOfStep(const Upstream& upstream, const StepId& step);
     bool arePredecessorsDone(const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step) const;
     bool isStepReady(const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step, Moment now) const;
     bool isUnavailable(const Task& task, Moment now) const;
--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -182,6 +182,56 @@
     BOOST_TEST(fixture.starts.size() == 1);
 }
 
+/** A long-running step of two tasks, one on each of two upstreams, and the stops of a drain of one. */
+struct DestinationRow {
+    const char* title;
+    const std::uint32_t maxPerUpstream;
+    const bool hasThirdUpstream;
+    const bool stopsTasks;
+    const std::size_t stopsAtOnce;
+    const std::size_t stopsAfterTimeout;
+
+    friend std::ostream& operator<<(std::ostream& out, const DestinationRow& row) { return out << row.title; }
+};
+
+const std::vector<DestinationRow> destinationRows {
+    { "another upstream takes it", 1, true, false, 1, 1 },
+    { "the other upstream takes it", 2, false, false, 1, 1 },
+    { "no upstream takes it", 1, false, false, 0, 0 },
+    { "no upstream takes it before maintenance", 1, false, true, 0, 1 },
+};
+
+/** Guards against a drain that stops a long-running task which no other upstream may run. */
+BOOST_DATA_TEST_CASE(drain_stops_tasks_that_another_upstream_may_run, data::make(destinationRows), row)
+{
+    SchedulerFixture fixture { { makeUpstream("u1"), makeUpstream("u2") } };
+    const jobs::Step step {
+        .count = 2, .resources = { 1000, 100, 0 }, .maxPerUpstream = row.maxPerUpstream, .longRunning = true
+    };
+    fixture.apply(JobAdded { makeJob("j", { step }) }, 10);
+    BOOST_REQUIRE_EQUAL(fixture.starts.size(), 2);
+    if (row.hasThirdUpstream) {
+        fixture.apply(MembersListed { { makeUpstream("u1"), makeUpstream("u2"), makeUpstream("u3") } }, 20);
+        fixture.applyTaskList("u3", {}, {}, 30);
+    }
+    const auto list = [&](std::int64_t time) {
+        for (const auto& start : fixture.starts) {
+            fixture.applyTaskList(start.upstream.text(), { { start.task, start.run, "", 100 } }, {}, time);
+        }
+    };
+    list(100);
+    fixture.apply(DrainsChanged { { { UpstreamId { "u1" }, row.stopsTasks } } }, 200);
+    BOOST_TEST(fixture.stops.size() == row.stopsAtOnce);
+    if (!fixture.stops.empty()) {
+        const auto stop = fixture.stops.front();
+        fixture.apply(StopAnswered { stop.upstream, stop.task, stop.run, true }, 300);
+    }
+    const auto timeout = 200 + Policy {}.drainTimeout.milliseconds;
+    list(timeout);
+    fixture.apply(Tick {}, timeout);
+    BOOST_TEST(fixture.stops.size() == row.stopsAfterTimeout);
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
