Await runs that an unnoticed incarnation of an upstream started

What callers see: two runs of a task at once, or more tasks on an upstream than fit, after the upstream restarted under its id while its owner was paused or behind. cause: when a list showed a new incarnation, all confirmed runs were taken for those of the earlier one.

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -326,7 +326,7 @@
     auto& upstream = this->upstreams[event.upstream];
     if (upstream.born != event.born) {
         if (upstream.born != kernel::Instant {}) {
-            releaseAll(event.upstream, now, true);
+            releaseRestarted(event, now);
         }
         upstream.born = event.born;
         upstream.lastEndNumber = 0;
@@ -491,9 +491,7 @@
             const auto rejected
                 = task->started + this->policy.startAnswerTimeout + this->policy.maxLeaseDuration;
             if ((task->stopAnswered && *task->stopAnswered <= event.sent) || rejected < event.sent) {
-                detach(id, *task);
-                requeue(id, *task, now);
-                eraseIfEnded(id.job);
+                release(id, *task, now);
             }
         }
     }
@@ -552,7 +550,7 @@
 
 void PoolScheduler::on(const UpstreamReplaced& event, Moment now)
 {
-    releaseAll(event.upstream, now, false);
+    releaseAll(event.upstream, now);
     eraseUpstream(event.upstream);
     markReconciled(event.upstream);
     this->schedulingNeeded = true;
@@ -598,7 +596,7 @@
         }
     }
     for (const auto& id : lapsed) {
-        releaseAll(id, now, false);
+        releaseAll(id, now);
     }
     checkStalls(now);
     drainUpstreams(now);
@@ -897,7 +895,7 @@
     this->orders.push_back(StopTask { upstream, id, run, std::string { reason } });
 }
 
-void PoolScheduler::releaseAll(const UpstreamId& id, Moment now, bool restarted)
+void PoolScheduler::releaseAll(const UpstreamId& id, Moment now)
 {
     const auto found = this->upstreams.find(id);
     if (found == this->upstreams.end()) {
@@ -905,19 +903,35 @@
     }
     const auto tasks = found->second.tasks;
     for (const auto& taskId : tasks) {
-        const auto [entry, task] = find(taskId);
-        if (restarted
-            && (task->phase == Phase::Starting || (task->phase == Phase::Stopping && !task->stopAnswered))) {
+        release(taskId, *find(taskId).second, now);
+    }
+}
+
+void PoolScheduler::releaseRestarted(const TasksListed& event, Moment now)
+{
+    const auto tasks = this->upstreams[event.upstream].tasks;
+    for (const auto& id : tasks) {
+        auto& task = *find(id).second;
+        if (task.phase == Phase::Starting || (task.phase == Phase::Stopping && !task.stopAnswered)) {
             // The new incarnation may still carry out a delayed start until it has answered a stop.
-            stop(taskId, *task, now, "start on an earlier incarnation was not answered");
+            stop(id, task, now, "start on an earlier incarnation was not answered");
             continue;
         }
-        detach(taskId, *task);
-        requeue(taskId, *task, now);
-        eraseIfEnded(taskId.job);
+        // The new incarnation may have given a later answer; the next list shows whether the task runs there.
+        const auto answered = task.phase == Phase::Running ? task.confirmed : *task.stopAnswered;
+        if (answered <= event.sent) {
+            release(id, task, now);
+        }
     }
 }
 
+void PoolScheduler::release(const TaskId& id, Task& task, Moment now)
+{
+    detach(id, task);
+    requeue(id, task, now);
+    eraseIfEnded(id.job);
+}
+
 void PoolScheduler::eraseIfEnded(const jobs::JobId& job)
 {
     const auto found = this->jobEntries.find(job);
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -143,7 +143,10 @@
     void resolveUnlisted(const TasksListed& event, Moment now);
     /** @brief Marks upstreams without a recent list as unresponsive. */
     void checkTaskLists(Moment now);
-    void releaseAll(const UpstreamId& id, Moment now, bool restarted);
+    void releaseAll(const UpstreamId& id, Moment now);
+    /** @brief Releases the tasks of the earlier incarnation of an upstream that has restarted. */
+    void releaseRestarted(const TasksListed& event, Moment now);
+    void release(const jobs::TaskId& id, Task& task, Moment now);
     void resolveTasks();
     void markReconciled(const UpstreamId& id);
     void eraseIfEnded(const jobs::JobId& job);
--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -48,6 +48,27 @@
     BOOST_TEST(fixture.starts.size() == 1 + row.stops);
 }
 
+/** Guards against a second run of a task whose start was answered by an incarnation of its upstream that had
+ * not listed its tasks yet. */
+BOOST_DATA_TEST_CASE(run_on_an_unnoticed_incarnation_goes_on, data::make({ true, false }), runs)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = fixture.starts.front();
+    fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Started }, 100);
+    fixture.apply(TasksListed { first.upstream, { 2 }, { 50 }, {}, {} }, 110);
+    BOOST_TEST(fixture.starts.size() == 1);
+    std::vector<RunningTask> running;
+    if (runs) {
+        running.push_back({ first.task, first.run, "", 10 });
+    }
+    fixture.apply(TasksListed { first.upstream, { 2 }, { 200 }, running, {} }, 210);
+    BOOST_TEST(fixture.stops.size() == (runs ? 0 : 1));
+    fixture.apply(StopAnswered { first.upstream, first.task, first.run, true }, 300);
+    fixture.apply(TasksListed { first.upstream, { 2 }, { 400 }, running, {} }, 410);
+    BOOST_TEST(fixture.starts.size() == (runs ? 1 : 2));
+}
+
 /** Guards against a start that is never answered and occupies its upstream forever. */
 BOOST_DATA_TEST_CASE(start_without_any_answer_is_resolved, data::make({ true, false }), listsTasks)
 {
