--- a/src/wasabiroad/scheduling/policy.hpp
+++ b/src/wasabiroad/scheduling/policy.hpp
@@ -14,6 +14,12 @@
     /** @brief Tasks of an upstream whose latest list is older count as unavailable: their lease may expire
      * soon. */
     const kernel::Duration taskListMaxAge { 2000 };
+    /** @brief An upstream whose latest list is older counts as unresponsive; exceeds the longest wait for a
+     * list. */
+    const kernel::Duration taskListTimeout { 6000 };
+    /** @brief A start that was neither answered nor listed by this time after its order counts as
+     * unanswered. */
+    const kernel::Duration startAnswerTimeout { 3000 };
     /** @brief Tasks of a previous owner that no upstream has listed by this time after the takeover are
      * considered lost. */
     const kernel::Duration takeoverTimeout { 11000 };
@@ -26,6 +32,9 @@
     /** @brief Time for which a suspect upstream gets no new tasks; doubled each time it becomes suspect
      * again, up to a limit. */
     const kernel::Duration suspectDuration { 2000 };
+    /** @brief Percentage of the members that may be suspect at once; when more fail tasks or reject starts,
+     * upstreams are rarely the cause, and the others get tasks after Policy::refusalRetryDelay. */
+    const std::size_t maxSuspectPercent { 50 };
     /** @brief Delay before the start of a task is retried after a start that failed. */
     const kernel::Duration refusalRetryDelay { 200 };
     /** @brief Interval at which an unanswered stop order is repeated. */
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "wasabiroad/kernel/overloaded.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace wasabiroad::scheduling {
 
@@ -20,6 +21,10 @@
  * must not. */
 constexpr std::size_t failedJobsLimit = 2;
 
+/** Stands for the next occurrence in the times at which steps have to be indexed again, apart from the steps
+ * of an occurrence that is open before its time. */
+constexpr std::uint32_t openingStep = std::numeric_limits<std::uint32_t>::max();
+
 bool isActive(const internal::Task& task)
 {
     return task.phase == Phase::Starting || task.phase == Phase::Running || task.phase == Phase::Stopping;
@@ -195,7 +200,7 @@
             const auto begin = internal::beginOf(entry.job, next);
             if (begin > now.wall) {
                 entry.nextDue = begin;
-                this->wallWakes.emplace(begin, StepId { entry.job.id, next, 0 });
+                this->wallWakes.emplace(begin, StepId { entry.job.id, next, openingStep });
                 return;
             }
             // It is opened once the tasks of another occurrence have started.
@@ -215,7 +220,7 @@
 void PoolScheduler::cancelOpening(JobEntry& entry)
 {
     if (entry.nextDue) {
-        this->wallWakes.erase({ *entry.nextDue, StepId { entry.job.id, entry.nextOccurrence, 0 } });
+        this->wallWakes.erase({ *entry.nextDue, StepId { entry.job.id, entry.nextOccurrence, openingStep } });
         entry.nextDue.reset();
     }
 }
@@ -321,7 +326,7 @@
     auto& upstream = this->upstreams[event.upstream];
     if (upstream.born != event.born) {
         if (upstream.born != kernel::Instant {}) {
-            releaseAll(event.upstream, now, true);
+            releaseRestarted(event, now);
         }
         upstream.born = event.born;
         upstream.lastEndNumber = 0;
@@ -343,7 +348,7 @@
     }
     adjustPace(upstream, now);
     if (!event.moreEnds) {
-        releaseStopped(event, now);
+        resolveUnlisted(event, now);
         markReconciled(event.upstream);
     }
     this->schedulingNeeded = true;
@@ -436,6 +441,7 @@
         task->run = running.run;
         task->unresolved = false;
         task->started = now.steady;
+        task->confirmed = now.steady;
         task->resumed = true;
         task->lastProgress = now.steady;
         task->percent = running.percent;
@@ -449,6 +455,7 @@
         && !task->stopAnswered && !task->done && !jobs::isFinal(entry->state);
     if (task->phase == Phase::Starting || wasCarriedOut) {
         setPhase(*task, Phase::Running);
+        task->confirmed = now.steady;
         task->lastProgress = now.steady;
     }
     if (running.percent != task->percent) {
@@ -462,7 +469,7 @@
     markRunning(*entry);
 }
 
-void PoolScheduler::releaseStopped(const TasksListed& event, Moment now)
+void PoolScheduler::resolveUnlisted(const TasksListed& event, Moment now)
 {
     std::set<TaskId> present;
     for (const auto& running : event.running) {
@@ -471,11 +478,21 @@
     const auto tasks = this->upstreams[event.upstream].tasks;
     for (const auto& id : tasks) {
         const auto [entry, task] = find(id);
-        if (task != nullptr && task->phase == Phase::Stopping && task->stopAnswered
-            && *task->stopAnswered <= event.sent && !present.contains(id)) {
-            detach(id, *task);
-            requeue(id, *task, now);
-            eraseIfEnded(id.job);
+        if (task == nullptr || present.contains(id)) {
+            continue;
+        }
+        if (task->phase == Phase::Running && task->confirmed <= event.sent) {
+            stop(id, *task, now, "run is not listed any more");
+        } else if (task->phase == Phase::Starting
+            && event.sent - task->started > this->policy.startAnswerTimeout) {
+            stopUnanswered(id, *task, now);
+        } else if (task->phase == Phase::Stopping) {
+            // By then the lease in the start order has expired, so the upstream rejects the order.
+            const auto rejected
+                = task->started + this->policy.startAnswerTimeout + this->policy.maxLeaseDuration;
+            if ((task->stopAnswered && *task->stopAnswered <= event.sent) || rejected < event.sent) {
+                release(id, *task, now);
+            }
         }
     }
 }
@@ -489,14 +506,14 @@
     switch (event.result) {
     case StartResult::Started:
         setPhase(*task, Phase::Running);
+        task->confirmed = now.steady;
         task->lastProgress = now.steady;
         markRunning(*entry);
         return;
     case StartResult::Unknown:
         this->upstreams[event.upstream].suspectUntil = now.steady + this->policy.refusalRetryDelay;
         markDirty(event.upstream);
-        stop(event.task, *task, now, "start was not answered");
-        task->stopsUnansweredStart = true;
+        stopUnanswered(event.task, *task, now);
         return;
     case StartResult::NoRoom:
     case StartResult::Refused:
@@ -533,7 +550,7 @@
 
 void PoolScheduler::on(const UpstreamReplaced& event, Moment now)
 {
-    releaseAll(event.upstream, now, false);
+    releaseAll(event.upstream, now);
     eraseUpstream(event.upstream);
     markReconciled(event.upstream);
     this->schedulingNeeded = true;
@@ -561,6 +578,7 @@
 
 void PoolScheduler::on(const Tick&, Moment now)
 {
+    checkTaskLists(now);
     // An upstream that answers has ends that it has not listed yet.
     const auto expired = std::erase_if(this->unreconciled, [&](const auto& entry) {
         const auto upstream = this->upstreams.find(entry.first);
@@ -578,13 +596,27 @@
         }
     }
     for (const auto& id : lapsed) {
-        releaseAll(id, now, false);
+        releaseAll(id, now);
     }
     checkStalls(now);
     drainUpstreams(now);
     this->schedulingNeeded = true;
 }
 
+void PoolScheduler::checkTaskLists(Moment now)
+{
+    for (auto& [id, upstream] : this->upstreams) {
+        // Without tasks, the first start that gets no answer shows that it is unresponsive.
+        if (upstream.listed && !upstream.tasks.empty()
+            && now.steady - upstream.listedAt > this->policy.taskListTimeout) {
+            upstream.listed = false;
+            // A call without an answer may have renewed the lease until now.
+            upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.maxLeaseDuration);
+            markDirty(id);
+        }
+    }
+}
+
 void PoolScheduler::checkStalls(Moment now)
 {
     for (auto& [upstreamId, upstream] : this->upstreams) {
@@ -634,8 +666,10 @@
             }
             const auto& step = stepOf(id);
             if (step.longRunning) {
-                if (step.maxUnavailable == 0 || draining
-                    || countOtherUnavailable(*entry, id, now) < step.maxUnavailable) {
+                const bool mayStop = step.maxUnavailable == 0 || draining
+                    || countOtherUnavailable(*entry, id, now) < step.maxUnavailable;
+                const bool mustStop = drainRequested && !withinTimeout;
+                if (mayStop && (mustStop || hasDestination(*entry, id))) {
                     stop(id, *task, now, "upstream is being drained");
                 }
             } else if (drainRequested && !withinTimeout) {
@@ -645,6 +679,40 @@
     }
 }
 
+bool PoolScheduler::hasDestination(const JobEntry& entry, const TaskId& id) const
+{
+    const auto& step = entry.job.steps[id.position.step];
+    const auto& tasks = entry.open.at(id.position.occurrence).steps[id.position.step].tasks;
+    auto unplaced = tasks.waitingCount();
+    tasks.forEachHeld(
+        [&](std::uint32_t, const Task& task) { unplaced += task.phase == Phase::Stopping ? 1 : 0; });
+    std::size_t places = 0;
+    for (const auto& [other, upstream] : this->upstreams) {
+        if (!mayHost(other, upstream, step)) {
+            continue;
+        }
+        if (step.maxPerUpstream == 0) {
+            return true;
+        }
+        const auto count = countOfStep(upstream, { id.job, id.position.occurrence, id.position.step });
+        places += step.maxPerUpstream - std::min(count, step.maxPerUpstream);
+    }
+    return places > unplaced;
+}
+
+bool PoolScheduler::mayHost(const UpstreamId& id, const Upstream& upstream, const jobs::Step& step) const
+{
+    if (!upstream.facts || !upstream.member || !upstream.listed || upstream.facts->draining
+        || this->drains.contains(id)) {
+        return false;
+    }
+    const auto& capacity = upstream.facts->capacity;
+    const auto& labels = upstream.facts->labels;
+    return internal::requiredCpu(step) <= capacity.cpu && step.resources.memory <= capacity.memory
+        && step.resources.accelerators <= capacity.accelerators
+        && (step.label.empty() || std::ranges::find(labels, step.label) != labels.end());
+}
+
 bool PoolScheduler::isUnavailable(const Task& task, Moment now) const
 {
     if (task.phase != Phase::Running || task.percent < 100) {
@@ -720,6 +788,12 @@
     if (upstream.suspectUntil > now.steady) {
         return;
     }
+    if (!admitsSuspect(now)) {
+        upstream.suspectUntil = now.steady + this->policy.refusalRetryDelay;
+        upstream.failedJobs.clear();
+        markDirty(id);
+        return;
+    }
     const auto doublings = std::min(upstream.suspectCount, maxDoublings);
     upstream.suspectUntil = now.steady + this->policy.suspectDuration * (std::int64_t { 1 } << doublings);
     ++upstream.suspectCount;
@@ -727,6 +801,17 @@
     markDirty(id);
 }
 
+bool PoolScheduler::admitsSuspect(Moment now) const
+{
+    std::size_t members = 0;
+    std::size_t suspects = 0;
+    for (const auto& [id, upstream] : this->upstreams) {
+        members += upstream.member ? 1 : 0;
+        suspects += upstream.member && upstream.suspectUntil > now.steady ? 1 : 0;
+    }
+    return (suspects + 1) * 100 <= members * this->policy.maxSuspectPercent;
+}
+
 void PoolScheduler::setPhase(Task& task, Phase phase)
 {
     const auto upstream = this->upstreams.find(task.upstream);
@@ -798,13 +883,19 @@
     this->orders.push_back(StopTask { task.upstream, id, task.run, std::string { reason } });
 }
 
+void PoolScheduler::stopUnanswered(const TaskId& id, Task& task, Moment now)
+{
+    stop(id, task, now, "start was not answered");
+    task.stopsUnansweredStart = true;
+}
+
 void PoolScheduler::stopUnexpected(
     const UpstreamId& upstream, const TaskId& id, jobs::Run run, std::string_view reason)
 {
     this->orders.push_back(StopTask { upstream, id, run, std::string { reason } });
 }
 
-void PoolScheduler::releaseAll(const UpstreamId& id, Moment now, bool restarted)
+void PoolScheduler::releaseAll(const UpstreamId& id, Moment now)
 {
     const auto found = this->upstreams.find(id);
     if (found == this->upstreams.end()) {
@@ -812,19 +903,35 @@
     }
     const auto tasks = found->second.tasks;
     for (const auto& taskId : tasks) {
-        const auto [entry, task] = find(taskId);
-        if (restarted
-            && (task->phase == Phase::Starting || (task->phase == Phase::Stopping && !task->stopAnswered))) {
+        release(taskId, *find(taskId).second, now);
+    }
+}
+
+void PoolScheduler::releaseRestarted(const TasksListed& event, Moment now)
+{
+    const auto tasks = this->upstreams[event.upstream].tasks;
+    for (const auto& id : tasks) {
+        auto& task = *find(id).second;
+        if (task.phase == Phase::Starting || (task.phase == Phase::Stopping && !task.stopAnswered)) {
             // The new incarnation may still carry out a delayed start until it has answered a stop.
-            stop(taskId, *task, now, "start on an earlier incarnation was not answered");
+            stop(id, task, now, "start on an earlier incarnation was not answered");
             continue;
         }
-        detach(taskId, *task);
-        requeue(taskId, *task, now);
-        eraseIfEnded(taskId.job);
+        // The new incarnation may have given a later answer; the next list shows whether the task runs there.
+        const auto answered = task.phase == Phase::Running ? task.confirmed : *task.stopAnswered;
+        if (answered <= event.sent) {
+            release(id, task, now);
+        }
     }
 }
 
+void PoolScheduler::release(const TaskId& id, Task& task, Moment now)
+{
+    detach(id, task);
+    requeue(id, task, now);
+    eraseIfEnded(id.job);
+}
+
 void PoolScheduler::eraseIfEnded(const jobs::JobId& job)
 {
     const auto found = this->jobEntries.find(job);
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -139,8 +139,14 @@
     void closeIfCompleted(JobEntry& entry, std::uint32_t number);
     void applyEnd(const UpstreamId& id, const EndedTask& end, Moment now);
     void applyRunning(const UpstreamId& id, const RunningTask& running, Moment now);
-    void releaseStopped(const TasksListed& event, Moment now);
-    void releaseAll(const UpstreamId& id, Moment now, bool restarted);
+    /** @brief Resolves tasks of an upstream that a complete list does not contain. */
+    void resolveUnlisted(const TasksListed& event, Moment now);
+    /** @brief Marks upstreams without a recent list as unresponsive. */
+    void checkTaskLists(Moment now);
+    void releaseAll(const UpstreamId& id, Moment now);
+    /** @brief Releases the tasks of the earlier incarnation of an upstream that has restarted. */
+    void releaseRestarted(const TasksListed& event, Moment now);
+    void release(const jobs::TaskId& id, Task& task, Moment now);
     void resolveTasks();
     void markReconciled(const UpstreamId& id);
     void eraseIfEnded(const jobs::JobId& job);
@@ -150,17 +156,25 @@
     void taskDone(JobEntry& entry, const jobs::TaskId& id, Task& task, Moment now);
     void taskFailed(JobEntry& entry, const jobs::TaskId& id, Task& task, const UpstreamId& where, Moment now);
     void markSuspect(const UpstreamId& id, Moment now);
+    /** @return Whether one more member may be suspect. */
+    bool admitsSuspect(Moment now) const;
     void setPhase(Task& task, internal::Phase phase);
     void requeue(const jobs::TaskId& id, Task& task, Moment now);
     void markRunning(JobEntry& entry);
     void attach(const jobs::TaskId& id, const Task& task);
     void detach(const jobs::TaskId& id, Task& task);
     void stop(const jobs::TaskId& id, Task& task, Moment now, std::string_view reason);
+    /** @brief Stops a run whose start was not answered and may still be carried out. */
+    void stopUnanswered(const jobs::TaskId& id, Task& task, Moment now);
     void stopUnexpected(
         const UpstreamId& upstream, const jobs::TaskId& id, jobs::Run run, std::string_view reason);
     void markChanged(const jobs::JobId& job, bool isUrgent);
     void checkStalls(Moment now);
     void drainUpstreams(Moment now);
+    /** @return Whether another upstream may run a task of a long-running step besides those of the step that
+     * wait or are being stopped, once it has free resources. */
+    bool hasDestination(const JobEntry& entry, const jobs::TaskId& id) const;
+    bool mayHost(const UpstreamId& id, const Upstream& upstream, const jobs::Step& step) const;
     void adjustPace(Upstream& upstream, Moment now);
 
     /** @brief A step with tasks to start. */
@@ -168,6 +182,8 @@
         JobEntry* entry;
         std::uint32_t occurrence;
         std::uint32_t step;
+
+        StepId id() const { return { this->entry->job.id, this->occurrence, this->step }; }
     };
 
     void markDirty(const jobs::JobId& job, std::uint32_t occurrence)
@@ -202,7 +218,7 @@
     bool isSchedulable(const UpstreamId& id, const Upstream& upstream, Moment now) const;
     /** @return Expected time until its tasks have ended, or nothing if it exceeds the limit for a release. */
     std::optional<kernel::Duration> timeToDrain(const Upstream& upstream, Moment now) const;
-    std::uint32_t countOfStep(const Upstream& upstream, const ReadyStep& ready) const;
+    static std::uint32_t countOfStep(const Upstream& upstream, const StepId& step);
     bool arePredecessorsDone(const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step) const;
     bool isStepReady(const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step, Moment now) const;
     bool isUnavailable(const Task& task, Moment now) const;
