--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -370,4 +370,14 @@
     return count;
 }
 
+std::size_t Workers::runningOf(const jobs::JobId& job) const
+{
+    std::size_t count = 0;
+    for (const auto& worker : this->workers) {
+        count += static_cast<std::size_t>(
+            std::ranges::count_if(worker.running, [&](const auto& entry) { return entry.first.job == job; }));
+    }
+    return count;
+}
+
 } // namespace wasabiroad::standin
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -77,6 +77,9 @@
     /** @return Tasks that run now. */
     std::size_t runningCount() const;
 
+    /** @return Tasks of a job that run now. */
+    std::size_t runningOf(const jobs::JobId& job) const;
+
     /** @return The upstream that runs the most tasks. */
     scheduling::UpstreamId busiest() const;
 
