End stale drains and overdue moves while VMs cannot be listed

callers saw: jobs that wait for upstreams which are drained for nothing, until the VM service answers. cause: moves expired, and drains without a move or a wave were removed, only after a list of VMs. change: both also follow a list that fails; the move's time limit has a step of its own. before: drains_of_a_previous_owner_are_removed, row "VMs cannot be listed": check site.reaches("a", jobs::JobState::Completed) has failed (after 30 s) after: the row passes.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -193,6 +193,9 @@
             }
             if (!facts) {
                 kernel::logEvent("vms-not-listed", { { "code", number(facts.error().code) } });
+                // A drain withholds capacity, so its end does not depend on the list.
+                self->expireMoves();
+                self->removeStaleDrains();
                 return;
             }
             self->onVms(*facts);
@@ -322,6 +325,7 @@
         byName[vm.vm] = &vm;
     }
     updateMoves(byName);
+    expireMoves();
     removeStaleDrains();
     for (auto& [number, wave] : this->waves) {
         if (wave.loaded && !wave.completed) {
@@ -572,8 +576,7 @@
         const auto found = facts.find(name);
         const bool arrived = move.accepted && found != facts.end() && found->second->pool == move.order.to
             && found->second->condition == ports::VmCondition::Up;
-        const bool lost = found == facts.end() || kernel::bootNow() - move.stateChangedAt > moveTimeout;
-        if (!move.orderInFlight && (arrived || lost)) {
+        if (!move.orderInFlight && (arrived || found == facts.end())) {
             ended.push_back(name);
         }
     }
@@ -582,6 +585,20 @@
     }
 }
 
+void FleetAgent::expireMoves()
+{
+    std::vector<model::VmId> expired;
+    for (const auto& [name, move] : this->moves) {
+        if (!move.orderInFlight && kernel::bootNow() - move.stateChangedAt > moveTimeout) {
+            expired.push_back(name);
+        }
+    }
+    for (const auto& name : expired) {
+        kernel::logEvent("vm-move-expired", { { "vm", name.text() } });
+        endMove(name);
+    }
+}
+
 void FleetAgent::readReports(const std::vector<ports::VmFacts>& facts)
 {
     if (this->sparePools.empty() || this->readingReports) {
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -124,6 +124,8 @@
         const store::Listing& reports, const std::vector<scheduling::MovableVm>& vms);
     std::vector<scheduling::MovableVm> movableVms(const std::vector<ports::VmFacts>& facts) const;
     void updateMoves(const std::map<model::VmId, const ports::VmFacts*>& facts);
+    /** Ends the moves that have taken longer than `moveTimeout`, and their drains. */
+    void expireMoves();
     void beginMove(const scheduling::VmMove& order);
     void queueMove(const model::VmId& vm);
     void retryMoves();
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -113,10 +113,24 @@
     BOOST_TEST(site.workers.maintained().size() == vms.size());
 }
 
+/** Whether VMs can be listed while drains are stale. */
+struct DrainRow {
+    const char* title;
+    const bool failsToListVms;
+
+    friend std::ostream& operator<<(std::ostream& out, const DrainRow& row) { return out << row.title; }
+};
+
+const std::vector<DrainRow> drainRows {
+    { "VMs are listed", false },
+    { "VMs cannot be listed", true },
+};
+
 /** Guards against upstreams that get no more tasks after the daemon that drained them is gone. */
-BOOST_AUTO_TEST_CASE(drains_of_a_previous_owner_are_removed)
+BOOST_DATA_TEST_CASE(drains_of_a_previous_owner_are_removed, data::make(drainRows), row)
 {
     Site site { 1, 2 };
+    site.failsToListVms = row.failsToListVms;
     BOOST_REQUIRE(site.waitForOwner());
     for (const auto& vm : site.workers.vms()) {
         site.store.put(
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -195,6 +195,8 @@
     std::map<model::VmId, kernel::Duration> lateMaintenance {};
     std::uint64_t lateTerm { 0 };
     kernel::Instant lateUntil {};
+    /** @brief VMs cannot be listed. */
+    bool failsToListVms { false };
     /** @brief Number of reads of the whole list of upstreams by all daemons. */
     std::size_t upstreamLists { 0 };
 
@@ -262,6 +264,12 @@
                 },
             .listVms =
                 [=, this](const store::Callback<kernel::Expected<std::vector<ports::VmFacts>>>& callback) {
+                    if (this->failsToListVms) {
+                        answer(callback,
+                            kernel::Expected<std::vector<ports::VmFacts>> { tl::unexpected(
+                                kernel::Error { kernel::ResultCode::PlatformTimeout, "vms", "no answer" }) });
+                        return;
+                    }
                     answer(callback, kernel::Expected<std::vector<ports::VmFacts>> { this->workers.vms() });
                 },
             .maintain =
