Request a drain again that is missing from the store

callers saw: a wave that never ends: its VM counts as draining, and its pool gives it tasks. cause: a removal of a drain without an answer can be carried out after the drain was requested anew. The owner of the pool then knows of no drain, and nothing requested it again. change: the search for stale drains also requests missing drains of waves again, and ends moves without their drain. before: lost_drain_is_requested_again: check site.runUntil([&] { ... status->value == "completed"; }) has failed (after 30 s) after: it passes.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -228,6 +228,7 @@
             [self = shared_from_this(), pool](const kernel::Expected<store::Listing>& drains) {
                 if (drains && !self->closed) {
                     self->removeStaleDrains(pool, *drains);
+                    self->restoreLostDrains(pool, *drains);
                 }
             });
     }
@@ -247,6 +248,36 @@
     }
 }
 
+void FleetAgent::restoreLostDrains(const model::ServiceId& pool, const store::Listing& drains)
+{
+    const auto isLost = [&](const model::VmId& vm, const std::optional<store::Revision>& drainRevision) {
+        return drainRevision && *drainRevision <= drains.asOf
+            && std::ranges::find(drains.entries, keys::drain(pool, vm), &store::Entry::key)
+            == drains.entries.end();
+    };
+    std::vector<model::VmId> ended;
+    for (const auto& [name, move] : this->moves) {
+        if (move.order.from == pool && !move.accepted && !move.orderInFlight
+            && isLost(name, move.drainRevision)) {
+            ended.push_back(name);
+        }
+    }
+    for (const auto& name : ended) {
+        kernel::logEvent("drain-lost", { { "vm", name.text() }, { "pool", pool.text() } });
+        endMove(name);
+    }
+    for (auto& [number, wave] : this->waves) {
+        for (auto& [name, vm] : wave.vms) {
+            if (vm.stage == WaveStage::Draining && vm.pool == pool && !vm.orderInFlight
+                && isLost(name, vm.drainRevision)) {
+                kernel::logEvent("drain-lost",
+                    { { "vm", name.text() }, { "pool", pool.text() }, { "wave", wave.request.number } });
+                requestDrain(wave, name, vm);
+            }
+        }
+    }
+}
+
 void FleetAgent::loadWave(std::uint64_t number)
 {
     this->waves.at(number).loading = true;
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -142,6 +142,8 @@
     /** Removes drains without a move or wave, left by a previous owner or by a failed removal. */
     void removeStaleDrains();
     void removeStaleDrains(const model::ServiceId& pool, const store::Listing& drains);
+    /** Requests the drains of waves again, and ends the moves, whose requests are missing from the store. */
+    void restoreLostDrains(const model::ServiceId& pool, const store::Listing& drains);
     void removeDrain(const model::ServiceId& pool, const model::VmId& vm);
     bool isDraining(const model::VmId& vm) const;
     void loadWave(std::uint64_t number);
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -142,6 +142,27 @@
     BOOST_TEST(site.store.list("pool/checks/drain/").entries.empty());
 }
 
+/** Guards against a wave that never ends because a late change has removed the drain of one of its VMs. */
+BOOST_AUTO_TEST_CASE(lost_drain_is_requested_again)
+{
+    Site site { 1, 4 };
+    BOOST_REQUIRE(site.waitForOwner());
+    site.submit(makeJob("a", 1500, 16));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 16; }));
+    site.waves.push_back({ model::WaveId { "1" }, 1, { model::VmId { "vm0" } }, { 20000 }, 1 });
+    const auto key = keys::drain(service, model::VmId { "vm0" });
+    BOOST_REQUIRE(site.runUntil([&] { return site.store.find(key).has_value(); }));
+    const auto store = site.store.connect(std::make_shared<standin::StoreFaults>());
+    site.await<store::ChangeOutcome>([&](auto callback) {
+        store.change({ {}, {}, { key } }, std::move(callback));
+    });
+    BOOST_TEST(site.runUntil([&] {
+        const auto status = site.store.find("status/1");
+        return status && status->value == "completed";
+    }));
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 /** Guards against tasks that end with their VM because a drain report from before their start is accepted. */
 BOOST_AUTO_TEST_CASE(drain_reports_of_earlier_drains_are_ignored)
 {
