Write the record that has waited longest with each change

callers saw: ends of tasks that are not acknowledged for as long as many jobs of a pool change, so upstreams keep them and list no later ones beyond their limit. cause: the jobs of a change were chosen in the order of their ids. While more jobs change than fit into a change, those with high ids are not written, and the ends of a batch are acknowledged only after all of its records are written. change: the oldest record comes first, then ended jobs, then others by age. before: no_record_waits_behind_later_ones, row "open jobs change all the time": check isWritten() has failed (the row "jobs end all the time" passed before, since an open job fits beside seven ended ones) after: both rows pass.

--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -6,6 +6,7 @@
 #include "wasabiroad/kernel/overloaded.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace wasabiroad::agent {
 
@@ -107,13 +108,22 @@
     std::vector<jobs::JobId> chosen;
     // One entry is the condition on the owner's term.
     auto remaining = store::changeLimit - 1;
-    for (const bool final : { true, false }) {
-        const auto entries = final ? entriesPerEndedJob : entriesPerOpenJob;
-        for (const auto& [job, entry] : this->pending) {
-            if (entries <= remaining && jobs::isFinal(entry.record->state) == final) {
-                chosen.push_back(job);
-                remaining -= entries;
-            }
+    const auto isEnded = [](const auto& entry) { return jobs::isFinal(entry->second.record->state); };
+    const auto age = [](const auto& entry) { return entry->second.firstUnwrittenBatch; };
+    std::vector<std::map<jobs::JobId, Pending>::const_iterator> order;
+    order.reserve(this->pending.size());
+    for (auto entry = this->pending.begin(); entry != this->pending.end(); ++entry) {
+        order.push_back(entry);
+    }
+    std::iter_swap(order.begin(), std::ranges::min_element(order, {}, age));
+    std::ranges::sort(order.begin() + 1, order.end(), {}, [&](const auto& entry) {
+        return std::pair { !isEnded(entry), age(entry) };
+    });
+    for (const auto& entry : order) {
+        const auto entries = isEnded(entry) ? entriesPerEndedJob : entriesPerOpenJob;
+        if (entries <= remaining) {
+            chosen.push_back(entry->first);
+            remaining -= entries;
         }
     }
     return chosen;
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -86,7 +86,10 @@
     void send();
     /** @return Condition that this writer's term is current, which each change requires. */
     store::Condition ownerCondition() const;
-    /** @return Jobs of the next change; ended jobs come first because their callers may be waiting. */
+    /**
+     * @return Jobs of the next change: the one that has waited longest, so that each is written even when the
+     * queue is never empty, then ended jobs, whose callers may be waiting, then others by age.
+     */
     std::vector<jobs::JobId> chooseJobs() const;
     store::Change makeChange(const std::vector<jobs::JobId>& jobs) const;
     void onOutcome(
--- a/test/wasabiroad/agent/record_writer.cpp
+++ b/test/wasabiroad/agent/record_writer.cpp
@@ -1,7 +1,10 @@
 #include "wasabiroad/agent/record_writer.hpp"
 
+#include "wasabiroad/agent/keys.hpp"
 #include "wasabiroad/agent/site.hpp"
 
+#include <utility>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
@@ -60,6 +63,67 @@
     BOOST_TEST(reported == row.batches.size());
 }
 
+/** States of jobs that change again with each write, and of a job that changes once. */
+struct BusyRow {
+    const char* title;
+    const jobs::JobState busyState;
+    const jobs::JobState state;
+
+    friend std::ostream& operator<<(std::ostream& out, const BusyRow& row) { return out << row.title; }
+};
+
+const std::vector<BusyRow> busyRows {
+    { "open jobs change all the time", jobs::JobState::Running, jobs::JobState::Running },
+    { "jobs end all the time", jobs::JobState::Completed, jobs::JobState::Running },
+};
+
+/** Guards against a record that waits for as long as other jobs of the pool change. */
+BOOST_DATA_TEST_CASE(no_record_waits_behind_later_ones, data::make(busyRows), row)
+{
+    constexpr int busyJobs = 40;
+    constexpr std::size_t writeLimit = 8;
+    boost::asio::io_context context { 1 };
+    std::vector<store::Change> written;
+    store::Callback<store::ChangeOutcome> answer;
+    const auto store = std::make_shared<const store::Store>(store::Store {
+        .read = {},
+        .list = {},
+        .watch = {},
+        .change =
+            [&](const store::Change& change, auto callback) {
+                written.push_back(change);
+                answer = std::move(callback);
+            },
+        .grant = {},
+        .renew = {},
+        .end = {},
+    });
+    const auto ignore = [](const jobs::JobId&) {};
+    const auto writer = std::make_shared<RecordWriter>(context, store, service, ports::Term { 5 },
+        RecordCallbacks { ignore, ignore, [] {}, [](std::uint64_t) {} });
+    const auto changeBusyJobs = [&] {
+        std::vector<scheduling::RecordChange> changes;
+        for (int number = 0; number < busyJobs; ++number) {
+            changes.push_back(
+                { jobs::JobId { "a" + std::to_string(number) }, jobs::Record { row.busyState } });
+        }
+        writer->write(changes);
+    };
+    const auto key = keys::record(service, jobs::JobId { "z" });
+    const auto isWritten = [&] {
+        return std::ranges::any_of(written, [&](const store::Change& change) {
+            return std::ranges::find(change.puts, key, &store::Put::key) != change.puts.end();
+        });
+    };
+    changeBusyJobs();
+    writer->write({ { jobs::JobId { "z" }, jobs::Record { row.state } } });
+    while (!isWritten() && written.size() < writeLimit) {
+        changeBusyJobs();
+        std::exchange(answer, {})(store::Committed { { 7 + written.size() } });
+    }
+    BOOST_TEST(isWritten());
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
