Create a record again that is missing from the store

callers saw: no record of the pool is written any more, and the store gets changes without a pause. cause: after a conflict the writer learned the revisions of the records in the answer only. A missing record has none, so the next change expected the same revision and met the same conflict, at once. change: a record that the answer lacks is expected not to exist, and a conflict that shows nothing new is followed by a pause. before: missing_record_is_created_again: check condition->revision.value == 0 has failed [9 != 0], check changes.size() == 2 has failed [3 != 2] after: it passes.

--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -156,15 +156,11 @@
         kernel::logEvent("records-not-written",
             { { "pool", this->service.text() }, { "code", number(error.code) }, { "reason", error.found },
                 { "waiting", this->pending.size() } });
-        this->inFlight = true;
-        kernel::callLater(this->context, retryInterval, [self = shared_from_this()] {
-            self->inFlight = false;
-            self->send();
-        });
+        retryLater();
     };
     std::visit(kernel::Overloaded {
                    [&](const store::Committed& committed) { onCommitted(chosen, batch, committed.revision); },
-                   [&](const store::Conflict& conflict) { onConflict(conflict); },
+                   [&](const store::Conflict& conflict) { onConflict(chosen, conflict); },
                    [&](const store::LeaseEnded&) { this->callbacks.onSuperseded(); },
                    [&](const store::NotDone& failed) { retry(failed.error); },
                    [&](const store::OutcomeUnknown& unknown) { retry(unknown.error); },
@@ -196,7 +192,16 @@
     }
 }
 
-void RecordWriter::onConflict(const store::Conflict& conflict)
+void RecordWriter::retryLater()
+{
+    this->inFlight = true;
+    kernel::callLater(this->context, retryInterval, [self = shared_from_this()] {
+        self->inFlight = false;
+        self->send();
+    });
+}
+
+void RecordWriter::onConflict(const std::vector<jobs::JobId>& chosen, const store::Conflict& conflict)
 {
     const auto ownerKey = keys::poolOwner(this->service);
     const auto prefix = keys::recordsOf(this->service);
@@ -207,6 +212,11 @@
         this->callbacks.onSuperseded();
         return;
     }
+    const auto known = this->revisions;
+    // A record that the answer does not contain is missing from the store.
+    for (const auto& job : chosen) {
+        this->revisions.erase(job);
+    }
     for (const auto& entry : conflict.current) {
         if (!entry.key.starts_with(prefix)) {
             continue;
@@ -220,7 +230,11 @@
             this->callbacks.onCancelled(job);
         }
     }
-    send();
+    if (this->revisions != known) {
+        send();
+    } else {
+        retryLater();
+    }
 }
 
 void RecordWriter::reportFlushed()
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -95,7 +95,9 @@
     void onOutcome(
         const std::vector<jobs::JobId>& jobs, std::uint64_t batch, const store::ChangeOutcome& outcome);
     void onCommitted(const std::vector<jobs::JobId>& jobs, std::uint64_t batch, store::Revision revision);
-    void onConflict(const store::Conflict& conflict);
+    void onConflict(const std::vector<jobs::JobId>& jobs, const store::Conflict& conflict);
+    /** @brief Sends the queued records after a pause. */
+    void retryLater();
     void reportFlushed();
 
     boost::asio::io_context& context;
--- a/test/wasabiroad/agent/record_writer.cpp
+++ b/test/wasabiroad/agent/record_writer.cpp
@@ -124,6 +124,46 @@
     BOOST_TEST(isWritten());
 }
 
+/** Guards against changes that repeat without a pause because a record that they expect is missing. */
+BOOST_AUTO_TEST_CASE(missing_record_is_created_again)
+{
+    boost::asio::io_context context { 1 };
+    std::vector<store::Change> changes;
+    std::vector<store::Callback<store::ChangeOutcome>> answers;
+    const auto store = std::make_shared<const store::Store>(store::Store {
+        .read = {},
+        .list = {},
+        .watch = {},
+        .change =
+            [&](const store::Change& change, auto callback) {
+                changes.push_back(change);
+                answers.push_back(std::move(callback));
+            },
+        .grant = {},
+        .renew = {},
+        .end = {},
+    });
+    const auto ignore = [](const jobs::JobId&) {};
+    const auto writer = std::make_shared<RecordWriter>(context, store, service, ports::Term { 5 },
+        RecordCallbacks { ignore, ignore, [] {}, [](std::uint64_t) {} });
+    const jobs::JobId job { "a" };
+    const store::Entry owner { keys::poolOwner(service), "entry-0#1", { 5 }, { 5 } };
+    writer->setRevision(job, { 9 });
+    writer->write({ { job, jobs::Record { jobs::JobState::Running } } });
+    BOOST_REQUIRE_EQUAL(changes.size(), 1);
+    answers[0](store::Conflict { { owner } });
+    BOOST_REQUIRE_EQUAL(changes.size(), 2);
+    const auto condition
+        = std::ranges::find(changes[1].conditions, keys::record(service, job), &store::Condition::key);
+    BOOST_REQUIRE((condition != changes[1].conditions.end()));
+    BOOST_TEST(condition->revision.value == 0);
+    // Nothing new is known after the same answer, so the next attempt comes later.
+    answers[1](store::Conflict { { owner } });
+    BOOST_TEST(changes.size() == 2);
+    context.run_for(std::chrono::milliseconds { 500 });
+    BOOST_TEST(changes.size() == 3);
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
