Call an upstream again after another one has answered for it

callers saw: an upstream that gets no tasks although it runs and its entry is right; with one upstream, a pool whose jobs wait for ever. cause: the owner of the pool dropped an upstream for which another one had answered until any entry of the directory changed. A late answer from an earlier address, or an address that is shared for a moment, is enough. change: such an upstream is not called for 1 s, and again afterwards while the directory lists it. before: misdirected_upstream_gets_tasks_again: check site.reaches("after", jobs::JobState::Completed) has failed (after 30 s) after: it passes.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -47,6 +47,9 @@
 constexpr Duration viewAgeLimit { 2000 };
 constexpr Duration retryInterval { 300 };
 
+/** Time for which an upstream is not called after another one has answered at its address. */
+constexpr Duration replacedPause { 1000 };
+
 /** Interval of updating the members in the scheduler and the record of used upstreams. */
 constexpr Duration membersUpdateInterval { 200 };
 
@@ -688,10 +691,12 @@
 void PoolAgent::applyMembers()
 {
     this->membersAppliedAt = kernel::bootNow();
+    std::erase_if(this->replacedAt, [&](const auto& entry) { return !isReplaced(entry.first); });
     startUpstreamAgents();
     std::vector<scheduling::UpstreamFacts> usable;
-    std::ranges::copy_if(this->members, std::back_inserter(usable),
-        [&](const auto& facts) { return this->recordedUpstreams.contains(facts.id.text()); });
+    std::ranges::copy_if(this->members, std::back_inserter(usable), [&](const auto& facts) {
+        return this->recordedUpstreams.contains(facts.id.text()) && !isReplaced(facts.id);
+    });
     apply(scheduling::MembersListed { std::move(usable) });
     if (const auto wanted = upstreamsInUse();
         (this->recordLimitsLeases || wanted != this->recordedUpstreams) && !this->writingRecordedUpstreams) {
@@ -810,6 +815,9 @@
 void PoolAgent::startUpstreamAgents()
 {
     for (const auto& facts : this->members) {
+        if (isReplaced(facts.id)) {
+            continue;
+        }
         const auto existing = this->upstreamAgents.find(facts.id);
         if (existing != this->upstreamAgents.end() && existing->second->facts().address == facts.address) {
             continue;
@@ -861,13 +869,17 @@
     agent->second->close();
     this->upstreamAgents.erase(agent);
     this->lastSeenEndNumbers.erase(id);
-    std::vector<scheduling::UpstreamFacts> others;
-    std::ranges::copy_if(
-        this->members, std::back_inserter(others), [&](const auto& facts) { return facts.id != id; });
-    this->members.swap(others);
+    // The directory may still list it and be right: a late answer can come from an earlier address.
+    this->replacedAt.insert_or_assign(id, kernel::bootNow());
     apply(scheduling::UpstreamReplaced { id });
 }
 
+bool PoolAgent::isReplaced(const UpstreamId& id) const
+{
+    const auto found = this->replacedAt.find(id);
+    return found != this->replacedAt.end() && kernel::bootNow() - found->second < replacedPause;
+}
+
 void PoolAgent::onSuperseded()
 {
     if (!this->closed) {
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -133,6 +133,8 @@
     void reportDrained();
     void onSuperseded();
     void onUpstreamReplaced(const scheduling::UpstreamId& id);
+    /** @return Whether another upstream has recently answered at the address of this one. */
+    bool isReplaced(const scheduling::UpstreamId& id) const;
     scheduling::Moment now() const;
     UpstreamCallbacks upstreamCallbacks();
 
@@ -144,6 +146,8 @@
     std::shared_ptr<RecordWriter> writer {};
     std::map<scheduling::UpstreamId, std::shared_ptr<UpstreamAgent>> upstreamAgents {};
     std::vector<scheduling::UpstreamFacts> members {};
+    /** @brief When another upstream last answered at the address of a member. */
+    std::map<scheduling::UpstreamId, kernel::Instant> replacedAt {};
     /** @brief Upstreams in the stored record; tasks start only on these, so that the next owner knows which
      * upstreams may run tasks. */
     std::set<std::string> recordedUpstreams {};
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -308,7 +308,7 @@
         const auto isCut = [workerFaults](const UpstreamId& id) { return workerFaults->cut.contains(id); };
         return std::make_shared<const ports::UpstreamLink>(ports::UpstreamLink {
             .look =
-                [this, isCut, id = facts.id](
+                [this, isCut, workerFaults, id = facts.id](
                     const ports::Look& wanted, const store::Callback<ports::LookOutcome>& callback) {
                     if (isCut(id)) {
                         kernel::callLater(this->context, silence, [callback] {
@@ -317,6 +317,11 @@
                         });
                         return;
                     }
+                    if (workerFaults->misdirected.contains(id)) {
+                        kernel::callLater(
+                            this->context, latency, [callback] { callback(ports::OtherUpstream {}); });
+                        return;
+                    }
                     kernel::callLater(this->context, latency, [this, id, wanted, callback] {
                         waitForEnd(id, wanted, now() + wanted.wait, callback);
                     });
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -20,6 +20,8 @@
 struct WorkerFaults {
     /** @brief Upstreams that do not answer this daemon. */
     std::set<scheduling::UpstreamId> cut {};
+    /** @brief Upstreams whose calls are answered by another upstream. */
+    std::set<scheduling::UpstreamId> misdirected {};
 };
 
 /**
--- a/test/wasabiroad/agent/jobs.cpp
+++ b/test/wasabiroad/agent/jobs.cpp
@@ -372,6 +372,23 @@
     BOOST_TEST(site.workers.startsOf(jobs::JobId { "a" }) == 2);
 }
 
+/** Guards against an upstream that gets no more tasks after another one has answered at its address once. */
+BOOST_AUTO_TEST_CASE(misdirected_upstream_gets_tasks_again)
+{
+    Site site { 1, 1 };
+    BOOST_REQUIRE(site.waitForOwner());
+    site.submit(makeJob("before", 50, 1));
+    BOOST_REQUIRE(site.reaches("before", jobs::JobState::Completed));
+    auto& misdirected = site.daemons[0]->workerFaults->misdirected;
+    misdirected.insert(site.workers.members().front().id);
+    // Longer than a poll.
+    site.runFor(2500);
+    misdirected.clear();
+    site.submit(makeJob("after", 50, 1));
+    BOOST_TEST(site.reaches("after", jobs::JobState::Completed));
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
