--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -193,6 +193,9 @@
             }
             if (!facts) {
                 kernel::logEvent("vms-not-listed", { { "code", number(facts.error().code) } });
+                // A drain withholds capacity, so its end does not depend on the list.
+                self->expireMoves();
+                self->removeStaleDrains();
                 return;
             }
             self->onVms(*facts);
@@ -225,6 +228,7 @@
             [self = shared_from_this(), pool](const kernel::Expected<store::Listing>& drains) {
                 if (drains && !self->closed) {
                     self->removeStaleDrains(pool, *drains);
+                    self->restoreLostDrains(pool, *drains);
                 }
             });
     }
@@ -244,6 +248,36 @@
     }
 }
 
+void FleetAgent::restoreLostDrains(const model::ServiceId& pool, const store::Listing& drains)
+{
+    const auto isLost = [&](const model::VmId& vm, const std::optional<store::Revision>& drainRevision) {
+        return drainRevision && *drainRevision <= drains.asOf
+            && std::ranges::find(drains.entries, keys::drain(pool, vm), &store::Entry::key)
+            == drains.entries.end();
+    };
+    std::vector<model::VmId> ended;
+    for (const auto& [name, move] : this->moves) {
+        if (move.order.from == pool && !move.accepted && !move.orderInFlight
+            && isLost(name, move.drainRevision)) {
+            ended.push_back(name);
+        }
+    }
+    for (const auto& name : ended) {
+        kernel::logEvent("drain-lost", { { "vm", name.text() }, { "pool", pool.text() } });
+        endMove(name);
+    }
+    for (auto& [number, wave] : this->waves) {
+        for (auto& [name, vm] : wave.vms) {
+            if (vm.stage == WaveStage::Draining && vm.pool == pool && !vm.orderInFlight
+                && isLost(name, vm.drainRevision)) {
+                kernel::logEvent("drain-lost",
+                    { { "vm", name.text() }, { "pool", pool.text() }, { "wave", wave.request.number } });
+                requestDrain(wave, name, vm);
+            }
+        }
+    }
+}
+
 void FleetAgent::loadWave(std::uint64_t number)
 {
     this->waves.at(number).loading = true;
@@ -322,6 +356,7 @@
         byName[vm.vm] = &vm;
     }
     updateMoves(byName);
+    expireMoves();
     removeStaleDrains();
     for (auto& [number, wave] : this->waves) {
         if (wave.loaded && !wave.completed) {
@@ -572,8 +607,7 @@
         const auto found = facts.find(name);
         const bool arrived = move.accepted && found != facts.end() && found->second->pool == move.order.to
             && found->second->condition == ports::VmCondition::Up;
-        const bool lost = found == facts.end() || kernel::bootNow() - move.stateChangedAt > moveTimeout;
-        if (!move.orderInFlight && (arrived || lost)) {
+        if (!move.orderInFlight && (arrived || found == facts.end())) {
             ended.push_back(name);
         }
     }
@@ -582,6 +616,20 @@
     }
 }
 
+void FleetAgent::expireMoves()
+{
+    std::vector<model::VmId> expired;
+    for (const auto& [name, move] : this->moves) {
+        if (!move.orderInFlight && kernel::bootNow() - move.stateChangedAt > moveTimeout) {
+            expired.push_back(name);
+        }
+    }
+    for (const auto& name : expired) {
+        kernel::logEvent("vm-move-expired", { { "vm", name.text() } });
+        endMove(name);
+    }
+}
+
 void FleetAgent::readReports(const std::vector<ports::VmFacts>& facts)
 {
     if (this->sparePools.empty() || this->readingReports) {
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -128,6 +128,8 @@
         const store::Listing& reports, const std::vector<scheduling::MovableVm>& vms);
     std::vector<scheduling::MovableVm> movableVms(const std::vector<ports::VmFacts>& facts) const;
     void updateMoves(const std::map<model::VmId, const ports::VmFacts*>& facts);
+    /** Ends the moves that have taken longer than `moveTimeout`, and their drains. */
+    void expireMoves();
     void beginMove(const scheduling::VmMove& order);
     void queueMove(const model::VmId& vm);
     void retryMoves();
@@ -144,6 +146,8 @@
     /** Removes drains without a move or wave, left by a previous owner or by a failed removal. */
     void removeStaleDrains();
     void removeStaleDrains(const model::ServiceId& pool, const store::Listing& drains);
+    /** Requests the drains of waves again, and ends the moves, whose requests are missing from the store. */
+    void restoreLostDrains(const model::ServiceId& pool, const store::Listing& drains);
     void removeDrain(const model::ServiceId& pool, const model::VmId& vm);
     bool isDraining(const model::VmId& vm) const;
     void loadWave(std::uint64_t number);
--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -6,6 +6,7 @@
 #include "wasabiroad/kernel/overloaded.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace wasabiroad::agent {
 
@@ -107,13 +108,22 @@
     std::vector<jobs::JobId> chosen;
     // One entry is the condition on the owner's term.
     auto remaining = store::changeLimit - 1;
-    for (const bool final : { true, false }) {
-        const auto entries = final ? entriesPerEndedJob : entriesPerOpenJob;
-        for (const auto& [job, entry] : this->pending) {
-            if (entries <= remaining && jobs::isFinal(entry.record->state) == final) {
-                chosen.push_back(job);
-                remaining -= entries;
-            }
+    const auto isEnded = [](const auto& entry) { return jobs::isFinal(entry->second.record->state); };
+    const auto age = [](const auto& entry) { return entry->second.firstUnwrittenBatch; };
+    std::vector<std::map<jobs::JobId, Pending>::const_iterator> order;
+    order.reserve(this->pending.size());
+    for (auto entry = this->pending.begin(); entry != this->pending.end(); ++entry) {
+        order.push_back(entry);
+    }
+    std::iter_swap(order.begin(), std::ranges::min_element(order, {}, age));
+    std::ranges::sort(order.begin() + 1, order.end(), {}, [&](const auto& entry) {
+        return std::pair { !isEnded(entry), age(entry) };
+    });
+    for (const auto& entry : order) {
+        const auto entries = isEnded(entry) ? entriesPerEndedJob : entriesPerOpenJob;
+        if (entries <= remaining) {
+            chosen.push_back(entry->first);
+            remaining -= entries;
         }
     }
     return chosen;
@@ -146,15 +156,11 @@
         kernel::logEvent("records-not-written",
             { { "pool", this->service.text() }, { "code", number(error.code) }, { "reason", error.found },
                 { "waiting", this->pending.size() } });
-        this->inFlight = true;
-        kernel::callLater(this->context, retryInterval, [self = shared_from_this()] {
-            self->inFlight = false;
-            self->send();
-        });
+        retryLater();
     };
     std::visit(kernel::Overloaded {
                    [&](const store::Committed& committed) { onCommitted(chosen, batch, committed.revision); },
-                   [&](const store::Conflict& conflict) { onConflict(conflict); },
+                   [&](const store::Conflict& conflict) { onConflict(chosen, conflict); },
                    [&](const store::LeaseEnded&) { this->callbacks.onSuperseded(); },
                    [&](const store::NotDone& failed) { retry(failed.error); },
                    [&](const store::OutcomeUnknown& unknown) { retry(unknown.error); },
@@ -186,7 +192,16 @@
     }
 }
 
-void RecordWriter::onConflict(const store::Conflict& conflict)
+void RecordWriter::retryLater()
+{
+    this->inFlight = true;
+    kernel::callLater(this->context, retryInterval, [self = shared_from_this()] {
+        self->inFlight = false;
+        self->send();
+    });
+}
+
+void RecordWriter::onConflict(const std::vector<jobs::JobId>& chosen, const store::Conflict& conflict)
 {
     const auto ownerKey = keys::poolOwner(this->service);
     const auto prefix = keys::recordsOf(this->service);
@@ -197,6 +212,11 @@
         this->callbacks.onSuperseded();
         return;
     }
+    const auto known = this->revisions;
+    // A record that the answer does not contain is missing from the store.
+    for (const auto& job : chosen) {
+        this->revisions.erase(job);
+    }
     for (const auto& entry : conflict.current) {
         if (!entry.key.starts_with(prefix)) {
             continue;
@@ -210,7 +230,11 @@
             this->callbacks.onCancelled(job);
         }
     }
-    send();
+    if (this->revisions != known) {
+        send();
+    } else {
+        retryLater();
+    }
 }
 
 void RecordWriter::reportFlushed()
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -289,9 +289,16 @@
         callback(std::move(outcome));
         return;
     }
-    kernel::callLater(this->context, endInterval, [this, id, wanted, until, callback = std::move(callback)] {
-        waitForEnd(id, wanted, until, callback);
-    });
+    const auto born = tasks->born;
+    kernel::callLater(
+        this->context, endInterval, [this, id, wanted, until, born, callback = std::move(callback)] {
+            // A crash breaks the connection on which the call waits.
+            if (const auto* const worker = find(id); worker == nullptr || worker->born != born.milliseconds) {
+                callback(kernel::Error { kernel::ResultCode::PlatformTimeout, id.text(), "no answer" });
+                return;
+            }
+            waitForEnd(id, wanted, until, callback);
+        });
 }
 
 ports::Upstreams Workers::connect(std::shared_ptr<WorkerFaults> workerFaults)
@@ -301,7 +308,7 @@
         const auto isCut = [workerFaults](const UpstreamId& id) { return workerFaults->cut.contains(id); };
         return std::make_shared<const ports::UpstreamLink>(ports::UpstreamLink {
             .look =
-                [this, isCut, id = facts.id](
+                [this, isCut, workerFaults, id = facts.id](
                     const ports::Look& wanted, const store::Callback<ports::LookOutcome>& callback) {
                     if (isCut(id)) {
                         kernel::callLater(this->context, silence, [callback] {
@@ -310,6 +317,11 @@
                         });
                         return;
                     }
+                    if (workerFaults->misdirected.contains(id)) {
+                        kernel::callLater(
+                            this->context, latency, [callback] { callback(ports::OtherUpstream {}); });
+                        return;
+                    }
                     kernel::callLater(this->context, latency, [this, id, wanted, callback] {
                         waitForEnd(id, wanted, now() + wanted.wait, callback);
                     });
@@ -377,4 +389,14 @@
     return count;
 }
 
+std::size_t Workers::runningOf(const jobs::JobId& job) const
+{
+    std::size_t count = 0;
+    for (const auto& worker : this->workers) {
+        count += static_cast<std::size_t>(
+            std::ranges::count_if(worker.running, [&](const auto& entry) { return entry.first.job == job; }));
+    }
+    return count;
+}
+
 } // namespace wasabiroad::standin
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -20,6 +20,8 @@
 struct WorkerFaults {
     /** @brief Upstreams that do not answer this daemon. */
     std::set<scheduling::UpstreamId> cut {};
+    /** @brief Upstreams whose calls are answered by another upstream. */
+    std::set<scheduling::UpstreamId> misdirected {};
 };
 
 /**
@@ -80,6 +82,9 @@
     /** @return Tasks that run now. */
     std::size_t runningCount() const;
 
+    /** @return Tasks of a job that run now. */
+    std::size_t runningOf(const jobs::JobId& job) const;
+
     /** @return The upstream that runs the most tasks. */
     scheduling::UpstreamId busiest() const;
 
