Stop although nobody reads the log

Callers see: a daemon whose standard output is a pipe that nobody reads does not end on SIGTERM and has to be killed. cause: the stop joined the thread that writes the log, which waits in the output for ever. change: the stop gives the last lines one second and then leaves the thread behind; the daemon ends without the flush at its exit, which would wait too.

--- a/src/wasabiroad/daemon/main.cpp
+++ b/src/wasabiroad/daemon/main.cpp
@@ -106,6 +106,18 @@
     }
 }
 
+/**
+ * Writes the last log lines and returns `code`. If nobody reads them, it ends the process with this code: a
+ * flush at the exit would wait for a reader.
+ */
+ResultCode finishLogging(ResultCode code)
+{
+    if (!kernel::stopLogging()) {
+        std::_Exit(kernel::exitCode(code));
+    }
+    return code;
+}
+
 /**
  * Runs the daemon until it is told to stop.
  * @param settings Settings in force.
@@ -120,9 +132,7 @@
     kernel::logEvent(
         "daemon-started", { { "entry", settings.entry.text() }, { "zone", settings.zone.text() } });
     if (const auto started = kernel.start(kernel::Registry::global()); !started) {
-        const auto code = report({ started.error() });
-        kernel::stopLogging();
-        return code;
+        return finishLogging(report({ started.error() }));
     }
     boost::asio::signal_set signals { kernel.threads().control(), SIGINT, SIGTERM };
     signals.async_wait([&kernel](boost::system::error_code failed, int) {
@@ -133,8 +143,7 @@
     const daemon::Reload reload { kernel.threads().control(), settings, readAgain };
     boost::asio::co_spawn(kernel.threads().control(), flushLogRegularly(), boost::asio::detached);
     kernel.run();
-    kernel::stopLogging();
-    return ResultCode::Ok;
+    return finishLogging(ResultCode::Ok);
 }
 
 std::optional<std::string> settingsPath(const cxxopts::ParseResult& arguments)
--- a/src/wasabiroad/kernel/log.hpp
+++ b/src/wasabiroad/kernel/log.hpp
@@ -39,8 +39,12 @@
 /** @brief Hands all lines that wait to the writer thread as one batch; does not wait for it. */
 void flushLog();
 
-/** @brief Writes the lines that wait and stops the writer thread. */
-void stopLogging();
+/**
+ * @brief Writes the lines that wait and stops the writer thread.
+ * @return False if the output did not take them within a second. The writer thread may then wait in the
+ * output for ever, as would a flush of it at the exit of the process.
+ */
+bool stopLogging();
 
 /**
  * @brief Logs one event as one line of key=value pairs.
--- a/test/wasabiroad/kernel/log.cpp
+++ b/test/wasabiroad/kernel/log.cpp
@@ -97,7 +97,7 @@
         flushLog();
     }
     logNumbered(10 * batch, 11 * batch);
-    stopLogging();
+    BOOST_TEST(stopLogging());
     BOOST_TEST(fieldsOf(output.str()) == numbered(0, 11 * batch), boost::test_tools::per_element());
 }
 
@@ -123,4 +123,23 @@
     BOOST_TEST(fieldsOf(buffer.str()) == expected, boost::test_tools::per_element());
 }
 
+/** Guards against a daemon that cannot stop since nobody reads its log. */
+BOOST_AUTO_TEST_CASE(stop_does_not_wait_for_output_that_stands_still)
+{
+    // The writer thread may use the output until the test program ends.
+    static SlowOutput buffer;
+    static std::ostream output { &buffer };
+    startLogging(output);
+    logNumbered(0, 1);
+    flushLog();
+    buffer.awaitWrite();
+    logNumbered(1, 2);
+    auto stopped = std::async(std::launch::async, [] { return stopLogging(); });
+    constexpr std::chrono::seconds patience { 10 };
+    const bool inTime = stopped.wait_for(patience) == std::future_status::ready;
+    buffer.allow();
+    BOOST_TEST(inTime);
+    BOOST_TEST(!stopped.get());
+}
+
 } // namespace
