--- a/test/platform/fleet_client.cpp
+++ b/test/platform/fleet_client.cpp
@@ -4,12 +4,16 @@
 #include "wasabiroad/http/server.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <ostream>
 #include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace wasabiroad::platform {
@@ -110,6 +114,52 @@
     BOOST_TEST(std::ranges::count(results, ports::VmOrderResult::Overloaded) == orders - sent);
 }
 
+/** Tokens of the next page that follow a first page, and the number of VMs; nothing for an error. */
+struct PagesRow {
+    const char* title;
+    const std::vector<std::string> next;
+    const std::optional<std::size_t> vms;
+
+    friend std::ostream& operator<<(std::ostream& out, const PagesRow& row) { return out << row.title; }
+};
+
+const std::vector<PagesRow> pages {
+    { "one page", { "" }, 1 },
+    { "two pages", { "t", "" }, 2 },
+    { "a token with characters of its own in a target", { "a b&c=\\r\\n", "" }, 2 },
+    { "a page that repeats itself", { "t", "t" }, std::nullopt },
+};
+
+/** Guards against a list of VMs that never ends, or breaks its own call. */
+BOOST_DATA_TEST_CASE(pages_of_vms_are_read_to_the_last, boost::unit_test::data::make(pages), row)
+{
+    boost::asio::io_context context { 1 };
+    std::size_t page = 0;
+    http::Server server { context,
+        [&](http::Request request) -> boost::asio::awaitable<http::Response> {
+            const auto& token = row.next[std::min(page++, row.next.size() - 1)];
+            co_return http::respond(request, 200, "application/json",
+                R"({"machines":[{"machine":"m-1","pool":"s"}],"nextToken":")" + token + "\"}");
+        } };
+    const auto address = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(address);
+    const auto endpoint = *http::parseEndpoint(*address);
+    const auto fleet
+        = makeFleet(context, std::make_shared<StoreClient>(context, endpoint), endpoint, "entry");
+    std::optional<std::size_t> found;
+    bool answered = false;
+    fleet.listVms([&](const kernel::Expected<std::vector<ports::VmFacts>>& vms) {
+        if (vms) {
+            found = vms->size();
+        }
+        answered = true;
+        context.stop();
+    });
+    context.run_for(std::chrono::seconds { 5 });
+    BOOST_TEST(answered);
+    BOOST_TEST((found == row.vms));
+}
+
 } // namespace
 
 } // namespace wasabiroad::platform
