--- a/test/platform/orders.cpp
+++ b/test/platform/orders.cpp
@@ -66,6 +66,44 @@
     BOOST_TEST(!decodeTasks(Document { "odd" }).has_value());
     BOOST_TEST((decodeClock(Document { R"({"clockMs":482113})" }) == UpstreamTime { 482113 }));
     BOOST_TEST(!decodeClock(Document { "{}" }).has_value());
+    BOOST_TEST(!decodeClock(Document { R"({"clockMs":9223372036854775807})" }).has_value());
+    BOOST_TEST(!decodeClock(Document { R"({"clockMs":-1})" }).has_value());
+}
+
+/** Rows of running and ended tasks, and how many of them are used. */
+struct OddRow {
+    const std::string running;
+    const std::string ended;
+    const std::size_t runs;
+    const std::size_t ends;
+
+    friend std::ostream& operator<<(std::ostream& out, const OddRow& row)
+    {
+        return out << row.running << " " << row.ended;
+    }
+};
+
+const std::vector<OddRow> oddRows {
+    { R"(["5c0e.0.1.17",1,"",41,12.7])", R"([1,"5c0e.0.1.17",1,"done",""])", 1, 1 },
+    { R"(["5c0e.0.1.17",1e300,"",0,0])", R"([1e300,"5c0e.0.1.17",1,"done",""])", 0, 0 },
+    { R"(["5c0e.0.1.17",-1,"",0,0])", R"([-1,"5c0e.0.1.17",1,"done",""])", 0, 0 },
+    { R"(["5c0e.0.1.17","1","",0,0])", R"([1,"5c0e.0.1.17","1","done",""])", 0, 0 },
+    { R"(["5c0e.0.1.17",1e400,"",0,0])", R"([1,"5c0e.0.1.17",-1e400,"done",""])", 0, 0 },
+    { R"(["5c0e.0.1.17",1,"",1e300,-1e300])", R"([1,"5c0e.0.1.17",1,"done",7])", 1, 1 },
+    { R"(["5c0e.0.1.17"])", R"([1])", 0, 0 },
+    { "[]", "{}", 0, 0 },
+};
+
+/** Guards against numbers out of range, of which one would acknowledge all ends to come. */
+BOOST_DATA_TEST_CASE(rows_with_odd_numbers_are_skipped, data::make(oddRows), row)
+{
+    const auto tasks = decodeTasks(Document { R"({"runningTasks":[)" + row.running
+        + R"(,["5c0e.0.1.18",3,"",41,5]],"ended":[)" + row.ended + R"(,[2,"5c0e.0.1.18",2,"done",""]]})" });
+    BOOST_REQUIRE(tasks.has_value());
+    BOOST_TEST(tasks->running.size() == row.runs + 1);
+    BOOST_TEST(tasks->ended.size() == row.ends + 1);
+    BOOST_TEST(tasks->running.back().run.value == 3U);
+    BOOST_TEST(tasks->ended.back().number == 2U);
 }
 
 /** Number of listed ends, of which the first is invalid, and whether the list may be truncated. */
