--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -77,6 +77,20 @@
         R"({"service":"s","address":"10.0.0.1:65536","zone":"a","state":"ready","capacity":{}})", false },
     { "port below zero",
         R"({"service":"s","address":"10.0.0.1:-1","zone":"a","state":"ready","capacity":{}})", false },
+    { "port 0", R"({"service":"s","address":"10.0.0.1:0","zone":"a","state":"ready","capacity":{}})", false },
+    { "unspecified address",
+        R"({"service":"s","address":"0.0.0.0:80","zone":"a","state":"ready","capacity":{}})", false },
+    { "multicast address",
+        R"({"service":"s","address":"224.0.0.1:80","zone":"a","state":"ready","capacity":{}})", false },
+    { "broadcast address",
+        R"({"service":"s","address":"255.255.255.255:80","zone":"a","state":"ready","capacity":{}})", false },
+    { "address of the other family",
+        R"({"service":"s","address":"fd00::1:80","zone":"a","state":"ready","capacity":{}})", true },
+    { "empty service", R"({"service":"","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{}})",
+        false },
+    { "the last of two equal names counts",
+        R"({"service":7,"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacity":{}})",
+        true },
     { "no port", R"({"service":"s","address":"10.0.0.1","zone":"a","state":"ready","capacity":{}})", false },
     { "name for an address",
         R"({"service":"s","address":"host:80","zone":"a","state":"ready","capacity":{}})", false },
@@ -96,6 +110,24 @@
     BOOST_TEST(decodeUpstream("i-1", row.text).has_value() == row.usable);
 }
 
+/** Id of an upstream and whether it can name one in a call. */
+struct IdRow {
+    const std::string id;
+    const bool usable;
+
+    friend std::ostream& operator<<(std::ostream& out, const IdRow& row) { return out << row.id; }
+};
+
+const std::vector<IdRow> idRows { { "i-1", true }, { std::string(200, 'i'), true }, { "", false },
+    { "i 1", false }, { "i-1\r\nHost: a", false }, { std::string { "i\0001", 3 }, false },
+    { "i-\xff", false } };
+
+/** Guards against ids that break the head of a call. */
+BOOST_DATA_TEST_CASE(only_ids_that_fit_a_header_name_upstreams, data::make(idRows), row)
+{
+    BOOST_TEST(decodeUpstream(row.id, upstreamRows.front().text).has_value() == row.usable);
+}
+
 /** Guards against upstream fields that are decoded into the wrong member. */
 BOOST_AUTO_TEST_CASE(upstream_is_decoded)
 {
@@ -129,12 +161,57 @@
     BOOST_TEST(encodeWaveStatus(false) == R"({"state":"running"})");
 }
 
+constexpr std::int64_t dayMs = 86'400'000;
+
+/** Values of a queue, and what is used instead. */
+struct QueueRow {
+    const std::string fields;
+    const double stretch;
+    const std::int64_t allowance;
+    const std::int64_t timeout;
+
+    friend std::ostream& operator<<(std::ostream& out, const QueueRow& row) { return out << row.fields; }
+};
+
+const std::vector<QueueRow> queueRows {
+    { R"("stretch":1.5,"sloMs":600,"timeoutMs":3000)", 1.5, 600, 3000 },
+    { R"("stretch":1e400,"sloMs":9223372036854775807,"timeoutMs":9223372036854775807)", 1000, 30 * dayMs,
+        30 * dayMs },
+    { R"("stretch":-1e300,"sloMs":-9223372036854775808,"timeoutMs":-1)", 0, 0, 0 },
+    { R"("stretch":"1","sloMs":1e300,"timeoutMs":[])", 1, 0, 0 },
+};
+
+/** Guards against deadlines beyond the range of their type. */
+BOOST_DATA_TEST_CASE(times_of_a_queue_are_limited, data::make(queueRows), row)
+{
+    const auto decoded
+        = decodeConfiguration(R"({"version":1,"routes":[{"name":"r","service":"s",)" + row.fields + "}]}");
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_REQUIRE(decoded->queues.size() == 1U);
+    const auto& queue = decoded->queues.front();
+    BOOST_TEST(queue.stretch == row.stretch);
+    BOOST_TEST(queue.allowance.milliseconds == row.allowance);
+    BOOST_TEST(queue.timeout.milliseconds == row.timeout);
+}
+
+/** Guards against rows of a configuration that make the others unusable. */
+BOOST_AUTO_TEST_CASE(odd_rows_of_a_configuration_are_skipped)
+{
+    const auto decoded = decodeConfiguration(
+        R"({"version":1,"routes":[7,null,[],{},{"name":"r"},{"name":"","service":"s"},{"name":"r","service":""},
+        {"name":"r","service":"s"}],"services":[7,{},{"name":""},{"name":"s"}],"limits":{"maxBodyBytes":-1}})");
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->queues.size() == 1U);
+    BOOST_TEST(decoded->pools.size() == 1U);
+    BOOST_TEST(decoded->maxBodyBytes == jobs::Configuration {}.maxBodyBytes);
+}
+
 /** Guards against VMs that are wrongly decoded as up, and against a lost token of the next page. */
 BOOST_AUTO_TEST_CASE(page_of_vms_is_decoded)
 {
     const auto page = decodeVms(
         R"({"machines":[{"machine":"m-1","pool":"s","state":"up","id":"i-1"},{"machine":"m-2","pool":"s",
-        "state":"upkeep"},{"machine":"m-3","pool":"s","state":"moving"},{"pool":"s"}],"nextToken":"t"})");
+        "state":"upkeep"},{"machine":"m-3","pool":"s","state":"moving"},{"pool":"s"},7,{"machine":"","pool":"s"},{"machine":"m-4","pool":""}],"nextToken":"t"})");
     BOOST_REQUIRE(page.has_value());
     const model::ServiceId pool { "s" };
     const std::vector<ports::VmFacts> expected {
