Run daemons as real processes under seeded faults

wasabiroad-soak starts daemons as processes, plays the store, the VM service, the upstreams and the clients, and checks from their side that no job stands, is lost, runs twice or is shown as completed too early.

--- /dev/null
+++ b/test/platform/soak/faults.cpp
@@ -0,0 +1,328 @@
+#include "faults.hpp"
+
+#include "play.hpp"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+
+namespace wasabiroad::soak {
+
+namespace {
+
+constexpr std::array<const char*, std::variant_size_v<Fault>> names { "kill", "stop", "freeze", "reload",
+    "throttle", "output", "store-cut", "half-open", "revoke", "store", "compact", "vms-cut", "crash",
+    "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd" };
+
+Traffic drawTraffic(Dice& dice) { return dice.chance(0.5) ? Traffic::Held : Traffic::AnswersLost; }
+
+Fault draw(Dice& dice, std::size_t kind, int daemons)
+{
+    const auto lasting
+        = [&dice](std::int64_t low, std::int64_t high) { return milliseconds { dice.within(low, high) }; };
+    const auto some = [&](std::int64_t low, std::int64_t high) {
+        const auto most = dice.chance(0.15) ? daemons : 1 + daemons / 3;
+        return SomeDaemons { static_cast<int>(dice.within(1, most)), lasting(low, high) };
+    };
+    const auto count = static_cast<int>(dice.within(1, 4));
+    switch (kind) {
+    case 0:
+        return KillDaemons { some(200, 3000) };
+    case 1:
+        return StopDaemons { some(0, 1500) };
+    case 2:
+        return FreezeDaemons { some(300, 5000) };
+    case 3:
+        return ReloadDaemons { some(0, 0) };
+    case 4:
+        return ThrottleDaemons { some(1000, 6000) };
+    case 5:
+        return HoldOutput { some(1000, 15000) };
+    case 6:
+        return CutStore { some(500, 6000), drawTraffic(dice) };
+    case 7:
+        return BreakConnections { some(0, 0), dice.chance(0.5) };
+    case 8:
+        return RevokeLeases { some(500, 6000) };
+    case 9:
+        return DisturbStore { some(1000, 6000), static_cast<int>(dice.within(0, 4)) };
+    case 10:
+        return CompactStore {};
+    case 11:
+        return CutVms { lasting(500, 6000) };
+    case 12:
+        return CrashUpstreams { count, lasting(300, 6000) };
+    case 13:
+        return CutUpstreams { count, lasting(500, 6000), drawTraffic(dice) };
+    case 14:
+        return BreakUpstreams { static_cast<int>(dice.within(1, 20)), dice.chance(0.5) };
+    case 15:
+        return LateUpstreams { count, lasting(1000, 5000) };
+    case 16:
+        return DrainUpstreams { count };
+    case 17:
+        return StartWave { 0.4, count };
+    default:
+        return AddOddEntries {};
+    }
+}
+
+} // namespace
+
+std::vector<std::string> faultNames() { return { names.begin(), names.end() }; }
+
+std::string nameOf(const Fault& fault) { return names[fault.index()]; }
+
+std::optional<Fault> drawFault(Dice& dice, const std::set<std::string>& disabled, int daemons)
+{
+    std::vector<std::size_t> kinds;
+    for (std::size_t kind = 0; kind < names.size(); ++kind) {
+        if (!disabled.contains(names[kind])) {
+            kinds.push_back(kind);
+        }
+    }
+    return kinds.empty() ? std::nullopt : std::optional { draw(dice, dice.pick(kinds), daemons) };
+}
+
+std::vector<Daemon*> FaultPlayer::someDaemons(int count)
+{
+    std::vector<Daemon*> found;
+    for (const auto& daemon : this->play.daemons) {
+        if (daemon->isUp() && !daemon->isFrozen() && !daemon->isStopping()) {
+            found.push_back(daemon.get());
+        }
+    }
+    while (static_cast<int>(found.size()) > count) {
+        std::swap(this->play.dice.pick(found), found.back());
+        found.pop_back();
+    }
+    return found;
+}
+
+std::vector<Upstream*> FaultPlayer::someUpstreams(int count)
+{
+    auto found = this->play.vms.upstreams();
+    while (static_cast<int>(found.size()) > count) {
+        std::swap(this->play.dice.pick(found), found.back());
+        found.pop_back();
+    }
+    return found;
+}
+
+Task<> FaultPlayer::operator()(KillDaemons fault)
+{
+    const auto daemons = someDaemons(fault.count);
+    for (auto* const daemon : daemons) {
+        daemon->kill();
+    }
+    co_await pause(fault.duration);
+    for (auto* const daemon : daemons) {
+        daemon->launch();
+    }
+}
+
+Task<> FaultPlayer::operator()(StopDaemons fault)
+{
+    for (auto* const daemon : someDaemons(fault.count)) {
+        if (daemon->isUp() && !daemon->isStopping()) {
+            co_await daemon->stop();
+            co_await pause(fault.duration);
+            if (!daemon->isUp()) {
+                daemon->launch();
+            }
+        }
+    }
+}
+
+Task<> FaultPlayer::operator()(FreezeDaemons fault)
+{
+    const auto daemons = someDaemons(fault.count);
+    for (auto* const daemon : daemons) {
+        daemon->freeze(true);
+    }
+    co_await pause(fault.duration);
+    for (auto* const daemon : daemons) {
+        daemon->freeze(false);
+    }
+}
+
+Task<> FaultPlayer::operator()(ReloadDaemons fault)
+{
+    for (auto* const daemon : someDaemons(fault.count)) {
+        daemon->signal(SIGHUP);
+    }
+    co_return;
+}
+
+Task<> FaultPlayer::operator()(ThrottleDaemons fault)
+{
+    const auto daemons = someDaemons(fault.count);
+    for (auto* const daemon : daemons) {
+        daemon->throttle(true);
+    }
+    co_await pause(fault.duration);
+    for (auto* const daemon : daemons) {
+        daemon->throttle(false);
+    }
+}
+
+Task<> FaultPlayer::operator()(HoldOutput fault)
+{
+    const auto daemons = someDaemons(fault.count);
+    for (auto* const daemon : daemons) {
+        daemon->holdOutput(true);
+    }
+    co_await pause(fault.duration);
+    for (auto* const daemon : daemons) {
+        daemon->holdOutput(false);
+    }
+}
+
+Task<> FaultPlayer::operator()(CutStore fault)
+{
+    const auto daemons = someDaemons(fault.count);
+    for (auto* const daemon : daemons) {
+        daemon->store().server.path().set(fault.traffic);
+    }
+    co_await pause(fault.duration);
+    for (auto* const daemon : daemons) {
+        daemon->store().server.path().set(Traffic::Passing);
+    }
+}
+
+Task<> FaultPlayer::operator()(BreakConnections fault)
+{
+    for (auto* const daemon : someDaemons(fault.count)) {
+        auto& path = daemon->store().server.path();
+        fault.resets ? path.reset() : path.sever();
+    }
+    for (const auto& server : this->play.vms.entrances()) {
+        fault.resets ? server->path().reset() : server->path().sever();
+    }
+    co_return;
+}
+
+Task<> FaultPlayer::operator()(RevokeLeases fault)
+{
+    const auto daemons = someDaemons(fault.count);
+    const auto rejects = this->play.dice.chance(0.7);
+    for (auto* const daemon : daemons) {
+        daemon->store().faults.rejected = rejects ? 1 : 0;
+        this->play.store.revoke(daemon->store());
+    }
+    co_await pause(fault.duration);
+    for (auto* const daemon : daemons) {
+        daemon->store().faults = {};
+    }
+}
+
+Task<> FaultPlayer::operator()(DisturbStore fault)
+{
+    StoreFaults faults;
+    switch (fault.kind) {
+    case 0:
+        faults.latency = 240;
+        break;
+    case 1:
+        faults.rejected = 0.7;
+        faults.rejectStatus = this->play.dice.chance(0.5) ? 429 : 503;
+        break;
+    case 2:
+        faults.lost = 0.35;
+        break;
+    case 3:
+        faults.late = 0.3;
+        break;
+    default:
+        faults.stale = true;
+    }
+    const auto daemons = someDaemons(fault.count);
+    for (auto* const daemon : daemons) {
+        daemon->store().faults = faults;
+    }
+    co_await pause(fault.duration);
+    for (auto* const daemon : daemons) {
+        daemon->store().faults = {};
+    }
+}
+
+Task<> FaultPlayer::operator()(CompactStore)
+{
+    this->play.store.compact();
+    co_return;
+}
+
+Task<> FaultPlayer::operator()(CutVms fault)
+{
+    for (const auto& server : this->play.vms.entrances()) {
+        server->path().set(Traffic::Held);
+    }
+    co_await pause(fault.duration);
+    for (const auto& server : this->play.vms.entrances()) {
+        server->path().set(Traffic::Passing);
+    }
+}
+
+Task<> FaultPlayer::operator()(CrashUpstreams fault)
+{
+    for (auto* const upstream : someUpstreams(fault.count)) {
+        start(this->play.context, this->play.vms.crash(*upstream, fault.duration));
+    }
+    co_await pause(fault.duration);
+}
+
+Task<> FaultPlayer::operator()(CutUpstreams fault)
+{
+    const auto upstreams = someUpstreams(fault.count);
+    for (auto* const upstream : upstreams) {
+        upstream->path().set(fault.traffic);
+    }
+    co_await pause(fault.duration);
+    for (auto* const upstream : upstreams) {
+        upstream->path().set(Traffic::Passing);
+    }
+}
+
+Task<> FaultPlayer::operator()(BreakUpstreams fault)
+{
+    for (auto* const upstream : someUpstreams(fault.count)) {
+        fault.resets ? upstream->path().reset() : upstream->path().sever();
+    }
+    co_return;
+}
+
+Task<> FaultPlayer::operator()(LateUpstreams fault)
+{
+    const auto upstreams = someUpstreams(fault.count);
+    for (auto* const upstream : upstreams) {
+        upstream->setLate(0.2);
+    }
+    co_await pause(fault.duration);
+    for (auto* const upstream : upstreams) {
+        upstream->setLate(0);
+    }
+    // Calls that are under way are carried out until then.
+    co_await pause(milliseconds { 5000 });
+}
+
+Task<> FaultPlayer::operator()(DrainUpstreams fault)
+{
+    for (auto* const upstream : someUpstreams(fault.count)) {
+        start(this->play.context, this->play.vms.drain(*upstream));
+    }
+    co_await pause(milliseconds { 8500 });
+}
+
+Task<> FaultPlayer::operator()(StartWave fault)
+{
+    this->play.vms.requestWave(fault.share, fault.maxCount);
+    co_return;
+}
+
+Task<> FaultPlayer::operator()(AddOddEntries)
+{
+    this->play.vms.writeOddEntries();
+    co_return;
+}
+
+} // namespace wasabiroad::soak
--- /dev/null
+++ b/test/platform/soak/faults.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "http.hpp"
+
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wasabiroad::soak {
+
+/** @brief Some daemons, drawn when the fault is played. */
+struct SomeDaemons {
+    int count { 1 };
+    milliseconds duration {};
+};
+
+struct KillDaemons : SomeDaemons { };
+struct StopDaemons : SomeDaemons { };
+struct FreezeDaemons : SomeDaemons { };
+struct ReloadDaemons : SomeDaemons { };
+struct ThrottleDaemons : SomeDaemons { };
+struct HoldOutput : SomeDaemons { };
+/** @brief The path of daemons to the store carries nothing, or no answers. */
+struct CutStore : SomeDaemons {
+    Traffic traffic { Traffic::Held };
+};
+/** @brief Connections to the store or the VM service are reset or half open. */
+struct BreakConnections : SomeDaemons {
+    bool resets { false };
+};
+/** @brief The store rejects daemons, and their leases end. */
+struct RevokeLeases : SomeDaemons { };
+/** @brief The store is slow, rejects, loses answers or makes changes late. */
+struct DisturbStore : SomeDaemons {
+    int kind { 0 };
+};
+struct CompactStore { };
+struct CutVms {
+    milliseconds duration {};
+};
+struct CrashUpstreams {
+    int count { 1 };
+    milliseconds duration {};
+};
+struct CutUpstreams {
+    int count { 1 };
+    milliseconds duration {};
+    Traffic traffic { Traffic::Held };
+};
+struct BreakUpstreams {
+    int count { 1 };
+    bool resets { false };
+};
+struct LateUpstreams {
+    int count { 1 };
+    milliseconds duration {};
+};
+struct DrainUpstreams {
+    int count { 1 };
+};
+struct StartWave {
+    double share { 0.4 };
+    int maxCount { 1 };
+};
+struct AddOddEntries { };
+
+using Fault = std::variant<KillDaemons, StopDaemons, FreezeDaemons, ReloadDaemons, ThrottleDaemons,
+    HoldOutput, CutStore, BreakConnections, RevokeLeases, DisturbStore, CompactStore, CutVms, CrashUpstreams,
+    CutUpstreams, BreakUpstreams, LateUpstreams, DrainUpstreams, StartWave, AddOddEntries>;
+
+/** @return The names of all kinds of faults. */
+std::vector<std::string> faultNames();
+
+/** @return The name that an option gives a kind of fault. */
+std::string nameOf(const Fault& fault);
+
+/** @return A fault of a kind that is not disabled, or nothing if all are. */
+std::optional<Fault> drawFault(Dice& dice, const std::set<std::string>& disabled, int daemons);
+
+class Daemon;
+class Play;
+class Upstream;
+
+/** @brief Plays faults; each returns when it has ended. */
+class FaultPlayer {
+public:
+    explicit FaultPlayer(Play& played)
+        : play(played)
+    {
+    }
+
+    Task<> operator()(KillDaemons fault);
+    Task<> operator()(StopDaemons fault);
+    Task<> operator()(FreezeDaemons fault);
+    Task<> operator()(ReloadDaemons fault);
+    Task<> operator()(ThrottleDaemons fault);
+    Task<> operator()(HoldOutput fault);
+    Task<> operator()(CutStore fault);
+    Task<> operator()(BreakConnections fault);
+    Task<> operator()(RevokeLeases fault);
+    Task<> operator()(DisturbStore fault);
+    Task<> operator()(CompactStore fault);
+    Task<> operator()(CutVms fault);
+    Task<> operator()(CrashUpstreams fault);
+    Task<> operator()(CutUpstreams fault);
+    Task<> operator()(BreakUpstreams fault);
+    Task<> operator()(LateUpstreams fault);
+    Task<> operator()(DrainUpstreams fault);
+    Task<> operator()(StartWave fault);
+    Task<> operator()(AddOddEntries fault);
+
+private:
+    std::vector<Daemon*> someDaemons(int count);
+    std::vector<Upstream*> someUpstreams(int count);
+
+    Play& play;
+};
+
+} // namespace wasabiroad::soak
--- /dev/null
+++ b/test/platform/soak/play.cpp
@@ -0,0 +1,367 @@
+#include "play.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+
+namespace wasabiroad::soak {
+
+namespace json = boost::json;
+
+namespace {
+
+/** Time in which all daemons have to be ready, in ms. */
+constexpr std::int64_t readyTime = 20000;
+
+/** Time between the start of the daemons and the traffic. */
+constexpr milliseconds leadTime { 4000 };
+
+/** Time after the end of the traffic from which jobs are judged, and for how long, in ms. */
+constexpr std::int64_t finishTime = 14000;
+constexpr std::int64_t judgedTime = 5000;
+
+constexpr milliseconds patience { 3000 };
+constexpr milliseconds checkInterval { 100 };
+constexpr milliseconds trafficInterval { 50 };
+
+/** Time of a burst of one pool, in ms; the pools take turns. */
+constexpr std::int64_t burstTime = 5000;
+
+/** Share of the work of a burst that arrives at other times. */
+constexpr double ebb = 0.05;
+
+/** Faults of a series, and the calm time after it. */
+constexpr std::int64_t seriesFaults = 6;
+constexpr std::int64_t seriesGap = 1500;
+constexpr std::int64_t calmGap = 9000;
+
+std::string configuration(const std::vector<PoolSettings>& pools)
+{
+    json::array routes;
+    json::array services;
+    for (const auto& pool : pools) {
+        services.push_back({ { "name", pool.name }, { "healthPath", "/health" }, { "maxConns", 64 },
+            { "protocol", "h1" }, { "tls", false }, { "enforcesCapacity", false }, { "spare", pool.spare } });
+        if (!pool.spare) {
+            routes.push_back({ { "name", "queue-" + pool.name }, { "host", "queue.example" },
+                { "prefix", "/" + pool.name + "/" }, { "kind", "non_idempotent" }, { "timeoutMs", 3000 },
+                { "sloMs", 600 }, { "priority", pool.saves ? 1 : 0 }, { "service", pool.name },
+                { "maxAttempts", 4 }, { "stretch", 1.6 } });
+        }
+    }
+    return json::serialize(
+        json::object { { "version", 7 }, { "routes", std::move(routes) }, { "services", std::move(services) },
+            { "limits",
+                { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 262144 }, { "headerTimeoutMs", 3000 },
+                    { "idleTimeoutMs", 15000 } } } });
+}
+
+std::string encode(const std::vector<Step>& steps)
+{
+    json::array rows;
+    for (const auto& step : steps) {
+        json::object row { { "count", step.count }, { "cpu", step.cpu }, { "memMb", step.memory },
+            { "estimateMs", step.lasts() ? 500 : step.duration } };
+        if (!rows.empty()) {
+            row["after"] = json::array { rows.size() - 1 };
+        }
+        if (step.perServer > 0) {
+            row["maxPerServer"] = step.perServer;
+        }
+        if (step.saves) {
+            row["savesProgress"] = true;
+        }
+        if (step.lasts()) {
+            row["longRunning"] = true;
+            row["mayMiss"] = 1;
+        }
+        rows.push_back(std::move(row));
+    }
+    return json::serialize(json::object { { "spec", "soak" }, { "steps", std::move(rows) } });
+}
+
+} // namespace
+
+Play::Play(boost::asio::io_context& io, Settings given)
+    : context(io)
+    , settings(std::move(given))
+    , dice(settings.seed)
+    , store(io, settings.seed + 1)
+    , vms(io, store, ledger, settings.pools, settings.zones, settings.seed + 2)
+{
+    this->store.put("op/config", configuration(this->settings.pools));
+    for (int number = 0; number < this->settings.daemons; ++number) {
+        const auto& zone
+            = this->settings.zones[static_cast<std::size_t>(number) % this->settings.zones.size()];
+        this->daemons.push_back(std::make_unique<Daemon>(io, "front-" + std::to_string(number + 1),
+            Daemon::Place { this->settings.program, this->settings.folder, zone, this->vms.addEntrance() },
+            this->store.addEntrance()));
+        this->daemons.back()->limit(this->settings.limited);
+        this->daemons.back()->throttle(number < this->settings.throttled);
+    }
+}
+
+void Play::report(const std::string& text) const { std::cout << nowMs() << " ms: " << text << std::endl; }
+
+void Play::endDaemons()
+{
+    for (const auto& daemon : this->daemons) {
+        daemon->kill();
+    }
+}
+
+std::int64_t Play::calm() const { return this->disruptions > 0 ? 0 : nowMs() - this->lastDisruption; }
+
+Task<> Play::run()
+{
+    if (!co_await begin()) {
+        this->why = "a daemon is not ready";
+        co_return;
+    }
+    co_await pause(leadTime);
+    this->lastDisruption = nowMs();
+    start(this->context, watch());
+    start(this->context, trouble());
+    co_await traffic();
+    this->over = true;
+    report("the traffic has ended, " + std::to_string(this->jobs) + " jobs");
+    if (this->settings.powerLoss) {
+        co_await losePower();
+    }
+    co_await finish();
+    const auto accepted
+        = std::ranges::count_if(this->ledger.all(), [](const auto& item) { return item.second.accepted; });
+    report("jobs=" + std::to_string(this->jobs) + " accepted=" + std::to_string(accepted)
+        + " starts=" + std::to_string(this->ledger.starts())
+        + " vm_orders=" + std::to_string(this->vms.orders()) + " ended_daemons=" + std::to_string(this->ended)
+        + " violations=" + std::to_string(this->ledger.violations().size()));
+    this->result = this->ledger.violations().empty() && this->ended == 0 ? Verdict::Held : Verdict::Broken;
+}
+
+Task<bool> Play::begin()
+{
+    for (const auto& daemon : this->daemons) {
+        daemon->launch();
+    }
+    const auto until = nowMs() + readyTime;
+    for (const auto& daemon : this->daemons) {
+        while (!co_await daemon->ready()) {
+            if (nowMs() > until) {
+                co_return false;
+            }
+            daemon->hasEnded();
+            co_await pause(checkInterval);
+        }
+    }
+    co_return true;
+}
+
+Task<> Play::watch()
+{
+    while (true) {
+        co_await pause(checkInterval);
+        for (const auto& daemon : this->daemons) {
+            if (daemon->hasEnded()) {
+                ++this->ended;
+                daemon->launch();
+            }
+        }
+        const auto before = this->ledger.violations().size();
+        this->ledger.checkIdle(this->vms.rooms(), calm());
+        if (this->ledger.violations().size() != before) {
+            for (const auto& pool : this->settings.pools) {
+                report("owner of " + pool.name + ": " + this->store.find("owner/pool/" + pool.name));
+            }
+        }
+    }
+}
+
+void Play::newJob(const PoolSettings& pool, bool lasts)
+{
+    char id[17] {};
+    std::snprintf(
+        id, sizeof id, "%016llx", static_cast<unsigned long long>(this->settings.seed << 24U) + ++this->jobs);
+    const auto around = [this](std::int64_t mean) { return this->dice.within(mean / 2, mean * 3 / 2); };
+    Ledger::Job job { pool.name, "/" + pool.name + "/", {}, "", false, false, false, 0, false };
+    if (lasts) {
+        job.steps.push_back({ 5, 2600, 4000, 0, 1, false });
+    } else {
+        const auto steps = std::max<std::int64_t>(1, this->dice.within(1, 2 * pool.steps - 1));
+        for (std::int64_t step = 0; step < steps; ++step) {
+            job.steps.push_back({ static_cast<int>(around(pool.width)), around(pool.cpu), around(pool.memory),
+                around(pool.duration), this->dice.chance(0.15) ? 2 : 0, pool.saves });
+        }
+    }
+    job.body = encode(job.steps);
+    this->ledger.add(id, std::move(job));
+    start(this->context, submit(id));
+}
+
+Task<Answer> Play::ask(const char* method, std::string id)
+{
+    const auto& job = this->ledger.all().at(id);
+    Call request { method, this->dice.pick(this->daemons)->callers(), "queue.example", job.prefix + id, {} };
+    if (request.method == "POST") {
+        request.body = job.body;
+    }
+    auto answer = co_await call(std::move(request), patience);
+    co_return answer;
+}
+
+Task<> Play::submit(std::string id)
+{
+    constexpr int tries = 6;
+    bool accepted = false;
+    for (int attempt = 0; attempt < tries && !accepted; ++attempt) {
+        const auto answer = co_await ask("POST", id);
+        accepted = answer.status == 200;
+        if (!accepted) {
+            co_await pause(milliseconds { this->dice.within(100, 800) });
+        }
+    }
+    if (!accepted) {
+        co_return;
+    }
+    this->ledger.accept(id);
+    start(this->context, follow(id));
+    if (this->dice.chance(0.05)) {
+        start(this->context, cancel(id));
+    } else if (this->dice.chance(0.2)) {
+        co_await pause(milliseconds { this->dice.within(500, 5000) });
+        co_await ask("POST", id);
+    }
+}
+
+Task<> Play::cancel(std::string id)
+{
+    co_await pause(milliseconds { this->dice.within(0, 4000) });
+    this->ledger.cancel(id);
+    for (unsigned status = 0; status != 200 && status != 410;) {
+        const auto answer = co_await ask("DELETE", id);
+        status = answer.status;
+        co_await pause(milliseconds { 200 });
+    }
+}
+
+Task<> Play::follow(std::string id)
+{
+    const auto& job = this->ledger.all().at(id);
+    while (!job.closed && !job.cancelled && !job.steps.front().lasts() && !this->over) {
+        co_await pause(milliseconds { this->dice.within(1500, 4000) });
+        const auto answer = co_await ask("GET", id);
+        if (answer.status == 200) {
+            this->ledger.show(id, textField(json::parse(answer.body).as_object(), "state"));
+        }
+    }
+}
+
+Task<> Play::traffic()
+{
+    std::vector<PoolSettings> pools;
+    std::ranges::copy_if(
+        this->settings.pools, std::back_inserter(pools), [](const auto& pool) { return !pool.spare; });
+    for (const auto& pool : pools) {
+        newJob(pool, true);
+        newJob(pool, true);
+    }
+    const auto begin = nowMs();
+    while (nowMs() - begin < this->settings.seconds * 1000) {
+        co_await pause(trafficInterval);
+        const auto turn = static_cast<std::size_t>((nowMs() - begin) / burstTime) % pools.size();
+        for (std::size_t index = 0; index < pools.size(); ++index) {
+            const auto& pool = pools[index];
+            const auto work = static_cast<double>(pool.steps * pool.width) * static_cast<double>(pool.cpu)
+                * static_cast<double>(pool.duration) / 1e6;
+            const auto rate = this->settings.press * pool.vms * 32 / work * (index == turn ? 1 : ebb);
+            if (this->dice.chance(
+                    std::min(1.0, rate * static_cast<double>(trafficInterval.count()) / 1000))) {
+                newJob(pool, false);
+            }
+            if (this->dice.chance(0.002)) {
+                newJob(pool, true);
+            }
+        }
+    }
+}
+
+Task<> Play::trouble()
+{
+    while (!this->over) {
+        co_await pause(milliseconds { this->dice.within(1000, 4000) });
+        const auto count = this->dice.within(1, seriesFaults);
+        for (std::int64_t index = 0; index < count && !this->over; ++index) {
+            auto fault = drawFault(this->dice, this->settings.disabled, this->settings.daemons);
+            if (!fault) {
+                co_return;
+            }
+            start(this->context, act(std::move(*fault)));
+            co_await pause(milliseconds { this->dice.within(0, seriesGap) });
+        }
+        while (this->disruptions > 0) {
+            co_await pause(checkInterval);
+        }
+        co_await pause(milliseconds { calmGap + this->dice.within(0, 3000) });
+    }
+}
+
+Task<> Play::act(Fault fault)
+{
+    report("fault " + nameOf(fault));
+    ++this->disruptions;
+    co_await std::visit(FaultPlayer { *this }, fault);
+    --this->disruptions;
+    this->lastDisruption = nowMs();
+    report("end of fault " + nameOf(fault));
+}
+
+Task<> Play::losePower()
+{
+    while (this->disruptions > 0) {
+        co_await pause(checkInterval);
+    }
+    report("power loss");
+    ++this->disruptions;
+    for (const auto& daemon : this->daemons) {
+        daemon->store().server.path().sever();
+        daemon->kill();
+    }
+    for (auto* const upstream : this->vms.upstreams()) {
+        upstream->path().sever();
+    }
+    co_await pause(milliseconds { this->dice.within(300, 1500) });
+    for (const auto& daemon : this->daemons) {
+        daemon->launch();
+    }
+    --this->disruptions;
+    this->lastDisruption = nowMs();
+}
+
+Task<> Play::finish()
+{
+    const auto begin = nowMs();
+    while (this->disruptions > 0 || calm() < finishTime || nowMs() - begin < finishTime) {
+        co_await pause(checkInterval);
+    }
+    co_await pause(milliseconds { judgedTime });
+    for (const auto& [id, job] : this->ledger.all()) {
+        if (!job.accepted || job.cancelled || job.closed) {
+            continue;
+        }
+        Answer answer { 0, "" };
+        for (int attempt = 0; attempt < 3 && answer.status != 200 && answer.status != 410; ++attempt) {
+            answer = co_await ask("GET", id);
+        }
+        if (answer.status == 200) {
+            this->ledger.show(id, textField(json::parse(answer.body).as_object(), "state"));
+        } else if (answer.status == 410) {
+            this->ledger.show(id, "");
+        } else {
+            this->ledger.violate("LOST", id, "no answer, status " + std::to_string(answer.status));
+        }
+        if (!job.closed && this->ledger.isDone(id)) {
+            this->ledger.violate("LOST", id, "all tasks are done, but it is shown as " + answer.body);
+        }
+    }
+}
+
+} // namespace wasabiroad::soak
