Count an end that an upstream has listed as done in the soak

The run with all daemons throttled reported MIXED and LOST for a task whose end was listed and recorded before its VM was moved: the check forgot the end with the upstream. That was an error of the check.

--- a/test/platform/soak/ledger.hpp
+++ b/test/platform/soak/ledger.hpp
@@ -78,6 +78,9 @@
     void begin(const std::string& life, const std::string& task, std::int64_t run);
     void end(const std::string& life, const std::string& task, std::int64_t run, const std::string& how);
 
+    /** @brief An answer lists the end of a run. */
+    void list(const std::string& task) { this->tasks[task].shown = true; }
+
     /** @param sure Whether the lease has not lapsed since the end. */
     void note(const std::string& life, const std::string& task, std::int64_t run, bool sure);
 
@@ -104,6 +107,9 @@
         /** @brief Ends that are not taken note of. */
         std::set<std::pair<std::string, std::int64_t>> listed {};
         bool done { false };
+        /** @brief Whether a run has ended done, and whether an answer has listed that end. */
+        bool ended { false };
+        bool shown { false };
         bool surelyDone { false };
         std::set<std::string> upstreams {};
         std::int64_t lastRun { 0 };
--- a/test/platform/soak/upstream.cpp
+++ b/test/platform/soak/upstream.cpp
@@ -238,6 +238,9 @@
         if (done.size() == listedEnds) {
             break;
         }
+        if (end.how == "done") {
+            this->ledger.list(end.task);
+        }
         done.push_back(json::array { number, end.task, end.run, end.how, end.saved });
     }
     return { 200,
