--- a/test/platform/soak/faults.cpp
+++ b/test/platform/soak/faults.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::array<const char*, std::variant_size_v<Fault>> names { "kill", "stop", "freeze", "reload",
     "throttle", "output", "store-cut", "half-open", "revoke", "store", "compact", "vms-cut", "crash",
-    "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd" };
+    "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd", "revoke-in-turn" };
 
 Traffic drawTraffic(Dice& dice) { return dice.chance(0.5) ? Traffic::Held : Traffic::AnswersLost; }
 
@@ -62,8 +62,10 @@
         return DrainUpstreams { count };
     case 17:
         return StartWave { 0.4, count };
-    default:
+    case 18:
         return AddOddEntries {};
+    default:
+        return RevokeInTurn { lasting(1000, 6000), dice.within(4, 500) };
     }
 }
 
@@ -325,4 +327,19 @@
     co_return;
 }
 
+Task<> FaultPlayer::operator()(RevokeInTurn fault)
+{
+    const auto until = Clock::now() + fault.duration;
+    for (const auto& daemon : this->play.daemons) {
+        daemon->store().faults.latency = fault.latency;
+    }
+    while (Clock::now() < until) {
+        co_await pause(milliseconds { this->play.dice.within(50, 500) });
+        this->play.store.revoke(this->play.dice.pick(this->play.daemons)->store());
+    }
+    for (const auto& daemon : this->play.daemons) {
+        daemon->store().faults = {};
+    }
+}
+
 } // namespace wasabiroad::soak
--- a/test/platform/soak/faults.hpp
+++ b/test/platform/soak/faults.hpp
@@ -31,6 +31,11 @@
 };
 /** @brief The store rejects daemons, and their leases end. */
 struct RevokeLeases : SomeDaemons { };
+/** @brief The store is slow, and one daemon after another loses its leases. */
+struct RevokeInTurn {
+    milliseconds duration {};
+    std::int64_t latency { 4 };
+};
 /** @brief The store is slow, rejects, loses answers or makes changes late. */
 struct DisturbStore : SomeDaemons {
     int kind { 0 };
@@ -67,7 +72,7 @@
 
 using Fault = std::variant<KillDaemons, StopDaemons, FreezeDaemons, ReloadDaemons, ThrottleDaemons,
     HoldOutput, CutStore, BreakConnections, RevokeLeases, DisturbStore, CompactStore, CutVms, CrashUpstreams,
-    CutUpstreams, BreakUpstreams, LateUpstreams, DrainUpstreams, StartWave, AddOddEntries>;
+    CutUpstreams, BreakUpstreams, LateUpstreams, DrainUpstreams, StartWave, AddOddEntries, RevokeInTurn>;
 
 /** @return The names of all kinds of faults. */
 std::vector<std::string> faultNames();
@@ -109,6 +114,7 @@
     Task<> operator()(DrainUpstreams fault);
     Task<> operator()(StartWave fault);
     Task<> operator()(AddOddEntries fault);
+    Task<> operator()(RevokeInTurn fault);
 
 private:
     std::vector<Daemon*> someDaemons(int count);
--- a/test/platform/soak/play.cpp
+++ b/test/platform/soak/play.cpp
@@ -30,10 +30,9 @@
 /** Share of the work of a burst that arrives at other times. */
 constexpr double ebb = 0.05;
 
-/** Faults of a series, and the calm time after it. */
+/** Faults of a series, and the longest time between two of them, in ms. */
 constexpr std::int64_t seriesFaults = 6;
 constexpr std::int64_t seriesGap = 1500;
-constexpr std::int64_t calmGap = 9000;
 
 std::string configuration(const std::vector<PoolSettings>& pools)
 {
@@ -300,7 +299,8 @@
         while (this->disruptions > 0) {
             co_await pause(checkInterval);
         }
-        co_await pause(milliseconds { calmGap + this->dice.within(0, 3000) });
+        co_await pause(
+            milliseconds { this->settings.calmGap + this->dice.within(0, this->settings.calmGap / 3) });
     }
 }
 
--- a/test/platform/soak/play.hpp
+++ b/test/platform/soak/play.hpp
@@ -29,6 +29,8 @@
     /** @brief Daemons that are throttled all the time, though they don't work. */
     int throttled { 0 };
     std::set<std::string> disabled {};
+    /** @brief Calm time after a series of faults, in ms. */
+    std::int64_t calmGap { 9000 };
     /** @brief Whether all daemons lose power at the end of the traffic. */
     bool powerLoss { true };
 };
--- a/test/platform/soak/store.cpp
+++ b/test/platform/soak/store.cpp
@@ -109,7 +109,7 @@
 Task<std::optional<Answer>> Store::answer(Entrance& entrance, Request request)
 {
     const auto faults = entrance.faults;
-    co_await pause(milliseconds { faults.latency });
+    co_await pause(milliseconds { faults.latency / 2 });
     if (this->dice.chance(faults.rejected)) {
         co_return Answer { faults.rejectStatus, "{}" };
     }
@@ -127,6 +127,8 @@
         answer = co_await watch(std::move(request));
     } else {
         answer = act(entrance, request);
+        // Answers on other connections overtake this one.
+        co_await pause(milliseconds { faults.latency / 2 });
     }
     if (lost) {
         co_return std::nullopt;
