--- a/test/platform/soak/faults.cpp
+++ b/test/platform/soak/faults.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::array<const char*, std::variant_size_v<Fault>> names { "kill", "stop", "freeze", "reload",
     "throttle", "output", "store-cut", "half-open", "revoke", "store", "compact", "vms-cut", "crash",
-    "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd", "revoke-in-turn" };
+    "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd", "revoke-in-turn", "revoke-takers" };
 
 Traffic drawTraffic(Dice& dice) { return dice.chance(0.5) ? Traffic::Held : Traffic::AnswersLost; }
 
@@ -64,8 +64,10 @@
         return StartWave { 0.4, count };
     case 18:
         return AddOddEntries {};
-    default:
+    case 19:
         return RevokeInTurn { lasting(1000, 6000), dice.within(4, 500) };
+    default:
+        return RevokeTakers { lasting(3000, 6000), dice.within(50, 500) };
     }
 }
 
@@ -342,4 +344,30 @@
     }
 }
 
+Task<> FaultPlayer::operator()(RevokeTakers fault)
+{
+    const auto until = Clock::now() + fault.duration;
+    const auto daemons = someDaemons(static_cast<int>(this->play.daemons.size()));
+    for (auto* const daemon : daemons) {
+        daemon->kill();
+        daemon->launch();
+    }
+    for (const auto& daemon : this->play.daemons) {
+        daemon->store().faults.latency = fault.latency;
+    }
+    auto& store = this->play.store;
+    auto seen = store.takes();
+    while (Clock::now() < until) {
+        co_await pause(milliseconds { 5 });
+        if (store.takes() != seen) {
+            seen = store.takes();
+            co_await pause(milliseconds { this->play.dice.within(0, fault.latency / 2) });
+            store.revoke(*store.lastTaker());
+        }
+    }
+    for (const auto& daemon : this->play.daemons) {
+        daemon->store().faults = {};
+    }
+}
+
 } // namespace wasabiroad::soak
--- a/test/platform/soak/faults.hpp
+++ b/test/platform/soak/faults.hpp
@@ -36,6 +36,11 @@
     milliseconds duration {};
     std::int64_t latency { 4 };
 };
+/** @brief All daemons start at once, the store is slow, and whoever takes a duty loses its lease at once. */
+struct RevokeTakers {
+    milliseconds duration {};
+    std::int64_t latency { 4 };
+};
 /** @brief The store is slow, rejects, loses answers or makes changes late. */
 struct DisturbStore : SomeDaemons {
     int kind { 0 };
@@ -72,7 +77,8 @@
 
 using Fault = std::variant<KillDaemons, StopDaemons, FreezeDaemons, ReloadDaemons, ThrottleDaemons,
     HoldOutput, CutStore, BreakConnections, RevokeLeases, DisturbStore, CompactStore, CutVms, CrashUpstreams,
-    CutUpstreams, BreakUpstreams, LateUpstreams, DrainUpstreams, StartWave, AddOddEntries, RevokeInTurn>;
+    CutUpstreams, BreakUpstreams, LateUpstreams, DrainUpstreams, StartWave, AddOddEntries, RevokeInTurn,
+    RevokeTakers>;
 
 /** @return The names of all kinds of faults. */
 std::vector<std::string> faultNames();
@@ -115,6 +121,7 @@
     Task<> operator()(StartWave fault);
     Task<> operator()(AddOddEntries fault);
     Task<> operator()(RevokeInTurn fault);
+    Task<> operator()(RevokeTakers fault);
 
 private:
     std::vector<Daemon*> someDaemons(int count);
--- a/test/platform/soak/store.cpp
+++ b/test/platform/soak/store.cpp
@@ -336,6 +336,10 @@
 void Store::putItem(const std::string& key, const std::string& value, std::int64_t lease, std::int64_t madeAt)
 {
     auto& item = this->items[key];
+    if (lease != 0 && item.created == 0) {
+        this->taker = this->leases.at(lease).holder;
+        ++this->taken;
+    }
     item = { value, madeAt, item.created != 0 ? item.created : madeAt, lease };
     this->history.push_back({ key, madeAt, encode(key, item) });
     notify(key);
--- a/test/platform/soak/store.hpp
+++ b/test/platform/soak/store.hpp
@@ -51,6 +51,10 @@
     /** @brief Ends the leases of a daemon at once, with their keys. */
     void revoke(Entrance& entrance);
 
+    /** @return The daemon that last created a key with a lease, or null. */
+    Entrance* lastTaker() const { return this->taker; }
+    std::size_t takes() const { return this->taken; }
+
     /** @return The value of a key, or an empty text. */
     std::string find(const std::string& key) const;
 
@@ -110,6 +114,8 @@
     std::int64_t revision { 1 };
     std::int64_t lastLease { 1000 };
     std::int64_t writes { 0 };
+    Entrance* taker { nullptr };
+    std::size_t taken { 0 };
 };
 
 } // namespace wasabiroad::soak
