--- a/test/platform/soak/faults.cpp
+++ b/test/platform/soak/faults.cpp
@@ -212,7 +212,7 @@
     const auto rejects = this->play.dice.chance(0.7);
     for (auto* const daemon : daemons) {
         daemon->store().faults.rejected = rejects ? 1 : 0;
-        this->play.store.revoke(daemon->store());
+        this->play.store.revoke(daemon->store(), this->play.dice.chance(0.5));
     }
     co_await pause(fault.duration);
     for (auto* const daemon : daemons) {
@@ -337,7 +337,8 @@
     }
     while (Clock::now() < until) {
         co_await pause(milliseconds { this->play.dice.within(50, 500) });
-        this->play.store.revoke(this->play.dice.pick(this->play.daemons)->store());
+        auto& entrance = this->play.dice.pick(this->play.daemons)->store();
+        this->play.store.revoke(entrance, this->play.dice.chance(0.5));
     }
     for (const auto& daemon : this->play.daemons) {
         daemon->store().faults = {};
@@ -356,13 +357,14 @@
         daemon->store().faults.latency = fault.latency;
     }
     auto& store = this->play.store;
+    const auto ends = this->play.dice.chance(0.5);
     auto seen = store.takes();
     while (Clock::now() < until) {
         co_await pause(milliseconds { 5 });
         if (store.takes() != seen) {
             seen = store.takes();
             co_await pause(milliseconds { this->play.dice.within(0, fault.latency / 2) });
-            store.revoke(*store.lastTaker());
+            store.revoke(*store.lastTaker(), ends);
         }
     }
     for (const auto& daemon : this->play.daemons) {
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -21,7 +21,8 @@
         cxxopts::value<double>()->default_value("1.0"))("throttled",
         "daemons that are throttled all the time", cxxopts::value<int>()->default_value("0"))("unlimited",
         "daemons have no processor quota")("calm-gap", "calm time after a series of faults in ms",
-        cxxopts::value<std::int64_t>()->default_value("9000"))("help", "shows the options");
+        cxxopts::value<std::int64_t>()->default_value("9000"))("daemons", "number of daemons",
+        cxxopts::value<int>()->default_value("7"))("help", "shows the options");
     try {
         const auto given = options.parse(argc, argv);
         if (given.count("help") != 0 || given.count("daemon") == 0 || given.count("keep") == 0) {
@@ -34,6 +35,7 @@
         settings.seed = given["seed"].as<std::uint64_t>();
         settings.seconds = given["seconds"].as<std::int64_t>();
         settings.press = given["press"].as<double>();
+        settings.daemons = given["daemons"].as<int>();
         settings.calmGap = given["calm-gap"].as<std::int64_t>();
         settings.throttled = given["throttled"].as<int>();
         settings.limited = given.count("unlimited") == 0;
--- a/test/platform/soak/store.cpp
+++ b/test/platform/soak/store.cpp
@@ -80,10 +80,20 @@
     }
 }
 
-void Store::revoke(Entrance& entrance)
+void Store::revoke(Entrance& entrance, bool ends)
 {
+    std::vector<std::string> revoked;
+    for (const auto& [key, item] : this->items) {
+        const auto lease = this->leases.find(item.lease);
+        if (lease != this->leases.end() && lease->second.holder == &entrance) {
+            revoked.push_back(key);
+        }
+    }
+    for (const auto& key : revoked) {
+        removeItem(key, ++this->revision);
+    }
     for (auto& [id, lease] : this->leases) {
-        if (lease.holder == &entrance) {
+        if (ends && lease.holder == &entrance) {
             lease.ends = 0;
         }
     }
--- a/test/platform/soak/store.hpp
+++ b/test/platform/soak/store.hpp
@@ -48,8 +48,8 @@
     /** @brief Discards the history. */
     void compact();
 
-    /** @brief Ends the leases of a daemon at once, with their keys. */
-    void revoke(Entrance& entrance);
+    /** @brief Removes the leased keys of a daemon at once. @param ends Whether its leases end too. */
+    void revoke(Entrance& entrance, bool ends = true);
 
     /** @return The daemon that last created a key with a lease, or null. */
     Entrance* lastTaker() const { return this->taker; }
