Tell why the ready tasks of a pool wait

cause: the scheduler reports demand and room, but not which tasks wait for what, nor why an upstream gets no tasks.

change: PoolScheduler::waitingReasons() returns a value: ready tasks by reason (unresolved, delayed, gang, blocked, startable), each with the task that has waited longest, what it requires and how many upstreams have room for it; upstreams by condition; tasks that start, run and stop; unreconciled upstreams, unanswered starts. The wait of a task begins when its occurrence is due and the steps before it are completed, so a step now keeps the time at which a task of it was last done.

--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -267,9 +267,8 @@
         std::distance(upstream.tasks.lower_bound(first), upstream.tasks.upper_bound(last)));
 }
 
-bool PoolScheduler::admits(const ReadyStep& ready, const Room& room) const
+bool PoolScheduler::admits(const jobs::Step& step, const Room& room) const
 {
-    const auto& step = ready.entry->job.steps[ready.step];
     const auto& labels = this->rooms.kind(room.kind).labels;
     return step.resources.memory <= room.left.memory && step.resources.accelerators <= room.left.accelerators
         && (step.label.empty() || std::ranges::find(labels, step.label) != labels.end());
@@ -309,7 +308,7 @@
         const auto& room = group->first;
         const auto& kind = this->rooms.kind(room.kind);
         const bool outsideDataRack = !step.dataRack.empty() && kind.rack.text() != step.dataRack;
-        if (!admits(ready, room) || (onlyRack != nullptr && kind.rack != *onlyRack)
+        if (!admits(step, room) || (onlyRack != nullptr && kind.rack != *onlyRack)
             || (outsideDataRack && waitForRack)) {
             continue;
         }
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -159,7 +159,7 @@
         if (progress.done && !task.done) {
             task.done = true;
             task.phase = Phase::Done;
-            countDone(entry, at);
+            countDone(entry, at, now);
             step.tasks.releaseDone();
             closeIfCompleted(entry, at.occurrence);
         }
@@ -231,10 +231,12 @@
     }
 }
 
-void PoolScheduler::countDone(JobEntry& entry, const jobs::TaskPosition& position)
+void PoolScheduler::countDone(JobEntry& entry, const jobs::TaskPosition& position, Moment now)
 {
     auto& occurrence = entry.open.at(position.occurrence);
-    ++occurrence.steps[position.step].done;
+    auto& step = occurrence.steps[position.step];
+    ++step.done;
+    step.lastDone = now.steady;
     --occurrence.tasksLeft;
     entry.completedCount += occurrence.tasksLeft == 0 ? 1 : 0;
 }
@@ -676,7 +678,7 @@
     } else {
         task.phase = Phase::Done;
     }
-    countDone(entry, id.position);
+    countDone(entry, id.position, now);
     markDirty(id.job, id.position.occurrence);
     if (const auto upstream = this->upstreams.find(task.upstream); upstream != this->upstreams.end()) {
         upstream->second.failedJobs.clear();
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -7,6 +7,7 @@
 #include "wasabiroad/scheduling/policy.hpp"
 #include "wasabiroad/scheduling/run_times.hpp"
 #include "wasabiroad/scheduling/state.hpp"
+#include "wasabiroad/scheduling/waiting_reasons.hpp"
 
 #include <map>
 #include <optional>
@@ -109,6 +110,9 @@
     /** @return Jobs, steps and upstreams examined since the term began. */
     Effort effort() const { return { this->jobsExamined, this->stepsExamined, this->upstreamsExamined }; }
 
+    /** @return Why ready tasks wait. */
+    WaitingReasons waitingReasons(Moment now) const;
+
 private:
     using JobEntry = internal::JobEntry;
     using OccurrenceEntry = internal::OccurrenceEntry;
@@ -135,7 +139,7 @@
      * it. */
     void openReported(const jobs::TaskId& id, Moment now);
     void cancelOpening(JobEntry& entry);
-    void countDone(JobEntry& entry, const jobs::TaskPosition& position);
+    void countDone(JobEntry& entry, const jobs::TaskPosition& position, Moment now);
     void closeIfCompleted(JobEntry& entry, std::uint32_t number);
     void applyEnd(const UpstreamId& id, const EndedTask& end, Moment now);
     void applyRunning(const UpstreamId& id, const RunningTask& running, Moment now);
@@ -192,7 +196,7 @@
     bool placeGang(const ReadyStep& ready, Moment now);
     std::vector<UpstreamId> chooseGang(const ReadyStep& ready, Moment now, const model::RackId* onlyRack);
     void startOn(const ReadyStep& ready, std::uint32_t number, UpstreamId where, jobs::Run run, Moment now);
-    bool admits(const ReadyStep& ready, const Room& room) const;
+    bool admits(const jobs::Step& step, const Room& room) const;
     std::vector<const UpstreamId*> candidates(
         const ReadyStep& ready, const Task& task, const std::set<UpstreamId>& group);
     const UpstreamId* chooseUpstream(
@@ -208,6 +212,13 @@
     bool isUnavailable(const Task& task, Moment now) const;
     std::uint32_t countOtherUnavailable(const JobEntry& entry, const jobs::TaskId& id, Moment now) const;
 
+    /** @brief Adds the waiting tasks of a ready step to the tallies. */
+    void tallyWaiting(const JobEntry& entry, const StepId& id, Moment now,
+        std::map<WaitReason, internal::WaitingTally>& tallies) const;
+    UpstreamCondition conditionOf(const UpstreamId& id, const Upstream& upstream, Moment now) const;
+    /** @return Number of indexed upstreams with enough free resources for a task of the step. */
+    std::size_t countFitting(const jobs::Step& step) const;
+
     std::pair<JobEntry*, Task*> find(const jobs::TaskId& id);
     const jobs::Step& stepOf(const jobs::TaskId& id) const;
 
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -26,6 +26,8 @@
 struct StepEntry {
     TaskTable tasks;
     std::uint32_t done { 0 };
+    /** @brief When a task was last done. */
+    kernel::Instant lastDone {};
     std::optional<WaitingKey> waiting {};
     /** @brief Next times, on the wall clock and the monotonic clock, at which the key has to be recomputed.
      */
@@ -85,6 +87,14 @@
         : job.firstDue + job.interval * static_cast<std::int64_t>(occurrence);
 }
 
+/** @brief Ready tasks that wait for the same reason, as counted so far. */
+struct WaitingTally {
+    std::size_t count { 0 };
+    /** @brief The task that has waited longest. */
+    jobs::TaskId longest {};
+    kernel::Duration waited {};
+};
+
 /** @brief State of the drain of an upstream. */
 struct DrainState {
     kernel::Instant since {};
--- a/src/wasabiroad/scheduling/task_table.hpp
+++ b/src/wasabiroad/scheduling/task_table.hpp
@@ -73,6 +73,22 @@
         }
     }
 
+    /**
+     * @brief Calls `visit(index, task, count)` for the tasks in the phase Waiting; those that are not held in
+     * full are alike and visited at once, with the index of the first.
+     */
+    template <typename Visit> void forEachWaiting(Visit visit) const
+    {
+        if (const auto alike = untouchedCount(); alike > 0) {
+            visit(this->firstUntouched, this->initial, alike);
+        }
+        forEachHeld([&](std::uint32_t index, const Task& task) {
+            if (task.phase == Phase::Waiting) {
+                visit(index, task, std::size_t { 1 });
+            }
+        });
+    }
+
     /** @brief Calls `visit(index, task)`, in order, for each task that is done or held in full. */
     template <typename Visit> void forEachTouched(Visit visit) const
     {
--- a/src/wasabiroad/scheduling/waiting_index.hpp
+++ b/src/wasabiroad/scheduling/waiting_index.hpp
@@ -69,6 +69,9 @@
     /** @return The first step whose requirements are not blocked, or null. */
     const StepId* first() const;
 
+    /** @return Whether these requirements are blocked. */
+    bool isBlocked(const Requirements& requirements) const { return this->blocked.contains(requirements); }
+
     /** @brief Blocks requirements that no upstream meets. */
     void block(const Requirements& requirements);
 
--- a/test/wasabiroad/scheduling/task_table.cpp
+++ b/test/wasabiroad/scheduling/task_table.cpp
@@ -49,6 +49,14 @@
         BOOST_REQUIRE_EQUAL(table.areAllStartable(now), std::ranges::all_of(tasks, startable));
         BOOST_REQUIRE_EQUAL(
             table.waitingCount(), static_cast<std::size_t>(std::ranges::count_if(tasks, waits)));
+        std::size_t visited = 0;
+        table.forEachWaiting([&](std::uint32_t at, const Task& task, std::size_t alike) {
+            visited += alike;
+            BOOST_REQUIRE(waits(tasks[at]));
+            BOOST_REQUIRE_EQUAL(task.unresolved, tasks[at].unresolved);
+            BOOST_REQUIRE((task.notBefore == tasks[at].notBefore));
+        });
+        BOOST_REQUIRE_EQUAL(visited, table.waitingCount());
         for (std::uint32_t each = 0; each < count; ++each) {
             BOOST_REQUIRE((table.peek(each).phase == tasks[each].phase));
             BOOST_REQUIRE_EQUAL(table.peek(each).done, tasks[each].done);
