Log and count why the jobs of a pool stand

The log of one daemon does not tell apart an owner that may not start, one that reaches no upstream, one that sees no free upstream, and one whose tasks wait for former starts or a retry.

cause: starts-held speaks of the view only, also when the lease is the reason, and nothing is logged while an owner starts nothing.

change: while ready tasks have waited for more than 2 s and none was started, the owner logs pool-stalled once a second, with the cause and the state that decides it; task-waiting shows the task that has waited longest for each reason. Gauges of waiting tasks and of upstreams by state, which go to zero at the end of the term, and a counter of the seconds stalled. starts-held has the reason.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -223,6 +223,7 @@
     }
     this->scheduler.emplace(makePolicy(this->taskLease), this->term.value, now(), ids, leaseLeft);
     this->unreconciled = ids.size();
+    this->stallLog.emplace(this->service, this->environment.metrics, this->termStartedAt);
     addJobs(pool, progress, true);
     kernel::logEvent("pool-loaded",
         { { "pool", this->service.text() }, { "term", this->term.value },
@@ -390,14 +391,16 @@
 bool PoolAgent::mayStartTasks()
 {
     const auto age = this->environment.maxViewAge(this->watched);
-    const bool current = age && *age <= viewAgeLimit;
-    if (current != this->viewIsCurrent) {
-        this->viewIsCurrent = current;
-        kernel::logEvent(current ? "starts-resumed" : "starts-held",
-            { { "pool", this->service.text() }, { "revision", this->watched.value },
+    const auto permission = decideStarts(this->environment.mayStartTasks(), age, viewAgeLimit);
+    const bool allowed = std::holds_alternative<StartsAllowed>(permission);
+    if (this->startPermission != permission) {
+        this->startPermission.emplace(permission);
+        kernel::logEvent(allowed ? "starts-resumed" : "starts-held",
+            { { "pool", this->service.text() }, { "term", this->term.value },
+                { "reason", reasonOf(permission) }, { "revision", this->watched.value },
                 { "age_ms", ageText(age) } });
     }
-    return current && this->environment.mayStartTasks();
+    return allowed;
 }
 
 void PoolAgent::apply(const scheduling::Event& event)
@@ -427,6 +430,7 @@
         { { "task", jobs::toText(order.task) }, { "run", order.run.value },
             { "upstream", order.upstream.text() }, { "resumes", order.checkpoint.empty() ? "no" : "yes" } });
     this->startCounter.increment();
+    this->stallLog->recordStart(kernel::bootNow());
     ++this->startsInFlight;
     const auto permission = [self = shared_from_this()] { return !self->closed && self->mayStartTasks(); };
     upstream.upstreamLink().start(order, this->term, this->taskLease, permission,
@@ -597,6 +601,24 @@
     closeUnusedAgents();
     reportDrained();
     publishReport();
+    if (const auto at = now(); this->stallLog->tick(at.steady)) {
+        this->stallLog->report(ownerState(at), this->scheduler->waitingReasons(at), at.steady);
+    }
+}
+
+OwnerState PoolAgent::ownerState(scheduling::Moment at) const
+{
+    std::size_t recorded = 0;
+    std::size_t answering = 0;
+    for (const auto& facts : this->members) {
+        const auto agent = this->upstreamAgents.find(facts.id);
+        recorded += this->recordedUpstreams.contains(facts.id.text()) ? 1 : 0;
+        answering += agent != this->upstreamAgents.end() && agent->second->isAnswering() ? 1 : 0;
+    }
+    const auto age = this->environment.maxViewAge(this->watched);
+    return { this->term.value, decideStarts(this->environment.mayStartTasks(), age, viewAgeLimit), age,
+        at.steady - this->environment.upstreamsUpdatedAt(), this->members.size(), recorded, answering,
+        this->writingRecordedUpstreams, this->writer->unwrittenCount() };
 }
 
 void PoolAgent::logReconciled()
@@ -931,6 +953,9 @@
     if (this->writer) {
         this->writer->close();
     }
+    if (this->stallLog) {
+        this->stallLog->close();
+    }
 }
 
 } // namespace wasabiroad::agent
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -2,6 +2,7 @@
 
 #include "wasabiroad/agent/record_writer.hpp"
 #include "wasabiroad/agent/revision_clock.hpp"
+#include "wasabiroad/agent/stall_log.hpp"
 #include "wasabiroad/agent/upstream_agent.hpp"
 #include "wasabiroad/jobs/codec.hpp"
 #include "wasabiroad/metrics/metrics.hpp"
@@ -102,7 +103,7 @@
     void onKeyEvent(const store::KeyEvent& event);
     void retryLoad(const kernel::Error& error);
     void onJobEnded(const jobs::JobId& job);
-    /** @return Whether tasks may be started now; logs when the age of the view changes the answer. */
+    /** @return Whether tasks may be started now; logs when the answer or the reason for it changes. */
     bool mayStartTasks();
     void apply(const scheduling::Event& event);
     void execute(const scheduling::Order& order);
@@ -115,6 +116,7 @@
     void onFlushed(std::uint64_t batch);
     void acknowledge(const TaskEnds& ends);
     void tick();
+    OwnerState ownerState(scheduling::Moment at) const;
     /** @brief Logs when all upstreams with tasks of the previous owner have been reconciled. */
     void logReconciled();
     void publishReport();
@@ -163,8 +165,9 @@
     kernel::Instant termStartedAt {};
     /** @brief Number of upstreams of the previous owner that had not answered at the last tick. */
     std::size_t unreconciled { 0 };
-    /** @brief Result of the last check whether the view of the pool is recent enough to start tasks. */
-    bool viewIsCurrent { false };
+    /** @brief Result of the last check whether tasks may be started. */
+    std::optional<StartPermission> startPermission {};
+    std::optional<StallLog> stallLog {};
     /** @brief Boot clock time at which the members were last passed to the scheduler. */
     kernel::Instant membersAppliedAt {};
     /** @brief Number of start orders without an answer yet. */
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -55,6 +55,9 @@
     /** @return Whether a final state of the job is queued or being written. */
     bool isEnding(const jobs::JobId& job) const;
 
+    /** @return Number of records that are queued or being written. */
+    std::size_t unwrittenCount() const { return this->pending.size(); }
+
     /** @return Whether a change is in flight. */
     bool isBusy() const { return this->inFlight; }
 
