Check in the random model that tasks run again after faults

The model checks now that each job ends and each long-running task runs within 60 s after the last fault, and has two long-running jobs in each run. The limit of attempts is not checked for long-running tasks, which have none.

--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -27,6 +27,11 @@
 constexpr std::int64_t startToleranceAfterRecord = 1000;
 constexpr std::size_t upstreamCount = 3;
 constexpr std::int64_t upstreamCpu = 3000;
+constexpr std::size_t longRunningJobs = 2;
+constexpr std::int64_t longRunningStartup = 300;
+/** Time from the last fault to the check that everything runs; exceeds the sum of the scheduler's time-outs.
+ */
+constexpr std::int64_t settleTime = 60000;
 
 const Policy policy { .maxLeaseDuration = { maxLease + leaseMargin },
     .takeoverTimeout = { maxLease + leaseMargin + previousOwnerActiveTime },
@@ -76,33 +81,125 @@
 
 std::optional<std::string> Model::run()
 {
+    for (std::size_t index = 0; index < longRunningJobs; ++index) {
+        addLongRunningJob();
+    }
     replaceOwner();
     while (this->now < duration && !this->violation) {
-        this->now += timeStep;
-        runScheduledActions();
-        advanceUpstreams();
+        advance();
         if (chance(30)) {
             addJob();
         }
         if (chance(4)) {
             cancelRandomJob();
         }
-        if (chance(this->faults.ownerChanges)) {
-            replaceOwner();
+        injectFaults();
+    }
+    endFaults();
+    while (!this->violation) {
+        advance();
+        const auto stalled = findStalled();
+        if (!stalled) {
+            break;
         }
-        for (const auto& owner : this->owners) {
-            if (this->now % tickInterval == 0) {
-                applyEvent(owner, Tick {});
-            }
-            writeRecords(owner);
+        if (this->now > duration + settleTime) {
+            reportViolation(*stalled);
         }
-        std::erase_if(this->owners, [&](const auto& owner) {
-            return owner->terminated || (owner != this->owners.back() && owner->activeUntil < this->now);
-        });
     }
     return this->violation;
 }
 
+void Model::advance()
+{
+    this->now += timeStep;
+    runScheduledActions();
+    advanceUpstreams();
+    for (const auto& owner : this->owners) {
+        if (this->now % tickInterval == 0 && owner->pausedUntil <= this->now) {
+            listMembers(owner);
+            applyEvent(owner, Tick {});
+        }
+        writeRecords(owner);
+    }
+    std::erase_if(this->owners, [&](const auto& owner) {
+        return owner->terminated || (owner != this->owners.back() && owner->activeUntil < this->now);
+    });
+    if (this->owners.empty()) {
+        replaceOwner();
+    }
+}
+
+void Model::injectFaults()
+{
+    if (chance(this->faults.ownerChanges)) {
+        replaceOwner();
+    }
+    const auto begin = [&](std::int64_t& until, unsigned perThousand) {
+        if (until <= this->now && chance(perThousand)) {
+            until = this->now + timeStep * between(25, 300);
+        }
+    };
+    auto& owner = *this->owners.back();
+    begin(owner.pausedUntil, this->faults.pauses);
+    begin(owner.heldUntil, this->faults.holds);
+    // After a pause, an owner starts nothing before it has handled the events that it missed.
+    owner.heldUntil = std::max(owner.heldUntil, owner.pausedUntil + timeStep);
+    for (auto& upstream : this->upstreams) {
+        begin(upstream.drainedUntil, this->faults.drains);
+        begin(upstream.shutdownUntil, this->faults.shutdowns);
+        begin(upstream.absentUntil, this->faults.departures);
+        if (chance(this->faults.vanishedRuns) && !upstream.running.empty()) {
+            upstream.stopping.erase(upstream.running.begin()->first);
+            upstream.running.erase(upstream.running.begin());
+        }
+    }
+}
+
+void Model::endFaults()
+{
+    this->faulty = false;
+    for (auto& upstream : this->upstreams) {
+        upstream.partitionedUntil = 0;
+        upstream.drainedUntil = 0;
+        upstream.shutdownUntil = 0;
+        upstream.absentUntil = 0;
+        for (auto& [task, running] : upstream.running) {
+            running.hangs = false;
+        }
+    }
+}
+
+std::optional<std::string> Model::findStalled() const
+{
+    for (const auto& [id, job] : this->jobs) {
+        if (jobs::isFinal(this->records.at(id).state)) {
+            continue;
+        }
+        if (!job.steps.front().longRunning) {
+            return id.text() + " did not end";
+        }
+        for (std::uint32_t index = 0; index < job.steps.front().count; ++index) {
+            const TaskId task { id, { 0, 0, index } };
+            if (std::ranges::none_of(this->upstreams,
+                    [&](const Upstream& upstream) { return upstream.running.contains(task); })) {
+                return "long-running task does not run: " + jobs::toText(task);
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+void Model::addLongRunningJob()
+{
+    const jobs::Step step { .count = upstreamCount,
+        .resources = { 200, 100, 0 },
+        .estimate = { 500 },
+        .maxPerUpstream = static_cast<std::uint32_t>(between(0, 2)),
+        .longRunning = true,
+        .maxUnavailable = static_cast<std::uint32_t>(between(0, 2)) };
+    publishJob(makeJob("job" + std::to_string(this->jobs.size()), { step }, 4));
+}
+
 void Model::addJob()
 {
     const jobs::JobId id { "job" + std::to_string(this->jobs.size()) };
@@ -115,6 +212,12 @@
         ? makePeriodicJob(id.text(), steps, static_cast<std::uint32_t>(between(2, 4)),
             moment().wall + kernel::Duration { between(0, 1500) }, kernel::Duration { between(0, 600) })
         : makeJob(id.text(), steps, 4);
+    publishJob(job);
+}
+
+void Model::publishJob(const jobs::Job& job)
+{
+    const auto id = job.id;
     this->jobs.emplace(id, job);
     this->records.emplace(id, jobs::Record {});
     after(between(1, 100), [this, id] {
@@ -129,7 +232,7 @@
 void Model::cancelRandomJob()
 {
     for (const auto& [known, record] : this->records) {
-        if (jobs::isFinal(record.state) || !chance(200)) {
+        if (jobs::isFinal(record.state) || this->jobs.at(known).steps.front().longRunning || !chance(200)) {
             continue;
         }
         const auto id = known;
@@ -156,10 +259,8 @@
     }
     ++this->term;
     std::vector<UpstreamId> used;
-    std::vector<UpstreamFacts> members;
     for (const auto& upstream : this->upstreams) {
         used.push_back(upstream.facts.id);
-        members.push_back(upstream.facts);
     }
     const auto owner
         = std::make_shared<Owner>(Owner { PoolScheduler { policy, this->term, moment(), used }, this->term });
@@ -169,17 +270,50 @@
             applyEvent(owner, JobAdded { this->jobs.at(id), record, true });
         }
     }
-    applyEvent(owner, MembersListed { members });
+    listMembers(owner);
     for (const auto& id : used) {
         poll(owner, id);
     }
 }
 
+void Model::listMembers(const OwnerPointer& owner)
+{
+    std::vector<UpstreamFacts> members;
+    std::vector<Drain> drains;
+    for (const auto& upstream : this->upstreams) {
+        const auto& facts = upstream.facts;
+        if (upstream.absentUntil <= this->now) {
+            members.push_back({ .id = facts.id,
+                .service = facts.service,
+                .address = facts.address,
+                .zone = facts.zone,
+                .rack = facts.rack,
+                .labels = facts.labels,
+                .capacity = facts.capacity,
+                .draining = upstream.shutdownUntil > this->now,
+                .born = facts.born });
+        }
+        if (upstream.drainedUntil > this->now) {
+            drains.push_back({ facts.id, upstream.drainedUntil % 2 == 0 });
+        }
+    }
+    applyEvent(owner, MembersListed { members });
+    if (drains != owner->drains) {
+        owner->drains.swap(drains);
+        applyEvent(owner, DrainsChanged { owner->drains });
+    }
+}
+
 void Model::applyEvent(const OwnerPointer& owner, const Event& event)
 {
     if (owner->terminated) {
         return;
     }
+    if (owner->pausedUntil > this->now) {
+        after(owner->pausedUntil - this->now, [this, owner, event] { applyEvent(owner, event); });
+        return;
+    }
+    owner->scheduler.setActive(owner == this->owners.back() && owner->heldUntil <= this->now);
     for (const auto& order : owner->scheduler.apply(event, moment())) {
         send(owner, order);
     }
@@ -187,6 +321,9 @@
 
 void Model::send(const OwnerPointer& owner, const Order& order)
 {
+    if (fails(this->faults.droppedOrders)) {
+        return;
+    }
     if (const auto* const start = std::get_if<StartTask>(&order)) {
         sendStart(owner, *start);
     } else if (const auto* const stop = std::get_if<StopTask>(&order)) {
@@ -203,12 +340,12 @@
         });
     };
     const bool partitioned = at(order.upstream).partitionedUntil > this->now;
-    if (partitioned || chance(this->faults.lostCalls)) {
+    if (partitioned || fails(this->faults.lostCalls)) {
         answer(callTimeout, StartResult::Unknown);
         return;
     }
-    const bool late = chance(this->faults.lateOrders);
-    const bool lost = late || chance(this->faults.lostAnswers);
+    const bool late = fails(this->faults.lateOrders);
+    const bool lost = late || fails(this->faults.lostAnswers);
     const auto delay = late ? between(2000, 12000) : between(1, 60);
     after(delay, [this, owner, order, until, lost, answer] {
         auto& upstream = at(order.upstream);
@@ -232,11 +369,11 @@
         });
     };
     const bool partitioned = at(order.upstream).partitionedUntil > this->now;
-    if (partitioned || chance(this->faults.lostCalls)) {
+    if (partitioned || fails(this->faults.lostCalls)) {
         answer(callTimeout, false);
         return;
     }
-    const bool lost = chance(this->faults.lostAnswers);
+    const bool lost = fails(this->faults.lostAnswers);
     after(between(1, 60), [this, owner, order, lost, answer] {
         auto& upstream = at(order.upstream);
         const bool stopped = upstream.up && stop(upstream, order, owner->term);
@@ -249,6 +386,17 @@
     if (owner->terminated) {
         return;
     }
+    if (owner->pausedUntil > this->now) {
+        after(owner->pausedUntil - this->now, [this, owner, id] { poll(owner, id); });
+        return;
+    }
+    if (at(id).absentUntil > this->now && !owner->scheduler.hasTasks(id)
+        && !owner->scheduler.isUnreconciled(id)) {
+        applyEvent(owner, UpstreamUnresponsive { id });
+        owner->unresponsive.insert(id);
+        after(tickInterval, [this, owner, id] { poll(owner, id); });
+        return;
+    }
     const auto sent = this->now;
     // Polls of an unresponsive upstream do not renew its lease, so that the lease can expire.
     const bool renews = !owner->unresponsive.contains(id);
@@ -262,7 +410,7 @@
             after(300, [this, owner, id] { poll(owner, id); });
         });
     };
-    if (at(id).partitionedUntil > this->now || chance(this->faults.lostCalls)) {
+    if (at(id).partitionedUntil > this->now || fails(this->faults.lostCalls)) {
         reportUnresponsive();
         return;
     }
@@ -288,7 +436,11 @@
         std::vector<RunningTask> running;
         // Progress changes with each list unless the task hangs.
         for (const auto& [task, state] : upstream.running) {
-            running.push_back({ task, state.run, "", state.hangs ? 5 : this->now / timeStep % 97 });
+            const bool longRunning = this->jobs.at(task.job).steps[task.position.step].longRunning;
+            const auto percent = longRunning && this->now - state.started > longRunningStartup
+                ? 100
+                : this->now / timeStep % 97;
+            running.push_back({ task, state.run, "", state.hangs ? 5 : percent });
         }
         std::vector<EndedTask> ended;
         for (const auto& [endNumber, end] : upstream.ends) {
@@ -298,7 +450,7 @@
         }
         const bool moreEnds = ended.size() >= this->faults.endsPerList;
         const TasksListed listed { id, { upstream.born }, { sent }, running, ended, moreEnds };
-        if (chance(this->faults.lostAnswers)) {
+        if (fails(this->faults.lostAnswers)) {
             reportUnresponsive();
             return;
         }
@@ -312,7 +464,8 @@
 
 void Model::writeRecords(const OwnerPointer& owner)
 {
-    if (owner->terminated || (!owner->scheduler.hasChange() && chance(700))) {
+    if (owner->terminated || owner->pausedUntil > this->now
+        || (!owner->scheduler.hasChange() && chance(700))) {
         return;
     }
     std::map<UpstreamId, std::pair<std::int64_t, std::uint64_t>> lastEnds;
@@ -401,7 +554,10 @@
     checkStart(upstream, order);
     upstream.leaseEnd = std::max(upstream.leaseEnd, until);
     this->lastStart[order.task] = this->now;
-    upstream.running[order.task] = { order.run, this->now + between(200, 1500), chance(60), chance(5) };
+    const bool longRunning = this->jobs.at(order.task.job).steps[order.task.position.step].longRunning;
+    upstream.running[order.task]
+        = { order.run, this->now, this->now + (longRunning ? between(500, 40000) : between(200, 1500)),
+              longRunning || chance(60), fails(longRunning ? 0 : 5) };
     ++this->starts;
     return StartResult::Started;
 }
@@ -437,7 +593,8 @@
         }
     }
     for (const auto& progress : record.tasks) {
-        if (progress.position == order.task.position && progress.failedRuns.size() >= job.maxAttempts) {
+        if (progress.position == order.task.position && progress.failedRuns.size() >= job.maxAttempts
+            && !declared.longRunning) {
             reportViolation("too many attempts of " + name);
         }
     }
@@ -459,6 +616,9 @@
         return false;
     }
     upstream.highestTerm = ofTerm;
+    if (fails(this->faults.rejectedStops)) {
+        return false;
+    }
     auto& lastEndedRun = upstream.lastEndedRuns[order.task];
     const auto running = upstream.running.find(order.task);
     if (running != upstream.running.end() && running->second.run == order.run) {
@@ -492,11 +652,11 @@
             }
             continue;
         }
-        if (chance(this->faults.crashes)) {
+        if (fails(this->faults.crashes)) {
             crash(upstream);
             continue;
         }
-        if (chance(this->faults.partitions)) {
+        if (fails(this->faults.partitions)) {
             upstream.partitionedUntil = this->now + between(1000, 7000);
         }
         if (upstream.leaseEnd <= this->now) {
@@ -507,11 +667,12 @@
         const auto running = upstream.running;
         for (const auto& [task, state] : running) {
             const auto stopping = upstream.stopping.find(task);
+            const bool longRunning = this->jobs.at(task.job).steps[task.position.step].longRunning;
             if (upstream.leaseEnd <= this->now) {
                 end(upstream, task, EndKind::LeaseExpired);
             } else if (stopping != upstream.stopping.end() && stopping->second <= this->now) {
                 end(upstream, task, EndKind::Stopped);
-            } else if (state.ends <= this->now && !state.hangs) {
+            } else if (state.ends <= this->now && !state.hangs && (this->faulty || !longRunning)) {
                 end(upstream, task, state.fails ? EndKind::Failed : EndKind::Done);
             }
         }
--- a/test/wasabiroad/scheduling/model.hpp
+++ b/test/wasabiroad/scheduling/model.hpp
@@ -34,6 +34,22 @@
     const unsigned partitions { 0 };
     /** @brief Maximum number of ends in a list of an upstream. */
     const std::size_t endsPerList { 500 };
+    /** @brief Orders that are neither sent nor answered. */
+    const unsigned droppedOrders { 0 };
+    /** @brief Stops that an upstream rejects. */
+    const unsigned rejectedStops { 0 };
+    /** @brief Runs that vanish without an end, per upstream and time increment. */
+    const unsigned vanishedRuns { 0 };
+    /** @brief Drains that begin, per upstream and time increment. */
+    const unsigned drains { 0 };
+    /** @brief Upstreams that begin to report that they are shutting down, per time increment. */
+    const unsigned shutdowns { 0 };
+    /** @brief Upstreams that leave the pool for a while, per time increment. */
+    const unsigned departures { 0 };
+    /** @brief Pauses of the owner, after which it handles all events late, per time increment. */
+    const unsigned pauses { 0 };
+    /** @brief Spans in which the owner may not start tasks, per time increment. */
+    const unsigned holds { 0 };
 
     friend std::ostream& operator<<(std::ostream& out, const Faults& faults) { return out << faults.title; }
 };
@@ -57,6 +73,7 @@
 private:
     struct Running {
         jobs::Run run {};
+        std::int64_t started { 0 };
         std::int64_t ends { 0 };
         bool fails { false };
         bool hangs { false };
@@ -75,6 +92,9 @@
         bool up { true };
         std::int64_t restartTime { 0 };
         std::int64_t partitionedUntil { 0 };
+        std::int64_t drainedUntil { 0 };
+        std::int64_t shutdownUntil { 0 };
+        std::int64_t absentUntil { 0 };
         /** @brief Highest fencing token accepted. */
         std::uint64_t highestTerm { 0 };
         std::int64_t leaseEnd { 0 };
@@ -92,24 +112,38 @@
         std::uint64_t term { 0 };
         std::int64_t activeUntil { 0 };
         bool terminated { false };
+        std::int64_t pausedUntil { 0 };
+        std::int64_t heldUntil { 0 };
         /** @brief Incarnation of each upstream and the last end recorded for it. */
         std::map<UpstreamId, std::pair<std::int64_t, std::uint64_t>> acknowledged {};
         std::map<UpstreamId, std::int64_t> lastRenewal {};
         std::set<UpstreamId> unresponsive {};
+        std::vector<Drain> drains {};
     };
 
     using OwnerPointer = std::shared_ptr<Owner>;
 
     bool chance(unsigned perThousand);
+    /** @return Whether a fault occurs that has this probability per thousand while faults are enabled. */
+    bool fails(unsigned perThousand) { return this->faulty && chance(perThousand); }
     std::int64_t between(std::int64_t least, std::int64_t most);
     Moment moment() const;
     void after(std::int64_t delay, std::function<void()> action);
     void runScheduledActions();
     void reportViolation(const std::string& what);
 
+    void advance();
+    void injectFaults();
+    void endFaults();
+    /** @return A job that has not ended or a long-running task that does not run, or nothing. */
+    std::optional<std::string> findStalled() const;
+
     void addJob();
+    void addLongRunningJob();
+    void publishJob(const jobs::Job& job);
     void cancelRandomJob();
     void replaceOwner();
+    void listMembers(const OwnerPointer& owner);
     void applyEvent(const OwnerPointer& owner, const Event& event);
     void send(const OwnerPointer& owner, const Order& order);
     void sendStart(const OwnerPointer& owner, const StartTask& order);
@@ -130,6 +164,7 @@
     const Faults faults;
     pcg32 random;
     std::int64_t now { 0 };
+    bool faulty { true };
     std::multimap<std::int64_t, std::function<void()>> scheduledActions {};
     std::vector<Upstream> upstreams {};
     std::vector<OwnerPointer> owners {};
--- a/test/wasabiroad/scheduling/model_runs.cpp
+++ b/test/wasabiroad/scheduling/model_runs.cpp
@@ -35,6 +35,27 @@
         .ownerChanges = 4,
         .previousOwnersStayActive = true,
         .endsPerList = 2 },
+    { .title = "orders are dropped", .droppedOrders = 30 },
+    { .title = "stops are rejected", .lostCalls = 20, .lateOrders = 30, .rejectedStops = 300 },
+    { .title = "runs vanish", .vanishedRuns = 5 },
+    { .title = "drains come and go", .lostAnswers = 10, .drains = 4, .shutdowns = 2 },
+    { .title = "upstreams leave and return", .crashes = 2, .departures = 4 },
+    { .title = "the owner pauses", .lostAnswers = 10, .pauses = 4, .holds = 4 },
+    { .title = "all faults but late orders",
+        .lostCalls = 5,
+        .lostAnswers = 5,
+        .crashes = 1,
+        .ownerChanges = 1,
+        .previousOwnersStayActive = true,
+        .partitions = 1,
+        .droppedOrders = 5,
+        .rejectedStops = 50,
+        .vanishedRuns = 2,
+        .drains = 1,
+        .shutdowns = 1,
+        .departures = 1,
+        .pauses = 1,
+        .holds = 1 },
 };
 
 /** Random event sequences per row, set in CMakeLists.txt; the rows make more than 10,000 without
@@ -45,7 +66,8 @@
  * jobs; guards against a model that makes no progress. */
 constexpr std::uint64_t completedJobsPerRun = 10;
 
-/** Guards against event sequences in which the scheduler violates an invariant, such as one run per task. */
+/** Guards against event sequences in which the scheduler violates an invariant, such as one run per task, or
+ * after which a task that could run does not. */
 BOOST_DATA_TEST_CASE(invariants_hold_under_random_faults, data::make(rows), faults)
 {
     std::uint64_t starts = 0;
