--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -294,7 +294,7 @@
                 .born = facts.born });
         }
         if (upstream.drainedUntil > this->now) {
-            drains.push_back({ facts.id, upstream.drainedUntil % 2 == 0 });
+            drains.push_back({ facts.id, upstream.drainedUntil / timeStep % 2 == 0 });
         }
     }
     applyEvent(owner, MembersListed { members });
