--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -21,6 +21,11 @@
 constexpr Duration usualDownTime { 400 };
 constexpr Duration endInterval { 10 };
 
+/** Tasks that run for longer are long-running ones: these are at work, with a progress of 100, at once. */
+constexpr Duration longRunTime { 1000000 };
+constexpr std::int64_t usualPercent = 50;
+constexpr std::int64_t atWorkPercent = 100;
+
 Instant now() { return kernel::now(kernel::SteadyClock {}); }
 
 Duration runTime(const std::string& payload)
@@ -216,7 +221,8 @@
     worker->ends.erase(worker->ends.begin(), worker->ends.upper_bound(look.acknowledged));
     std::vector<scheduling::RunningTask> running;
     for (const auto& [task, state] : worker->running) {
-        running.push_back({ task, state.run, "", 50 });
+        const bool longRunning = state.ends - now() > longRunTime;
+        running.push_back({ task, state.run, "", longRunning ? atWorkPercent : usualPercent });
     }
     std::vector<scheduling::EndedTask> ended;
     for (const auto& [number, end] : worker->ends) {
