--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -270,6 +270,64 @@
     BOOST_TEST(site.workers.broken().empty());
 }
 
+/** What happens around the stop of the owner. */
+struct StopRow {
+    const char* title;
+    const std::function<void(Site&, std::size_t)> stop;
+
+    friend std::ostream& operator<<(std::ostream& out, const StopRow& row) { return out << row.title; }
+};
+
+const std::vector<StopRow> stopRows {
+    { "a write is in flight",
+        [](Site& site, std::size_t owner) {
+            site.daemons[owner]->storeFaults->changeDelay = { 700 };
+            site.submit(makeJob("in-flight", 50, 4), 2);
+            site.runFor(80);
+            site.daemons[owner]->agent->stop([] {});
+        } },
+    { "the next owner stops as well",
+        [](Site& site, std::size_t owner) {
+            site.daemons[owner]->agent->stop([] {});
+            BOOST_REQUIRE(site.runUntil([&] { return site.owner() && *site.owner() != owner; }));
+            if (const auto next = *site.owner(); next != 2) {
+                site.daemons[next]->agent->stop([] {});
+            }
+        } },
+    { "the next owner stops when it has read the pool",
+        [](Site& site, std::size_t owner) {
+            site.daemons[owner]->agent->stop([] {});
+            BOOST_REQUIRE(site.runUntil([&] { return site.owner() && *site.owner() != owner; }));
+            site.runFor(12);
+            if (const auto next = *site.owner(); next != 2) {
+                site.daemons[next]->agent->stop([] {});
+            }
+        } },
+    { "the store is silent",
+        [](Site& site, std::size_t owner) {
+            site.daemons[owner]->storeFaults->silent = true;
+            site.daemons[owner]->agent->stop([] {});
+        } },
+};
+
+/** Guards against a pool that stands after its owner was stopped while something else went on. */
+BOOST_DATA_TEST_CASE(stopped_owner_is_followed, data::make(stopRows), row)
+{
+    constexpr kernel::Duration takeoverLimit { 12000 };
+    Site site { 2 };
+    BOOST_REQUIRE(site.waitForOwner());
+    site.addDaemon();
+    site.submit(makeJob("long", 2500, 8), 2);
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 8; }));
+    row.stop(site, *site.owner());
+    BOOST_TEST((site.submit(makeJob("later", 50), 2) == SubmitOutcome { Accepted {} }));
+    const auto stopped = kernel::now(kernel::SteadyClock {});
+    BOOST_TEST(site.reaches("later", JobState::Completed, 2));
+    BOOST_TEST((kernel::now(kernel::SteadyClock {}) - stopped < takeoverLimit));
+    BOOST_TEST(site.reaches("long", JobState::Completed, 2));
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
