Poll upstreams of limited steps often during a drain

callers saw: a wave that never ends, with a VM that gets no tasks: its long-running task is not stopped although the others of its step are at work. cause: a drain stops a task of a step with maxUnavailable only while the upstreams of the other tasks have listed them within 2 s, counted from the call. An idle upstream answers after 1.5 s, so its list is recent enough for 0.5 s of each 1.5 s.

--- a/src/wasabiroad/scheduling/pace.cpp
+++ b/src/wasabiroad/scheduling/pace.cpp
@@ -66,11 +66,13 @@
     }
     bool hasServingTask = false;
     bool hasFiller = false;
+    bool limitsDrains = false;
     for (const auto& id : found->second.tasks) {
         hasServingTask = hasServingTask || stepOf(id).tailLatencyTarget.milliseconds > 0;
         hasFiller = hasFiller || stepOf(id).filler;
+        limitsDrains = limitsDrains || stepOf(id).maxUnavailable > 0;
     }
-    return hasServingTask && hasFiller;
+    return (hasServingTask && hasFiller) || (limitsDrains && !this->drains.empty());
 }
 
 } // namespace wasabiroad::scheduling
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -90,8 +90,8 @@
     /** @return Sequence number of the last task end applied for an upstream. */
     std::uint64_t lastEndNumber(const UpstreamId& upstream) const;
 
-    /** @return Whether the upstream runs both filler and serving tasks, so that pace control needs short
-     * intervals. */
+    /** @return Whether pace control or a drain needs lists of its tasks in short intervals: it runs both
+     * filler and serving tasks, or tasks of a step that limits how many a drain may stop. */
     bool needsFrequentPolling(const UpstreamId& upstream) const;
 
     /** @brief Reports that the record of a job was written; an ended job is erased once none of its tasks
--- a/test/wasabiroad/scheduling/pace.cpp
+++ b/test/wasabiroad/scheduling/pace.cpp
@@ -53,6 +53,24 @@
     BOOST_TEST(fixture.scheduler.needsFrequentPolling(UpstreamId { "u1" }));
 }
 
+/** Guards against a drain that never ends because no two upstreams of a step have listed their tasks
+ * recently. */
+BOOST_DATA_TEST_CASE(
+    upstreams_of_limited_steps_are_polled_often_during_a_drain, data::make({ 0U, 1U }), maxUnavailable)
+{
+    SchedulerFixture fixture { { makeUpstream("u1", 2000), makeUpstream("u2", 2000) } };
+    const jobs::Step step {
+        .count = 4, .resources = { 1000, 100, 0 }, .longRunning = true, .maxUnavailable = maxUnavailable
+    };
+    fixture.apply(JobAdded { makeJob("j", { step }) }, 10);
+    BOOST_REQUIRE_EQUAL(fixture.starts.size(), 4);
+    BOOST_TEST(!fixture.scheduler.needsFrequentPolling(UpstreamId { "u2" }));
+    fixture.apply(DrainsChanged { { { UpstreamId { "u1" }, true } } }, 20);
+    BOOST_TEST(fixture.scheduler.needsFrequentPolling(UpstreamId { "u2" }) == (maxUnavailable > 0));
+    fixture.apply(DrainsChanged {}, 30);
+    BOOST_TEST(!fixture.scheduler.needsFrequentPolling(UpstreamId { "u2" }));
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
