--- a/src/wasabiroad/daemon/main.cpp
+++ b/src/wasabiroad/daemon/main.cpp
@@ -199,6 +199,8 @@
     // A hangup before the settings are read needs no answer: they are read after it. The default would end
     // the process.
     std::signal(SIGHUP, SIG_IGN);
+    // A log without a reader must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     try {
         return kernel::exitCode(run(argc, argv));
     } catch (const cxxopts::exceptions::exception& exception) {
