Poll an upstream and follow the operator whatever a handler does

cause: the next poll of an upstream was armed after the handlers of a list, and the next watch of the operator after a configuration was adopted. An exception in between ended the chain for the rest of the term or of the process: task leases lapsed, or no configuration arrived.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -247,6 +247,7 @@
     std::visit(kernel::Overloaded {
                    [&](const ports::OperatorState& state) {
                        this->lastOperatorAnswer = kernel::bootNow();
+                       watchOperator(state.asOf);
                        for (const auto& wave : state.waves) {
                            this->waves.try_emplace(wave.number, wave);
                        }
@@ -254,7 +255,6 @@
                            adopt(*state.configuration);
                        }
                        updateFleetAgent();
-                       watchOperator(state.asOf);
                    },
                    [&](const store::HistoryGone&) { readOperator(); },
                    [&](const kernel::Error&) {
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -1,5 +1,6 @@
 #include "wasabiroad/agent/upstream_agent.hpp"
 
+#include "wasabiroad/kernel/isolation.hpp"
 #include "wasabiroad/kernel/log.hpp"
 #include "wasabiroad/kernel/overloaded.hpp"
 
@@ -91,7 +92,9 @@
     for (const auto& end : tasks.ended) {
         this->lastListed = std::max(this->lastListed, end.number);
     }
-    this->callbacks.onTasks(this->upstream.id, tasks, sent);
+    // The upstream is polled again whatever happens to this list: polls renew the leases of its tasks.
+    kernel::runIsolated(
+        { "chain", "upstream" }, [&] { this->callbacks.onTasks(this->upstream.id, tasks, sent); });
     if (this->closed) {
         return;
     }
@@ -108,7 +111,11 @@
                 { "reason", error.found } });
     }
     this->answering = false;
-    this->callbacks.onUnresponsive(this->upstream.id, this->lastRenewal);
+    kernel::runIsolated({ "chain", "upstream" },
+        [&] { this->callbacks.onUnresponsive(this->upstream.id, this->lastRenewal); });
+    if (this->closed) {
+        return;
+    }
     this->timer.start(retryInterval, [self = shared_from_this()] { self->poll(); });
 }
 
--- a/test/wasabiroad/agent/upstream_agent.cpp
+++ b/test/wasabiroad/agent/upstream_agent.cpp
@@ -1,6 +1,7 @@
 #include "wasabiroad/agent/upstream_agent.hpp"
 
 #include <ostream>
+#include <stdexcept>
 #include <vector>
 
 #include <boost/asio/post.hpp>
@@ -99,6 +100,45 @@
     agent->close();
 }
 
+/** Guards against an upstream that is never polled again because a handler threw once. */
+BOOST_DATA_TEST_CASE(polls_go_on_after_a_handler_has_thrown, data::make({ true, false }), answers)
+{
+    constexpr std::size_t polls = 3;
+    boost::asio::io_context context { 1 };
+    std::size_t polled = 0;
+    const auto link = std::make_shared<const ports::UpstreamLink>(ports::UpstreamLink {
+        .look =
+            [&](const ports::Look&, const store::Callback<ports::LookOutcome>& callback) {
+                ++polled;
+                boost::asio::post(
+                    context, [callback, answers] { callback(answers ? makeTasks(1, 0) : noAnswer); });
+            },
+        .start = {},
+        .stop = {},
+        .pace = {},
+    });
+    const auto agent = std::make_shared<UpstreamAgent>(context, link,
+        scheduling::UpstreamFacts { .id = upstream }, ports::Term { 1 }, kernel::Duration { 4000 },
+        UpstreamCallbacks {
+            .onTasks = [](const auto&, const auto&, auto) { throw std::runtime_error { "unexpected task" }; },
+            .onUnresponsive = [](const auto&, auto) { throw std::runtime_error { "unexpected upstream" }; },
+            .onReplaced = [](const auto&) {},
+            .onSuperseded = [] {},
+            .mayRenewLeases = [] { return true; },
+            .needsFrequentPolling = [](const auto&) { return false; },
+        });
+    agent->start();
+    for (int step = 0; step < 400 && polled < polls; ++step) {
+        try {
+            context.run_for(std::chrono::milliseconds { 5 });
+        } catch (const std::runtime_error& error) {
+            BOOST_TEST_MESSAGE(error.what());
+        }
+    }
+    BOOST_TEST(polled >= polls);
+    agent->close();
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
