Keep no lease without confirmation, and correct a wrong absence of an owner

(1) A daemon whose renewals are carried out and not answered may not act on its duties, and keeps all others out by renewing. (2) A list that lacks a key counted as newer than the key's creation for ever after, so the owner dropped its agent, kept its key, and nothing corrected it. What a list shows counts as of the list's revision; a key of a lost term that still exists is removed on its term.

--- a/src/wasabiroad/agent/duties.cpp
+++ b/src/wasabiroad/agent/duties.cpp
@@ -92,8 +92,12 @@
     checkHealth();
     auditOwners();
     const auto sent = kernel::bootNow();
+    if (isLeaseUnconfirmed() && !mayRenewUnconfirmed()) {
+        return;
+    }
     if (this->lease && !this->renewing) {
         this->renewing = true;
+        this->lastRenewalSent = sent;
         this->store->renew(*this->lease,
             [self = shared_from_this(), sent, renewed = *this->lease](const kernel::Expected<bool>& alive) {
                 self->renewing = false;
@@ -112,6 +116,24 @@
     }
 }
 
+bool Duties::isLeaseUnconfirmed() const
+{
+    return this->lease && kernel::bootNow() >= this->leaseValidUntil + leaseGrace;
+}
+
+bool Duties::mayRenewUnconfirmed()
+{
+    // Renewals whose answers are lost would keep the duties of a daemon that may not act on them.
+    if (this->lastAudit <= this->lastRenewalSent) {
+        return false;
+    }
+    if (kernel::bootNow() - this->leaseValidUntil > leaseGrace + hindranceLimit) {
+        this->lease.reset();
+        loseAllDuties("lease not confirmed");
+    }
+    return true;
+}
+
 void Duties::onLeaseGranted(const kernel::Expected<store::Lease>& granted, Instant sent)
 {
     if (!granted || this->stopping) {
@@ -156,7 +178,8 @@
 
 void Duties::auditOwners()
 {
-    if (!this->ownersLoaded || this->auditing || kernel::bootNow() - this->lastAudit < auditInterval) {
+    const bool isDue = kernel::bootNow() - this->lastAudit >= auditInterval || isLeaseUnconfirmed();
+    if (!this->ownersLoaded || this->auditing || !isDue) {
         return;
     }
     this->auditing = true;
@@ -177,7 +200,7 @@
     for (const auto& found : listing.entries) {
         const auto duty = found.key.substr(keys::owners.size());
         present.insert(duty);
-        onOwner(duty, found.value, found.created);
+        onOwner(duty, found.value, found.created, listing.asOf);
     }
     const auto known = this->owners;
     for (const auto& [duty, owner] : known) {
@@ -217,7 +240,7 @@
                             std::visit(kernel::Overloaded {
                                            [&](const store::Entry& found) {
                                                self->onOwner(found.key.substr(keys::owners.size()),
-                                                   found.value, found.created);
+                                                   found.value, found.created, found.created);
                                            },
                                            [&](const store::Removed& removed) {
                                                self->onVacant(
@@ -249,9 +272,21 @@
     return true;
 }
 
-void Duties::onOwner(const std::string& duty, const std::string& owner, store::Revision created)
+void Duties::onOwner(
+    const std::string& duty, const std::string& owner, store::Revision created, store::Revision asOf)
 {
-    if (!isNews(duty, created)) {
+    const ports::Term term { created.value };
+    if (!isNews(duty, asOf)) {
+        return;
+    }
+    const auto mine = this->held.find(duty);
+    if (mine != this->held.end() && mine->second == term) {
+        return;
+    }
+    const auto lost = this->lostTerms.find(duty);
+    if (owner == ownerName() && lost != this->lostTerms.end() && term <= lost->second) {
+        // A key of a lost term that still exists keeps other daemons out.
+        this->renounced.insert_or_assign(duty, term);
         return;
     }
     const auto since = this->vacantSince.find(duty);
@@ -263,7 +298,6 @@
         loseDuty(duty, owner == ownerName() ? "newer term" : "another owner");
     }
     if (owner == ownerName() && this->lease) {
-        const ports::Term term { created.value };
         this->held.emplace(duty, term);
         kernel::logEvent("duty-taken",
             { { "duty", duty }, { "term", term.value }, { "vacant_ms", vacant.milliseconds },
@@ -357,7 +391,7 @@
                            this->renounced.erase(found);
                        }
                        for (const auto& found : conflict.current) {
-                           onOwner(duty, found.value, found.created);
+                           onOwner(duty, found.value, found.created, found.created);
                        }
                    },
                    // Repeated at the next renewal.
@@ -432,13 +466,16 @@
             std::visit(kernel::Overloaded {
                            [&](const store::Committed& committed) {
                                if (self->lease == lease) {
-                                   self->onOwner(duty, self->ownerName(), committed.revision);
+                                   self->onOwner(
+                                       duty, self->ownerName(), committed.revision, committed.revision);
                                }
                            },
                            [&](const store::Conflict& conflict) {
                                for (const auto& found : conflict.current) {
-                                   self->onOwner(duty, found.value, found.created);
+                                   self->onOwner(duty, found.value, found.created, found.created);
                                }
+                               // An owner that seems to be gone shows up in the next audit.
+                               answered = !self->vacantSince.contains(duty);
                            },
                            [&](const store::LeaseEnded&) {
                                if (self->lease == lease) {
@@ -463,6 +500,7 @@
 {
     kernel::logEvent(
         "duty-lost", { { "duty", duty }, { "term", this->held.at(duty).value }, { "reason", reason } });
+    this->lostTerms.insert_or_assign(duty, this->held.at(duty));
     this->held.erase(duty);
     this->hinderedSince.erase(duty);
     this->handlers.end(duty);
--- a/src/wasabiroad/agent/duties.hpp
+++ b/src/wasabiroad/agent/duties.hpp
@@ -73,13 +73,23 @@
     void onLeaseGranted(const kernel::Expected<store::Lease>& lease, kernel::Instant sent);
     void onRenewed(const kernel::Expected<bool>& alive, kernel::Instant sent);
     void readOwners();
+    /** @return Whether no renewal has been answered for longer than the lease and its grace period last. */
+    bool isLeaseUnconfirmed() const;
+    /** Decides whether to renew a lease that is unconfirmed. */
+    bool mayRenewUnconfirmed();
     /** Reads the owners once, beside the watch, which may miss a change. */
     void auditOwners();
     void applyOwners(const store::Listing& listing);
     /** Logs duties that have had no owner for longer than a takeover takes. */
     void logVacancies() const;
     void watchOwners(store::Revision after);
-    void onOwner(const std::string& duty, const std::string& owner, store::Revision created);
+    /**
+     * Applies that a key names an owner.
+     * @param created Revision at which the key was created.
+     * @param asOf Revision of the store that showed the key.
+     */
+    void onOwner(
+        const std::string& duty, const std::string& owner, store::Revision created, store::Revision asOf);
     void onVacant(const std::string& duty, store::Revision asOf);
     /** @return Whether the state of a duty at a revision is newer than the known one, which it replaces. */
     bool isNews(const std::string& duty, store::Revision asOf);
@@ -118,6 +128,8 @@
     std::map<std::string, kernel::Instant> vacantSince {};
     /** @brief Revisions of the store of which the states of the duties are known. */
     std::map<std::string, store::Revision> knownAsOf {};
+    /** @brief Terms that this daemon has lost; their keys count as renounced where they still exist. */
+    std::map<std::string, ports::Term> lostTerms {};
     /** @brief Boot clock times since which held duties have been hindered. */
     std::map<std::string, kernel::Instant> hinderedSince {};
     /** @brief Terms of renounced duties whose keys may still exist. */
@@ -128,6 +140,7 @@
     std::map<std::string, kernel::Instant> deferredUntil {};
     bool auditing { false };
     kernel::Instant lastAudit {};
+    kernel::Instant lastRenewalSent {};
     /** @brief Duties with a request for ownership in flight. */
     std::set<std::string> taking {};
     kernel::Timer leaseTimer;
--- a/src/wasabiroad/standin/key_value.cpp
+++ b/src/wasabiroad/standin/key_value.cpp
@@ -76,7 +76,10 @@
                           kernel::callLater(
                               this->context, faults->listDelay, [callback, listing] { callback(listing); });
                       };
-                reading(delayed, [this, prefix]() -> kernel::Expected<store::Listing> {
+                reading(delayed, [this, faults, prefix]() -> kernel::Expected<store::Listing> {
+                    if (!faults->omittedPrefix.empty() && prefix.starts_with(faults->omittedPrefix)) {
+                        return store::Listing { {}, { this->revision } };
+                    }
                     auto listing = list(prefix);
                     this->listed[prefix] += listing.entries.size();
                     return listing;
@@ -129,8 +132,17 @@
                 });
             },
         .renew =
-            [this, reading](store::LeaseId lease, const store::Callback<kernel::Expected<bool>>& callback) {
-                reading(callback, [this, lease]() -> kernel::Expected<bool> {
+            [this, faults, reading](
+                store::LeaseId lease, const store::Callback<kernel::Expected<bool>>& callback) {
+                const auto answer = [this, faults, callback](const kernel::Expected<bool>& alive) {
+                    if (!faults->losesRenewals) {
+                        callback(alive);
+                        return;
+                    }
+                    kernel::callLater(
+                        this->context, silence, [callback] { callback(tl::unexpected(timeout())); });
+                };
+                reading(answer, [this, lease]() -> kernel::Expected<bool> {
                     const auto found = this->leases.find(lease.value);
                     if (found == this->leases.end()) {
                         return false;
--- a/src/wasabiroad/standin/key_value.hpp
+++ b/src/wasabiroad/standin/key_value.hpp
@@ -27,6 +27,10 @@
     std::string refusedPrefix {};
     /** @brief Answers to lists arrive this much later than they were made. */
     kernel::Duration listDelay {};
+    /** @brief Renewals of leases are carried out and not answered. */
+    bool losesRenewals { false };
+    /** @brief Lists under this prefix lack their entries; empty for none. */
+    std::string omittedPrefix {};
     /** @brief Watches get no answer. */
     bool silentWatches { false };
     /** @brief Changes are not answered, and carried out this much later; 0 for none of that. */
--- a/test/wasabiroad/agent/duties.cpp
+++ b/test/wasabiroad/agent/duties.cpp
@@ -99,6 +99,26 @@
     duties->abandon();
 }
 
+/** Guards against a duty without an owner because a late conflict names one that is gone (LOST). */
+BOOST_AUTO_TEST_CASE(late_conflict_does_not_hide_a_vacancy)
+{
+    boost::asio::io_context context { 1 };
+    ManualStore manualStore;
+    const auto duties = std::make_shared<Duties>(context, manualStore.makeStore(), model::EntryId { "a" }, 1,
+        settings::VmCapacity {},
+        DutyHandlers { [](const auto&, ports::Term) {}, [](const auto&) {},
+            [](const auto&) { return DutyHealth { DutyWorking {} }; } });
+    duties->start();
+    duties->setWanted({ "fleet" });
+    BOOST_REQUIRE(runUntil(context, [&] { return manualStore.changes.size() == 1; }));
+    manualStore.holdsLists = true;
+    const store::Entry other { keys::owner("fleet"), "b#1", { 3 }, { 3 } };
+    manualStore.watches.front()(store::KeyEvents { { other, store::Removed { other.key, { 4 } } }, { 4 } });
+    manualStore.changes.front()(store::Conflict { { other } });
+    BOOST_TEST(runUntil(context, [&] { return manualStore.changes.size() == 2; }));
+    duties->abandon();
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
--- a/test/wasabiroad/agent/duty_health.cpp
+++ b/test/wasabiroad/agent/duty_health.cpp
@@ -35,6 +35,18 @@
         [](Site& site, std::size_t) { site.store.removeUnseen(keys::poolOwner(service)); } },
     { "its key was removed without an event and no other daemon is there", 1,
         [](Site& site, std::size_t) { site.store.removeUnseen(keys::poolOwner(service)); } },
+    { "its renewals are carried out and not answered", 2,
+        [](Site& site, std::size_t owner) {
+            site.daemons[owner]->storeFaults->losesRenewals = true;
+            // Until its lease may have ended, the owner goes on.
+            site.runFor(2500);
+        } },
+    { "a list lacks its key once", 1,
+        [](Site& site, std::size_t owner) {
+            site.daemons[owner]->storeFaults->omittedPrefix = keys::owners;
+            site.runFor(2600);
+            site.daemons[owner]->storeFaults->omittedPrefix = {};
+        } },
     { "the store answers none of its watches", 2,
         [](Site& site, std::size_t owner) { site.daemons[owner]->storeFaults->silentWatches = true; } },
 };
