--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -178,12 +178,12 @@
 
 /** Estimate of a task whose data is on a rack without upstreams, and when it starts elsewhere. */
 struct RackRow {
-    const std::int64_t estimateMs;
+    const std::int64_t estimateTime;
     const std::int64_t startMs;
 
     friend std::ostream& operator<<(std::ostream& out, const RackRow& row)
     {
-        return out << "estimate " << row.estimateMs << " ms";
+        return out << "estimate " << row.estimateTime << " ms";
     }
 };
 
@@ -194,7 +194,7 @@
 {
     SchedulerFixture fixture { { makeUpstream("u1", 4000, "r1") } };
     const jobs::Step step {
-        .count = 1, .resources = { 100, 100, 0 }, .estimate = { row.estimateMs }, .dataRack = "r2"
+        .count = 1, .resources = { 100, 100, 0 }, .estimate = { row.estimateTime }, .dataRack = "r2"
     };
     fixture.apply(JobAdded { makeJob("j", { step }) }, 0);
     fixture.apply(Tick {}, row.startMs - 1);
