Keep the output of a test of stopped logs until its writer has ended

cause: test kernel failed with the thread sanitizer: the test's static buffer was destroyed at exit while the writer thread, which the stop leaves alone by design, may still use it. The daemon writes to std::cout, which is not destroyed. change: the buffer of the test is never destroyed. The checks are the same. before: 4 data races reported at exit. after: three runs with the thread sanitizer and one with the address sanitizer pass.

--- a/test/wasabiroad/kernel/log.cpp
+++ b/test/wasabiroad/kernel/log.cpp
@@ -126,9 +126,9 @@
 /** Guards against a daemon that cannot stop since nobody reads its log. */
 BOOST_AUTO_TEST_CASE(stop_does_not_wait_for_output_that_stands_still)
 {
-    // The writer thread may use the output until the test program ends.
-    static SlowOutput buffer;
-    static std::ostream output { &buffer };
+    // Never destroyed: the writer thread may use the output while the test program ends.
+    static auto& buffer = *new SlowOutput;
+    static auto& output = *new std::ostream { &buffer };
     startLogging(output);
     logNumbered(0, 1);
     flushLog();
