--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -566,7 +566,9 @@
         return;
     }
     if (result != VmOrderResult::Done) {
-        kernel::logEvent("vm-move-refused", { { "vm", vm.text() }, { "result", static_cast<int>(result) } });
+        kernel::logEvent("vm-move-refused",
+            { { "vm", vm.text() }, { "pool", move.order.from.text() }, { "result", ports::name(result) },
+                { "since_ms", (kernel::bootNow() - move.stateChangedAt).milliseconds } });
     }
     switch (result) {
     case VmOrderResult::Done:
@@ -625,11 +627,23 @@
         }
     }
     for (const auto& name : expired) {
-        kernel::logEvent("vm-move-expired", { { "vm", name.text() } });
+        const auto& move = this->moves.at(name);
+        kernel::logEvent("vm-move-expired",
+            { { "vm", name.text() }, { "from", move.order.from.text() }, { "to", move.order.to.text() },
+                { "upstream", move.order.upstream.text() }, { "stage", stageOf(move) } });
         endMove(name);
     }
 }
 
+std::string_view FleetAgent::stageOf(const Move& move)
+{
+    return move.accepted     ? "accepted"
+        : move.orderInFlight ? "ordered"
+        : move.drained       ? "drained"
+        : move.drainRevision ? "draining"
+                             : "planned";
+}
+
 void FleetAgent::readReports(const std::vector<ports::VmFacts>& facts)
 {
     if (this->sparePools.empty() || this->readingReports) {
@@ -789,8 +803,9 @@
         });
     };
     std::vector<model::VmId> ready;
-    for (const auto& [name, move] : this->moves) {
+    for (auto& [name, move] : this->moves) {
         if (!move.accepted && isReportedDrained(name, move.order.upstream, move.drainRevision)) {
+            move.drained = true;
             ready.push_back(name);
         }
     }
@@ -850,7 +865,7 @@
     }
     if (result != VmOrderResult::Done) {
         kernel::logEvent("vm-maintenance-refused",
-            { { "wave", number }, { "vm", name.text() }, { "result", static_cast<int>(result) } });
+            { { "wave", number }, { "vm", name.text() }, { "result", ports::name(result) } });
     }
     switch (result) {
     case VmOrderResult::Done:
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -95,6 +96,8 @@
         /** @brief When the move was planned; replaced by the time at which the platform accepted it. */
         kernel::Instant stateChangedAt {};
         bool orderInFlight { false };
+        /** @brief The owner of its pool has reported the drain. */
+        bool drained { false };
         /** @brief The platform has accepted the order and is moving the VM. */
         bool accepted { false };
     };
@@ -130,6 +133,8 @@
     void updateMoves(const std::map<model::VmId, const ports::VmFacts*>& facts);
     /** Ends the moves that have taken longer than `moveTimeout`, and their drains. */
     void expireMoves();
+    /** @return The stage of a move for logs. */
+    static std::string_view stageOf(const Move& move);
     void beginMove(const scheduling::VmMove& order);
     void queueMove(const model::VmId& vm);
     void retryMoves();
--- a/src/wasabiroad/ports/fleet.hpp
+++ b/src/wasabiroad/ports/fleet.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -75,8 +76,39 @@
     friend auto operator<=>(const VmFacts&, const VmFacts&) = default;
 };
 
+/** @brief The VMs of all pools. */
+struct VmListing {
+    const std::vector<VmFacts> vms {};
+    /** @brief Whether each entry of the list could be read; a VM that is missing may exist otherwise. */
+    const bool complete { true };
+
+    friend bool operator==(const VmListing&, const VmListing&) = default;
+};
+
 enum class VmOrderResult : unsigned char { Done, Fenced, Busy, NotInWave, Rejected, Overloaded, Unknown };
 
+/** @return Name of the result as it is written in logs. */
+constexpr std::string_view name(VmOrderResult result)
+{
+    switch (result) {
+    case VmOrderResult::Done:
+        return "done";
+    case VmOrderResult::Fenced:
+        return "fenced";
+    case VmOrderResult::Busy:
+        return "busy";
+    case VmOrderResult::NotInWave:
+        return "not-in-wave";
+    case VmOrderResult::Rejected:
+        return "rejected";
+    case VmOrderResult::Overloaded:
+        return "overloaded";
+    case VmOrderResult::Unknown:
+        return "not-answered";
+    }
+    return "unknown";
+}
+
 /** @brief Calls to the platform about configuration, upstreams and VMs. Control thread only. */
 struct Fleet {
     /** @brief Reads all that the operator has written. */
