Start no task on a drained upstream before it has answered again

The owner of the pool takes the end of the drain for permission to use the upstream, while the list of upstreams still holds it and its last answer is recent. class: a permission that is derived from the absence of a prohibition, by a process that learns of the reason later. change: PoolScheduler keeps an upstream closed from the end of its drain until it has answered a call that was sent later. An order is accepted before the drain is removed, so an upstream that answers after that was not taken down. This holds whatever removes the drain, however far the lists lag, and for each owner of the pool, since an owner starts tasks only on what has answered it.

--- a/src/wasabiroad/scheduling/pace.cpp
+++ b/src/wasabiroad/scheduling/pace.cpp
@@ -64,6 +64,10 @@
     if (found == this->upstreams.end()) {
         return false;
     }
+    if (found->second.tasks.empty()
+        && (this->drains.contains(upstreamId) || this->reopening.contains(upstreamId))) {
+        return true;
+    }
     bool hasServingTask = false;
     bool hasFiller = false;
     bool limitsDrains = false;
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -96,7 +96,7 @@
             takenMemory += upstream.memory;
         }
         if (upstream.member && upstream.listed && !upstream.hasUnknownTasks && !this->drains.contains(id)
-            && upstream.longRunningTasks == 0) {
+            && !this->reopening.contains(id) && upstream.longRunningTasks == 0) {
             if (const auto left = timeToDrain(upstream, now)) {
                 releasable.emplace_back(left->milliseconds, id);
             }
@@ -236,7 +236,8 @@
 bool PoolScheduler::isSchedulable(const UpstreamId& id, const Upstream& upstream, Moment now) const
 {
     return upstream.facts && upstream.member && upstream.listed && !upstream.hasUnknownTasks
-        && !this->drains.contains(id) && !upstream.facts->draining && upstream.suspectUntil <= now.steady;
+        && !this->drains.contains(id) && !this->reopening.contains(id) && !upstream.facts->draining
+        && upstream.suspectUntil <= now.steady;
 }
 
 std::optional<Duration> PoolScheduler::timeToDrain(const Upstream& upstream, Moment now) const
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -317,6 +317,9 @@
     }
     for (const auto& [id, drain] : this->drains) {
         markDirty(id);
+        if (!wanted.contains(id)) {
+            this->reopening.insert_or_assign(id, now.steady);
+        }
     }
     this->drains = std::move(wanted);
     drainUpstreams(now);
@@ -336,6 +339,10 @@
     }
     upstream.listed = true;
     upstream.listedAt = event.sent;
+    if (const auto ended = this->reopening.find(event.upstream);
+        ended != this->reopening.end() && event.sent > ended->second) {
+        this->reopening.erase(ended);
+    }
     upstream.hasUnknownTasks = false;
     markDirty(event.upstream);
     upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.maxLeaseDuration);
@@ -600,6 +607,11 @@
     for (const auto& id : lapsed) {
         releaseAll(id, now);
     }
+    // An answer to a call from before the end of the drain of an unknown upstream has arrived by then.
+    std::erase_if(this->reopening, [&](const auto& entry) {
+        return now.steady - entry.second > this->policy.taskListTimeout
+            && !this->upstreams.contains(entry.first);
+    });
     checkStalls(now);
     drainUpstreams(now);
     this->schedulingNeeded = true;
@@ -705,7 +717,7 @@
 bool PoolScheduler::mayHost(const UpstreamId& id, const Upstream& upstream, const jobs::Step& step) const
 {
     if (!upstream.facts || !upstream.member || !upstream.listed || upstream.facts->draining
-        || this->drains.contains(id)) {
+        || this->drains.contains(id) || this->reopening.contains(id)) {
         return false;
     }
     const auto& capacity = upstream.facts->capacity;
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -92,7 +92,8 @@
     std::uint64_t lastEndNumber(const UpstreamId& upstream) const;
 
     /** @return Whether pace control or a drain needs lists of its tasks in short intervals: it runs both
-     * filler and serving tasks, or tasks of a step that limits how many a drain may stop. */
+     * filler and serving tasks, or tasks of a step that limits how many a drain may stop, or it has no tasks
+     * and gets some only after an answer since the end of its drain. */
     bool needsFrequentPolling(const UpstreamId& upstream) const;
 
     /** @brief Reports that the record of a job was written; an ended job is erased once none of its tasks
@@ -254,6 +255,9 @@
     std::map<UpstreamId, kernel::Instant> unreconciled {};
     /** @brief Upstreams to be drained. */
     std::map<UpstreamId, internal::DrainState> drains {};
+    /** @brief Upstreams that have not answered a call since their drain ended, and when it did: their VMs may
+     * have been taken down. They get no tasks. */
+    std::map<UpstreamId, kernel::Instant> reopening {};
     std::unordered_map<jobs::JobId, JobEntry> jobEntries {};
     std::map<UpstreamId, Upstream> upstreams {};
     std::set<jobs::JobId> changed {};
--- a/src/wasabiroad/scheduling/waiting_reasons.cpp
+++ b/src/wasabiroad/scheduling/waiting_reasons.cpp
@@ -56,6 +56,8 @@
         return "not-member";
     case UpstreamCondition::Unlisted:
         return "unlisted";
+    case UpstreamCondition::Reopening:
+        return "reopening";
     case UpstreamCondition::UnknownTasks:
         return "unknown-tasks";
     case UpstreamCondition::Draining:
@@ -174,6 +176,7 @@
     return this->drains.contains(id)                                             ? Drained
         : !upstream.facts || !upstream.member                                    ? NotMember
         : !upstream.listed                                                       ? Unlisted
+        : this->reopening.contains(id)                                           ? Reopening
         : upstream.hasUnknownTasks                                               ? UnknownTasks
         : upstream.facts->draining                                               ? Draining
         : upstream.suspectUntil > now.steady                                     ? Suspect
--- a/src/wasabiroad/scheduling/waiting_reasons.hpp
+++ b/src/wasabiroad/scheduling/waiting_reasons.hpp
@@ -38,6 +38,8 @@
     NotMember,
     /** @brief It has not listed its tasks to this owner, or does not answer. */
     Unlisted,
+    /** @brief Its drain has ended, and it has not answered a call since. */
+    Reopening,
     /** @brief It runs tasks that this owner does not expect there. */
     UnknownTasks,
     /** @brief It reports that it is draining. */
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -52,29 +52,65 @@
         .born = static_cast<std::int64_t>(life) });
 }
 
+scheduling::UpstreamFacts Workers::factsOf(const Worker& worker)
+{
+    return { .id = worker.id,
+        .service = worker.service,
+        .address = "127.0.0.1:1",
+        .zone = model::ZoneId { "a" },
+        .rack = model::RackId { "r1" },
+        .capacity = { worker.cpu, 65536, 0 },
+        .born = { worker.born } };
+}
+
 std::vector<scheduling::UpstreamFacts> Workers::members() const
 {
     std::vector<scheduling::UpstreamFacts> facts;
     for (const auto& worker : this->workers) {
         if (worker.up) {
-            facts.push_back({ .id = worker.id,
-                .service = worker.service,
-                .address = "127.0.0.1:1",
-                .zone = model::ZoneId { "a" },
-                .rack = model::RackId { "r1" },
-                .capacity = { worker.cpu, 65536, 0 },
-                .born = { worker.born } });
+            facts.push_back(factsOf(worker));
+        }
+    }
+    for (const auto& entry : this->departed) {
+        if (now() < entry.listedUntil) {
+            facts.push_back(entry.facts);
         }
     }
     return facts;
 }
 
+void Workers::setDeparture(Duration listedFor, Duration silentFor)
+{
+    this->departedListed = listedFor;
+    this->departedSilent = silentFor;
+}
+
+void Workers::depart(Worker& worker)
+{
+    this->departed.push_back({ factsOf(worker), now() + this->departedListed });
+    worker.up = false;
+    lose(worker);
+}
+
+void Workers::failLater(std::function<void()> callback)
+{
+    kernel::callLater(this->context, this->departedSilent, std::move(callback));
+}
+
+void Workers::powerOff(const std::string& name)
+{
+    auto& worker = *std::ranges::find(this->workers, name, &Worker::name);
+    depart(worker);
+    worker.poweredOff = true;
+}
+
 std::vector<ports::VmFacts> Workers::vms() const
 {
     std::vector<ports::VmFacts> facts;
     for (const auto& worker : this->workers) {
         facts.push_back({ model::VmId { worker.name }, worker.service,
             worker.up                  ? ports::VmCondition::Up
+                : worker.poweredOff    ? ports::VmCondition::Down
                 : worker.inMaintenance ? ports::VmCondition::Maintenance
                                        : ports::VmCondition::Moving,
             worker.up ? worker.id : UpstreamId {}, { worker.cpu, 65536, 0 } });
@@ -101,6 +137,13 @@
 
 void Workers::crash(const std::string& name) { lose(*std::ranges::find(this->workers, name, &Worker::name)); }
 
+void Workers::replace(const std::string& name)
+{
+    auto& worker = *std::ranges::find(this->workers, name, &Worker::name);
+    depart(worker);
+    comeUpLater(worker);
+}
+
 bool Workers::takeOrder(Worker& worker, std::uint64_t term)
 {
     if (term < worker.vmFence) {
@@ -152,8 +195,12 @@
     if (!worker.running.empty()) {
         this->faults.push_back(reason + " ended tasks on " + worker.name);
     }
-    worker.up = false;
-    lose(worker);
+    depart(worker);
+    comeUpLater(worker);
+}
+
+void Workers::comeUpLater(const Worker& worker)
+{
     kernel::callLater(this->context, this->downTime.value_or(usualDownTime), [this, name = worker.name] {
         auto& back = *std::ranges::find(this->workers, name, &Worker::name);
         back.up = true;
@@ -238,6 +285,7 @@
 {
     auto* const worker = find(order.upstream);
     if (worker == nullptr) {
+        this->startsOnDeparted.push_back(order.upstream);
         return StartResult::Unknown;
     }
     advance(*worker);
@@ -300,7 +348,9 @@
         this->context, endInterval, [this, id, wanted, until, born, callback = std::move(callback)] {
             // A crash breaks the connection on which the call waits.
             if (const auto* const worker = find(id); worker == nullptr || worker->born != born.milliseconds) {
-                callback(kernel::Error { kernel::ResultCode::PlatformTimeout, id.text(), "no answer" });
+                failLater([callback, id] {
+                    callback(kernel::Error { kernel::ResultCode::PlatformTimeout, id.text(), "no answer" });
+                });
                 return;
             }
             waitForEnd(id, wanted, until, callback);
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -67,15 +67,28 @@
     /** @brief Sets the time that a VM takes for a move or for maintenance. */
     void setDownTime(kernel::Duration time) { this->downTime = time; }
 
+    /** @brief Sets for how long upstreams that are gone stay listed, and for how long calls to them wait for
+     * their failure. */
+    void setDeparture(kernel::Duration listedFor, kernel::Duration silentFor);
+
     /** @brief Lets an upstream lose all that it runs and start again. */
     void crash(const std::string& name);
 
+    /** @brief Ends an upstream and its VM for good. */
+    void powerOff(const std::string& name);
+
+    /** @brief Ends an upstream; another one comes up on its VM after a while. */
+    void replace(const std::string& name);
+
     /** @brief Raises the highest term that an upstream and its VM have seen, as an unknown caller can. */
     void raiseFence(const std::string& name, std::uint64_t term);
 
     /** @return Promises that were broken, in order. */
     const std::vector<std::string>& broken() const { return this->faults; }
 
+    /** @return Upstreams that were gone when a start reached them, in order. */
+    const std::vector<scheduling::UpstreamId>& startsOnGone() const { return this->startsOnDeparted; }
+
     /** @return Starts of tasks of a job. */
     std::size_t startsOf(const jobs::JobId& job) const;
 
@@ -110,6 +123,7 @@
         std::int64_t born { 0 };
         bool up { true };
         bool inMaintenance { false };
+        bool poweredOff { false };
         std::uint64_t fence { 0 };
         std::uint64_t vmFence { 0 };
         kernel::Instant vmOrdered {};
@@ -122,6 +136,18 @@
         std::uint64_t nextEnd { 1 };
     };
 
+    /** @brief An upstream that is gone and is still listed. */
+    struct Departed {
+        scheduling::UpstreamFacts facts;
+        kernel::Instant listedUntil {};
+    };
+
+    static scheduling::UpstreamFacts factsOf(const Worker& worker);
+    /** @brief Ends an upstream; its entry and its silence last as `setDeparture` says. */
+    void depart(Worker& worker);
+    void comeUpLater(const Worker& worker);
+    /** @brief Calls back after the time for which calls to an upstream that is gone wait. */
+    void failLater(std::function<void()> callback);
     /** @return Whether the order is not fenced. */
     bool takeOrder(Worker& worker, std::uint64_t term);
     Worker* find(const scheduling::UpstreamId& id);
@@ -147,6 +173,10 @@
     std::vector<std::uint64_t> movingTerms {};
     kernel::Duration orderGap {};
     std::optional<kernel::Duration> downTime {};
+    std::vector<Departed> departed {};
+    std::vector<scheduling::UpstreamId> startsOnDeparted {};
+    kernel::Duration departedListed {};
+    kernel::Duration departedSilent {};
     std::size_t endsPerList { 500 };
     std::uint64_t lives { 0 };
 };
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -113,6 +113,51 @@
     BOOST_TEST(site.workers.maintained().size() == vms.size());
 }
 
+/** Why VMs are taken down while tasks are started all the time. */
+struct DepartureRow {
+    const char* title;
+    const bool isWave;
+
+    friend std::ostream& operator<<(std::ostream& out, const DepartureRow& row) { return out << row.title; }
+};
+
+const std::vector<DepartureRow> departures {
+    { "maintenance", true },
+    { "moves", false },
+};
+
+/** Guards against tasks that start on a VM after it was ordered into maintenance or to another pool. */
+BOOST_DATA_TEST_CASE(no_task_starts_on_a_vm_that_was_ordered_away, data::make(departures), row)
+{
+    Site site { 1, 6 };
+    // Upstreams stay listed after they have gone, and calls to them are not answered.
+    site.workers.setDeparture({ 3000 }, { 1500 });
+    site.workers.add("r0", spare, 4000);
+    BOOST_REQUIRE(site.waitForOwner());
+    if (row.isWave) {
+        std::vector<model::VmId> vms;
+        for (const auto* const name : { "vm0", "vm1", "vm2", "vm3", "vm4", "vm5" }) {
+            vms.emplace_back(name);
+        }
+        site.waves.push_back({ model::WaveId { "1" }, 1, vms, { 20000 }, 2 });
+    }
+    const auto isOver
+        = [&] { return row.isWave ? site.workers.maintained().size() == 6 : site.workers.moveCount() >= 3; };
+    constexpr int most = 400;
+    int jobs = 0;
+    while (!isOver() && jobs < most) {
+        site.submit(makeJob("j" + std::to_string(++jobs), 40, 2));
+        site.runFor(20);
+    }
+    BOOST_TEST(isOver());
+    for (int more = 0; more < 30; ++more) {
+        site.submit(makeJob("j" + std::to_string(++jobs), 40, 8));
+        site.runFor(20);
+    }
+    BOOST_TEST(site.workers.startsOnGone().empty(), boost::test_tools::per_element());
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 /** Whether VMs can be listed while drains are stale. */
 struct DrainRow {
     const char* title;
