Ask the list of VMs for upstreams that hold up tasks

An upstream whose VM has crashed, moved or gone into maintenance never answers. An upstream is one life of its VM, and a VM names the upstream that it runs. One that no VM of a complete list names runs nothing (UpstreamDown): its runs are released, and the takeover does not wait for it. The list is requested 1 s after the upstream was last known to hold up tasks, more than the list may lag. An unreadable entry makes the list incomplete, and an incomplete list decides nothing.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -327,8 +327,8 @@
     }
     const model::ServiceId service { duty.substr(keys::poolDuty.size()) };
     auto agent = std::make_shared<PoolAgent>(
-        PoolContext { this->environment.context, this->environment.store, this->environment.upstreams,
-            this->environment.metrics, this->environment.access.taskLease,
+        PoolContext { this->environment.context, this->environment.store, this->environment.fleet,
+            this->environment.upstreams, this->environment.metrics, this->environment.access.taskLease,
             dutiesPredicate(&Duties::withinLeaseGrace), dutiesPredicate(&Duties::isLeaseValid),
             [known = this->directory] { return known->lastAnswerAt(); }, maxViewAge() },
         service, term);
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -1,6 +1,7 @@
 #include "wasabiroad/agent/pool_agent.hpp"
 
 #include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/agent/upstream_lives.hpp"
 #include "wasabiroad/kernel/log.hpp"
 #include "wasabiroad/kernel/overloaded.hpp"
 
@@ -59,6 +60,16 @@
 /** Time for which an upstream is not called after another one has answered at its address. */
 constexpr Duration replacedPause { 1000 };
 
+/** Time in ms for which an upstream holds up tasks without an answer before the list of VMs is read; it
+ * exceeds the time by which that list may lag. */
+constexpr Duration unheardLimit { 1000 };
+
+/** Interval in ms between reads of the list of VMs. */
+constexpr Duration vmListInterval { 500 };
+
+/** The interval grows by `vmListInterval` per this many VMs, which bounds the reads of pages. */
+constexpr std::size_t vmsPerListInterval = 200;
+
 /** Interval of updating the members in the scheduler and the record of used upstreams. */
 constexpr Duration membersUpdateInterval { 200 };
 
@@ -608,6 +619,7 @@
     this->lastTickAt = kernel::bootNow();
     apply(scheduling::Tick {});
     logReconciled();
+    checkUnheard();
     if (kernel::bootNow() - this->membersAppliedAt >= membersUpdateInterval) {
         applyMembers();
     }
@@ -619,6 +631,59 @@
     }
 }
 
+void PoolAgent::checkUnheard()
+{
+    const auto at = kernel::bootNow();
+    std::map<UpstreamId, kernel::Instant> current;
+    for (const auto& id : this->scheduler->unheardUpstreams()) {
+        const auto known = this->unheardSince.find(id);
+        current.emplace(id, known != this->unheardSince.end() ? known->second : at);
+    }
+    this->unheardSince.swap(current);
+    const auto interval
+        = vmListInterval * (1 + static_cast<std::int64_t>(this->vmCount / vmsPerListInterval));
+    if (this->listingVms || at - this->lastVmList < interval
+        || std::ranges::none_of(
+            this->unheardSince, [&](const auto& entry) { return at - entry.second >= unheardLimit; })) {
+        return;
+    }
+    this->listingVms = true;
+    this->lastVmList = at;
+    this->environment.fleet->listVms(
+        [self = shared_from_this(), at](const kernel::Expected<ports::VmListing>& listing) {
+            self->listingVms = false;
+            if (listing && !self->closed) {
+                self->onVms(*listing, at);
+            }
+        });
+}
+
+void PoolAgent::onVms(const ports::VmListing& listing, kernel::Instant requested)
+{
+    this->vmCount = listing.vms.size();
+    std::set<UpstreamId> unheard;
+    kernel::Instant longest = requested;
+    for (const auto& id : this->scheduler->unheardUpstreams()) {
+        const auto since = this->unheardSince.find(id);
+        if (since != this->unheardSince.end() && requested - since->second >= unheardLimit) {
+            unheard.insert(id);
+            longest = std::min(longest, since->second);
+        }
+    }
+    const auto down = findDownUpstreams(unheard, listing);
+    if (!unheard.empty()) {
+        kernel::logEvent("upstreams-unheard",
+            { { "pool", this->service.text() }, { "term", this->term.value }, { "upstreams", unheard.size() },
+                { "first", unheard.begin()->text() }, { "longest_ms", (requested - longest).milliseconds },
+                { "down", down.size() }, { "vms", listing.vms.size() },
+                { "complete", listing.complete ? "yes" : "no" } });
+    }
+    for (const auto& id : down) {
+        kernel::logEvent("upstream-down", { { "upstream", id.text() }, { "pool", this->service.text() } });
+        apply(scheduling::UpstreamDown { id });
+    }
+}
+
 OwnerState PoolAgent::ownerState(scheduling::Moment at) const
 {
     std::size_t recorded = 0;
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -22,6 +22,7 @@
 struct PoolContext {
     boost::asio::io_context& context;
     const std::shared_ptr<const store::Store> store;
+    const std::shared_ptr<const ports::Fleet> fleet;
     const std::shared_ptr<const ports::Upstreams> upstreams;
     const std::shared_ptr<metrics::Metrics> metrics;
     /** @brief Maximum lease that upstreams grant. */
@@ -137,6 +138,9 @@
     void onUpstreamsRecorded(const std::set<std::string>& ids, const store::ChangeOutcome& outcome);
     void onDrain(const std::string& key, const std::optional<std::string>& value);
     void reportDrained();
+    /** @brief Reads the list of VMs while upstreams that do not answer hold up tasks. */
+    void checkUnheard();
+    void onVms(const ports::VmListing& listing, kernel::Instant requested);
     void onSuperseded();
     void onUpstreamReplaced(const scheduling::UpstreamId& id);
     /** @return Whether another upstream has recently answered at the address of this one. */
@@ -172,6 +176,11 @@
     /** @brief Boot clock time at which the term began. */
     kernel::Instant termStartedAt {};
     kernel::Instant lastTickAt {};
+    /** @brief Upstreams that do not answer and hold up tasks, and since when they have. */
+    std::map<scheduling::UpstreamId, kernel::Instant> unheardSince {};
+    bool listingVms { false };
+    kernel::Instant lastVmList {};
+    std::size_t vmCount { 0 };
     /** @brief Number of upstreams of the previous owner that had not answered at the last tick. */
     std::size_t unreconciled { 0 };
     /** @brief Result of the last check whether tasks may be started. */
--- a/src/wasabiroad/ports/fleet.hpp
+++ b/src/wasabiroad/ports/fleet.hpp
@@ -69,7 +69,7 @@
     const model::VmId vm {};
     const model::ServiceId pool {};
     const VmCondition condition { VmCondition::Up };
-    /** @brief The upstream that runs on it, if any. */
+    /** @brief The upstream that runs on it; empty if none does. */
     const scheduling::UpstreamId upstream {};
     const jobs::Resources capacity {};
 
@@ -121,7 +121,7 @@
     /** @brief Waits for changes of the upstreams. */
     const std::function<void(store::Revision after, kernel::Duration wait, store::Callback<UpstreamOutcome>)>
         watchUpstreams;
-    const std::function<void(store::Callback<kernel::Expected<std::vector<VmFacts>>>)> listVms;
+    const std::function<void(store::Callback<kernel::Expected<VmListing>>)> listVms;
     /** @brief Takes a VM down for maintenance; its tasks end at once. */
     const std::function<void(
         model::VmId, std::uint64_t wave, Term, Permission, store::Callback<VmOrderResult>)>
--- a/src/wasabiroad/scheduling/event.hpp
+++ b/src/wasabiroad/scheduling/event.hpp
@@ -189,13 +189,21 @@
     friend auto operator<=>(const UpstreamReplaced&, const UpstreamReplaced&) = default;
 };
 
+/** @brief The VM of an upstream that does not answer has ended it; it may start again under its id, and then
+ * runs nothing. */
+struct UpstreamDown {
+    const UpstreamId upstream {};
+
+    friend auto operator<=>(const UpstreamDown&, const UpstreamDown&) = default;
+};
+
 /** @brief Periodic check of time-outs. */
 struct Tick {
     friend auto operator<=>(const Tick&, const Tick&) = default;
 };
 
 using Event = std::variant<JobAdded, JobCancelled, MembersListed, DrainsChanged, TasksListed, StartAnswered,
-    StopAnswered, UpstreamUnresponsive, UpstreamReplaced, Tick>;
+    StopAnswered, UpstreamUnresponsive, UpstreamReplaced, UpstreamDown, Tick>;
 
 /** @brief Order to start a run of a task on an upstream. */
 struct StartTask {
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -565,6 +565,27 @@
     this->schedulingNeeded = true;
 }
 
+void PoolScheduler::on(const UpstreamDown& event, Moment now)
+{
+    const auto found = this->upstreams.find(event.upstream);
+    if (found != this->upstreams.end()) {
+        if (found->second.listed) {
+            return;
+        }
+        const auto tasks = found->second.tasks;
+        for (const auto& id : tasks) {
+            auto& task = *find(id).second;
+            // Without an answer, a delayed start may still reach its next incarnation until the lease has
+            // expired.
+            if (task.phase == Phase::Running || task.stopAnswered) {
+                release(id, task, now);
+            }
+        }
+    }
+    markReconciled(event.upstream);
+    this->schedulingNeeded = true;
+}
+
 void PoolScheduler::markReconciled(const UpstreamId& id)
 {
     if (this->unreconciled.erase(id) != 0 && this->unreconciled.empty()) {
@@ -1079,6 +1100,23 @@
     return ids;
 }
 
+std::vector<UpstreamId> PoolScheduler::unheardUpstreams() const
+{
+    std::vector<UpstreamId> ids;
+    for (const auto& [id, expiry] : this->unreconciled) {
+        const auto upstream = this->upstreams.find(id);
+        if (upstream == this->upstreams.end() || !upstream->second.listed) {
+            ids.push_back(id);
+        }
+    }
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (!upstream.listed && !upstream.tasks.empty() && !this->unreconciled.contains(id)) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 Duration PoolScheduler::leaseLeft(const UpstreamId& id, Moment now) const
 {
     const auto upstream = this->upstreams.find(id);
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -85,6 +85,10 @@
     /** @return Upstreams that are not reconciled. */
     std::vector<UpstreamId> unreconciledUpstreams() const;
 
+    /** @return Upstreams that do not answer and hold up tasks: they may run some, or tasks of a previous
+     * owner. */
+    std::vector<UpstreamId> unheardUpstreams() const;
+
     /** @return Longest time for which a lease of tasks on the upstream can last, unless it is renewed. */
     kernel::Duration leaseLeft(const UpstreamId& upstream, Moment now) const;
 
@@ -130,6 +134,7 @@
     void on(const StopAnswered& event, Moment now);
     void on(const UpstreamUnresponsive& event, Moment now);
     void on(const UpstreamReplaced& event, Moment now);
+    void on(const UpstreamDown& event, Moment now);
     void on(const Tick& event, Moment now);
 
     void restore(JobEntry& entry, const jobs::Record& record, Moment now);
--- a/test/platform/fleet_client.cpp
+++ b/test/platform/fleet_client.cpp
@@ -58,7 +58,7 @@
                 finish();
             });
     }
-    fleet.listVms([&](const kernel::Expected<std::vector<ports::VmFacts>>&) {
+    fleet.listVms([&](const kernel::Expected<ports::VmListing>&) {
         listed = true;
         BOOST_TEST(done == 0);
         finish();
@@ -148,9 +148,9 @@
         = makeFleet(context, std::make_shared<StoreClient>(context, endpoint), endpoint, "entry");
     std::optional<std::size_t> found;
     bool answered = false;
-    fleet.listVms([&](const kernel::Expected<std::vector<ports::VmFacts>>& vms) {
+    fleet.listVms([&](const kernel::Expected<ports::VmListing>& vms) {
         if (vms) {
-            found = vms->size();
+            found = vms->vms.size();
         }
         answered = true;
         context.stop();
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -263,14 +263,14 @@
                             ports::UpstreamChanges { members, std::move(gone), after } });
                 },
             .listVms =
-                [=, this](const store::Callback<kernel::Expected<std::vector<ports::VmFacts>>>& callback) {
+                [=, this](const store::Callback<kernel::Expected<ports::VmListing>>& callback) {
                     if (this->failsToListVms) {
                         answer(callback,
-                            kernel::Expected<std::vector<ports::VmFacts>> { tl::unexpected(
+                            kernel::Expected<ports::VmListing> { tl::unexpected(
                                 kernel::Error { kernel::ResultCode::PlatformTimeout, "vms", "no answer" }) });
                         return;
                     }
-                    answer(callback, kernel::Expected<std::vector<ports::VmFacts>> { this->workers.vms() });
+                    answer(callback, kernel::Expected<ports::VmListing> { { this->workers.vms() } });
                 },
             .maintain =
                 [=, this](const model::VmId& vm, std::uint64_t, ports::Term term, const ports::Permission&,
--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -209,6 +209,62 @@
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
 }
 
+/** How an upstream is lost at the same time as the owner of its pool. */
+struct LostUpstreamRow {
+    const char* title;
+    const std::function<void(Site&, const scheduling::UpstreamId&)> loss;
+    /** @brief Whether its tasks may still run there. */
+    const bool mayRun;
+
+    friend std::ostream& operator<<(std::ostream& out, const LostUpstreamRow& row)
+    {
+        return out << row.title;
+    }
+};
+
+const std::vector<LostUpstreamRow> lostUpstreams {
+    { "its VM loses power", [](Site& site, const auto&) { site.workers.powerOff("vm0"); }, false },
+    { "its VM has another upstream", [](Site& site, const auto&) { site.workers.replace("vm0"); }, false },
+    { "it cannot be reached",
+        [](Site& site, const auto& id) {
+            for (const auto& daemon : site.daemons) {
+                daemon->workerFaults->cut.insert(id);
+            }
+        },
+        true },
+};
+
+/** Guards against a pool that stands after a takeover until the leases of an upstream that is gone have
+ * expired, and against tasks that run twice as it does not wait. */
+BOOST_DATA_TEST_CASE(takeover_waits_only_for_upstreams_that_may_run_tasks, data::make(lostUpstreams), row)
+{
+    /** Time for which a job with tasks to start may stand, in ms. */
+    constexpr std::int64_t standLimit = 3000;
+    Site site { 2, 3 };
+    site.workers.setDeparture({ 5000 }, { 500 });
+    BOOST_REQUIRE(site.runUntil([&] { return usedCount(site) == 3; }));
+    const auto lost = site.workers.members().front().id;
+    const auto owner = *site.owner();
+    site.submit(makeJob("a", 60000, 12), 1 - owner);
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 12; }));
+    site.daemons[owner]->agent->abandon();
+    row.loss(site, lost);
+    const auto term = site.store.find(keys::poolOwner(service))->revision;
+    BOOST_REQUIRE(site.runUntil([&] {
+        const auto entry = site.store.find(keys::poolOwner(service));
+        return entry && entry->revision > term;
+    }));
+    const auto taken = kernel::now(kernel::SteadyClock {});
+    for (const auto* const name : { "vm3", "vm4" }) {
+        site.workers.add(name, service, 4000);
+    }
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.startsOf(jobs::JobId { "a" }) >= 16; }));
+    if (!row.mayRun) {
+        BOOST_TEST((kernel::now(kernel::SteadyClock {}) - taken).milliseconds < standLimit);
+    }
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 /** Guards against tasks of a crashed upstream that are not started again. */
 BOOST_AUTO_TEST_CASE(tasks_of_a_crashed_upstream_run_again)
 {
--- /dev/null
+++ b/test/wasabiroad/scheduling/lost_upstreams.cpp
@@ -0,0 +1,64 @@
+#include "wasabiroad/scheduling/fixture.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace wasabiroad::scheduling::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/** State of a task as the VM of its upstream is found to be down, and whether it starts elsewhere at once. */
+struct DownRow {
+    const char* title;
+    const bool isAnswered;
+    const bool isAnswering;
+    const std::size_t starts;
+
+    friend std::ostream& operator<<(std::ostream& out, const DownRow& row) { return out << row.title; }
+};
+
+const std::vector<DownRow> downRows {
+    { "it runs", true, false, 2 },
+    { "its start is not answered and may still be carried out", false, false, 1 },
+    { "its upstream answers", true, true, 1 },
+};
+
+/** Guards against tasks that wait for the lease of an upstream that does not exist any more. */
+BOOST_DATA_TEST_CASE(task_of_an_upstream_that_is_down_starts_elsewhere, data::make(downRows), row)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = fixture.starts.front();
+    if (row.isAnswered) {
+        fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Started }, 20);
+    }
+    fixture.apply(MembersListed { { makeUpstream("u1"), makeUpstream("u2") } }, 30);
+    fixture.applyTaskList("u2", {}, {}, 40);
+    if (!row.isAnswering) {
+        fixture.apply(UpstreamUnresponsive { first.upstream, { 20 } }, 50);
+    }
+    fixture.apply(UpstreamDown { first.upstream }, 1100);
+    BOOST_TEST(fixture.starts.size() == row.starts);
+}
+
+/** Guards against a pool that stands after a takeover until the leases of an upstream that is down have
+ * expired. */
+BOOST_AUTO_TEST_CASE(takeover_does_not_wait_for_an_upstream_that_is_down)
+{
+    const UpstreamId down { "u1" };
+    PoolScheduler scheduler { Policy {}, 5, at(0), { down, UpstreamId { "u2" } } };
+    scheduler.apply(MembersListed { { makeUpstream("u2") } }, at(0));
+    scheduler.apply(JobAdded { makeJob("j", { makeStep(1) }), {}, true }, at(10));
+    scheduler.apply(TasksListed { UpstreamId { "u2" }, { 1 }, { 20 } }, at(30));
+    BOOST_TEST((scheduler.unheardUpstreams() == std::vector { down }));
+    BOOST_TEST(scheduler.apply(Tick {}, at(1000)).empty());
+    BOOST_TEST(scheduler.apply(UpstreamDown { down }, at(1100)).size() == 1);
+    BOOST_TEST(scheduler.unheardUpstreams().empty());
+}
+
+} // namespace
+
+} // namespace wasabiroad::scheduling::test
