Keep a VM drained while its move may still be carried out

callers: tasks end with a VM that is moved although its move had been given up. cause: a move expires after 8 s, and its drain ends, also when its order got no answer. Such an order may be carried out seconds later. An answer "busy" of a VM that the unanswered order is moving ended the move as well. class: an order without an answer is taken for one without effect. change: a move with an unanswered order does not expire. It is ordered again until an answer comes, or until a list of VMs shows the VM in the other pool, or without the upstream that was drained for it.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -186,19 +186,19 @@
     this->listingVms = true;
     this->lastListRequest = kernel::bootNow();
     this->environment.fleet->listVms(
-        [self = shared_from_this()](const kernel::Expected<std::vector<ports::VmFacts>>& facts) {
+        [self = shared_from_this()](const kernel::Expected<ports::VmListing>& listing) {
             self->listingVms = false;
             if (self->closed) {
                 return;
             }
-            if (!facts) {
-                kernel::logEvent("vms-not-listed", { { "code", number(facts.error().code) } });
+            if (!listing) {
+                kernel::logEvent("vms-not-listed", { { "code", number(listing.error().code) } });
                 // A drain withholds capacity, so its end does not depend on the list.
                 self->expireMoves();
                 self->removeStaleDrains();
                 return;
             }
-            self->onVms(*facts);
+            self->onVms(listing->vms);
         });
 }
 
@@ -584,10 +584,15 @@
         return;
     case VmOrderResult::Busy:
     case VmOrderResult::NotInWave:
-        endMove(vm);
+        // It may be busy with an earlier order of this move, which the next list of VMs shows.
+        if (!move.mayBeCarriedOut) {
+            endMove(vm);
+        }
         return;
-    case VmOrderResult::Overloaded:
     case VmOrderResult::Unknown:
+        move.mayBeCarriedOut = true;
+        return;
+    case VmOrderResult::Overloaded:
         // Ordered again with the next list, as long as the move is planned.
         return;
     }
@@ -607,6 +612,9 @@
     std::vector<model::VmId> ended;
     for (auto& [name, move] : this->moves) {
         const auto found = facts.find(name);
+        if (move.mayBeCarriedOut && found != facts.end()) {
+            settleUnansweredOrder(move, *found->second);
+        }
         const bool arrived = move.accepted && found != facts.end() && found->second->pool == move.order.to
             && found->second->condition == ports::VmCondition::Up;
         if (!move.orderInFlight && (arrived || found == facts.end())) {
@@ -618,11 +626,26 @@
     }
 }
 
+void FleetAgent::settleUnansweredOrder(Move& move, const ports::VmFacts& vm)
+{
+    if (vm.pool == move.order.to) {
+        move.mayBeCarriedOut = false;
+        move.accepted = true;
+        move.stateChangedAt = kernel::bootNow();
+    } else if (vm.condition != ports::VmCondition::Up || vm.upstream != move.order.upstream) {
+        // The upstream that was drained for the move is gone.
+        move.mayBeCarriedOut = false;
+    }
+}
+
 void FleetAgent::expireMoves()
 {
     std::vector<model::VmId> expired;
+    const auto now = kernel::bootNow();
     for (const auto& [name, move] : this->moves) {
-        if (!move.orderInFlight && kernel::bootNow() - move.stateChangedAt > moveTimeout) {
+        // An order without an answer may still end all that runs on the VM, so its drain stays until one is
+        // answered.
+        if (!move.orderInFlight && !move.mayBeCarriedOut && now - move.stateChangedAt > moveTimeout) {
             expired.push_back(name);
         }
     }
@@ -637,11 +660,12 @@
 
 std::string_view FleetAgent::stageOf(const Move& move)
 {
-    return move.accepted     ? "accepted"
-        : move.orderInFlight ? "ordered"
-        : move.drained       ? "drained"
-        : move.drainRevision ? "draining"
-                             : "planned";
+    return move.accepted       ? "accepted"
+        : move.mayBeCarriedOut ? "not-answered"
+        : move.orderInFlight   ? "ordered"
+        : move.drained         ? "drained"
+        : move.drainRevision   ? "draining"
+                               : "planned";
 }
 
 void FleetAgent::readReports(const std::vector<ports::VmFacts>& facts)
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -98,6 +98,8 @@
         bool orderInFlight { false };
         /** @brief The owner of its pool has reported the drain. */
         bool drained { false };
+        /** @brief An order was not answered and may still be carried out. */
+        bool mayBeCarriedOut { false };
         /** @brief The platform has accepted the order and is moving the VM. */
         bool accepted { false };
     };
@@ -131,7 +133,9 @@
         const store::Listing& reports, const std::vector<scheduling::MovableVm>& vms);
     std::vector<scheduling::MovableVm> movableVms(const std::vector<ports::VmFacts>& facts) const;
     void updateMoves(const std::map<model::VmId, const ports::VmFacts*>& facts);
-    /** Ends the moves that have taken longer than `moveTimeout`, and their drains. */
+    /** Finds out from a list of VMs whether an order without an answer still matters. */
+    static void settleUnansweredOrder(Move& move, const ports::VmFacts& vm);
+    /** Ends the moves that have taken too long, and their drains. */
     void expireMoves();
     /** @return The stage of a move for logs. */
     static std::string_view stageOf(const Move& move);
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -158,6 +158,23 @@
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
 }
 
+/** Guards against tasks that end with a VM whose move was not answered and is carried out after its drain
+ * ended. */
+BOOST_AUTO_TEST_CASE(vm_stays_drained_while_its_move_may_be_carried_out)
+{
+    Site site { 1, 6 };
+    site.workers.add("r0", spare, 4000);
+    site.moveFault = MoveFault::Late;
+    BOOST_REQUIRE(site.waitForOwner());
+    const auto drains = [&] { return site.store.list(keys::drainsOf(service)).entries.size(); };
+    BOOST_REQUIRE(site.runUntil([&] { return drains() >= 3; }));
+    site.runFor(500);
+    site.submit(makeJob("wide", 20000, 24));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.moveCount() >= 3; }));
+    site.runFor(500);
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 /** Whether VMs can be listed while drains are stale. */
 struct DrainRow {
     const char* title;
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -27,6 +27,18 @@
 /** Time for which orders are carried out late, see Site::lateMaintenance. */
 inline constexpr kernel::Duration lateOrdersSpan { 1000 };
 
+/** Delay of moves that are not answered; longer than a move may take. */
+inline constexpr kernel::Duration lateMoveDelay { 9000 };
+
+/** @brief What happens to orders that move VMs. */
+enum class MoveFault : unsigned char {
+    None,
+    /** @brief They are rejected and have no effect. */
+    Rejected,
+    /** @brief They are not answered and carried out after `lateMoveDelay`. */
+    Late,
+};
+
 /** @return A job with one step of `count` tasks, each of which runs for `runMs`. */
 inline jobs::Job makeJob(const std::string& id, std::int64_t runMs = 50, std::uint32_t count = 2)
 {
@@ -195,6 +207,7 @@
     std::map<model::VmId, kernel::Duration> lateMaintenance {};
     std::uint64_t lateTerm { 0 };
     kernel::Instant lateUntil {};
+    MoveFault moveFault { MoveFault::None };
     /** @brief VMs cannot be listed. */
     bool failsToListVms { false };
     /** @brief Number of reads of the whole list of upstreams by all daemons. */
@@ -293,7 +306,15 @@
             .move =
                 [=, this](const model::VmId& vm, const model::ServiceId& pool, ports::Term term,
                     const ports::Permission&, const store::Callback<ports::VmOrderResult>& callback) {
-                    answer(callback, this->workers.move(vm, pool, term.value));
+                    if (this->moveFault == MoveFault::Late) {
+                        kernel::callLater(this->context, lateMoveDelay,
+                            [this, vm, pool, term] { this->workers.move(vm, pool, term.value); });
+                        answer(callback, ports::VmOrderResult::Unknown);
+                    } else if (this->moveFault == MoveFault::Rejected) {
+                        answer(callback, ports::VmOrderResult::Overloaded);
+                    } else {
+                        answer(callback, this->workers.move(vm, pool, term.value));
+                    }
                 },
             .waveStatus =
                 [](std::uint64_t wave, bool completed) {
