--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -34,6 +34,10 @@
 /** Maximum time of the drain before a move, and of the move itself; then the VM may be planned again. */
 constexpr Duration moveTimeout { 8000 };
 
+/** Time in ms from the plan of a move after which its VM is returned to a pool that needs it, unless the move
+ * has been ordered; a pool empties nine of ten VMs within that time. */
+constexpr Duration returnDelay { 1000 };
+
 /** Maximum age of the view behind a pool report; no VM is moved because of an older one. */
 constexpr Duration reportAgeLimit { 2000 };
 
@@ -474,8 +478,10 @@
         const scheduling::PoolView view { pool, false, demand, trend.growth, {} };
         const auto own = std::ranges::count_if(
             vms, [&](const scheduling::MovableVm& vm) { return vm.pool == pool && !vm.leaving; });
-        const auto any = std::ranges::find(vms, pool, &scheduling::MovableVm::pool);
-        const auto excess = any != vms.end() ? own - scheduling::vmsNeeded(view, any->capacity) : 0;
+        const auto member = std::ranges::find(vms, pool, &scheduling::MovableVm::pool);
+        // A pool that gives all its VMs needs some like those of the others.
+        const auto sample = member != vms.end() ? member : vms.begin();
+        const auto excess = sample != vms.end() ? own - scheduling::vmsNeeded(view, sample->capacity) : 0;
         this->surpluses[pool] = excess;
         this->idleUpstreams.insert(idle.begin(), idle.end());
         const bool surplus = excess > 0;
@@ -498,6 +504,7 @@
     if (!mayOrder()) {
         return;
     }
+    returnNeededVms();
     for (const auto& order : scheduling::planMoves(views, vms)) {
         beginMove(order);
     }
@@ -658,6 +665,30 @@
     }
 }
 
+void FleetAgent::returnNeededVms()
+{
+    const auto now = kernel::bootNow();
+    std::map<model::ServiceId, std::int64_t> missing;
+    for (const auto& [pool, surplus] : this->surpluses) {
+        missing[pool] = -surplus;
+    }
+    std::vector<model::VmId> returned;
+    for (const auto& [name, move] : this->moves) {
+        const bool mayEnd = !move.orderInFlight && !move.mayBeCarriedOut && !move.accepted;
+        if (mayEnd && now - move.stateChangedAt > returnDelay && missing[move.order.from] > 0) {
+            --missing[move.order.from];
+            returned.push_back(name);
+        }
+    }
+    for (const auto& name : returned) {
+        const auto& move = this->moves.at(name);
+        kernel::logEvent("vm-returned",
+            { { "vm", name.text() }, { "pool", move.order.from.text() }, { "stage", stageOf(move) },
+                { "after_ms", (now - move.stateChangedAt).milliseconds } });
+        endMove(name);
+    }
+}
+
 std::string_view FleetAgent::stageOf(const Move& move)
 {
     return move.accepted       ? "accepted"
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -137,6 +137,8 @@
     static void settleUnansweredOrder(Move& move, const ports::VmFacts& vm);
     /** Ends the moves that have taken too long, and their drains. */
     void expireMoves();
+    /** Returns VMs to pools that need them, if their moves take long to be ordered. */
+    void returnNeededVms();
     /** @return The stage of a move for logs. */
     static std::string_view stageOf(const Move& move);
     void beginMove(const scheduling::VmMove& order);
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -158,6 +158,23 @@
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
 }
 
+/** Guards against a pool that stands while VMs that it has drained for a move cannot be moved. */
+BOOST_AUTO_TEST_CASE(pool_gets_back_vms_whose_moves_are_rejected)
+{
+    /** Time for which a job with tasks to start may stand, in ms. */
+    constexpr std::int64_t standLimit = 3000;
+    Site site { 1, 6 };
+    site.workers.add("r0", spare, 4000);
+    site.moveFault = MoveFault::Rejected;
+    BOOST_REQUIRE(site.waitForOwner());
+    const auto drains = [&] { return site.store.list(keys::drainsOf(service)).entries.size(); };
+    BOOST_REQUIRE(site.runUntil([&] { return drains() >= 3; }));
+    const auto submitted = kernel::now(kernel::SteadyClock {});
+    site.submit(makeJob("wide", 20000, 24));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 24; }));
+    BOOST_TEST((kernel::now(kernel::SteadyClock {}) - submitted).milliseconds < standLimit);
+}
+
 /** Guards against tasks that end with a VM whose move was not answered and is carried out after its drain
  * ended. */
 BOOST_AUTO_TEST_CASE(vm_stays_drained_while_its_move_may_be_carried_out)
