Stop long-running tasks without another place only to empty the upstream

If fewer of the step may be unavailable than run there, the others are not stopped: the upstream is never empty, its maintenance does not begin, and the task that was stopped waits for a place for as long as the drain lasts. class: an operation takes its first step without knowing that its last one is allowed. change: such tasks are stopped only if all long-running tasks of the upstream may be unavailable at once; then the maintenance follows.

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -694,6 +694,10 @@
         }
         const bool withinTimeout = drainRequested
             && (!drain->second.stopsTasks || now.steady - drain->second.since < this->policy.drainTimeout);
+        // A long-running task without another place is stopped only if the upstream can be emptied: otherwise
+        // the task would wait for a maintenance that does not begin.
+        const bool mustStop = drainRequested && !withinTimeout;
+        const bool mayLeaveTasksWaiting = mustStop && mayStopAll(upstream, now);
         for (const auto& id : upstream.tasks) {
             const auto [entry, task] = find(id);
             if (task->phase != Phase::Running) {
@@ -703,17 +707,34 @@
             if (step.longRunning) {
                 const bool mayStop = step.maxUnavailable == 0 || draining
                     || countOtherUnavailable(*entry, id, now) < step.maxUnavailable;
-                const bool mustStop = drainRequested && !withinTimeout;
-                if (mayStop && (mustStop || hasDestination(*entry, id))) {
+                if (mayStop && (mayLeaveTasksWaiting || hasDestination(*entry, id))) {
                     stop(id, *task, now, "upstream is being drained");
                 }
-            } else if (drainRequested && !withinTimeout) {
+            } else if (mustStop) {
                 stop(id, *task, now, "upstream is being drained");
             }
         }
     }
 }
 
+bool PoolScheduler::mayStopAll(const Upstream& upstream, Moment now) const
+{
+    return std::ranges::all_of(upstream.tasks, [&](const TaskId& id) {
+        const auto& step = stepOf(id);
+        if (!step.longRunning || step.maxUnavailable == 0) {
+            return true;
+        }
+        const auto& entry = this->jobEntries.at(id.job);
+        const auto& tasks = entry.open.at(id.position.occurrence).steps[id.position.step].tasks;
+        auto unavailable = tasks.size();
+        tasks.forEachHeld([&](std::uint32_t index, const Task& task) {
+            const TaskId other { id.job, { id.position.occurrence, id.position.step, index } };
+            unavailable -= !upstream.tasks.contains(other) && !isUnavailable(task, now) ? 1 : 0;
+        });
+        return unavailable <= step.maxUnavailable;
+    });
+}
+
 bool PoolScheduler::hasDestination(const JobEntry& entry, const TaskId& id) const
 {
     const auto& step = entry.job.steps[id.position.step];
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -181,6 +181,8 @@
     void markChanged(const jobs::JobId& job, bool isUrgent);
     void checkStalls(Moment now);
     void drainUpstreams(Moment now);
+    /** @return Whether all long-running tasks of an upstream may be unavailable at once. */
+    bool mayStopAll(const Upstream& upstream, Moment now) const;
     /** @return Whether another upstream may run a task of a long-running step besides those of the step that
      * wait or are being stopped, once it has free resources. */
     bool hasDestination(const JobEntry& entry, const jobs::TaskId& id) const;
--- a/test/wasabiroad/scheduling/drains.cpp
+++ b/test/wasabiroad/scheduling/drains.cpp
@@ -48,6 +48,43 @@
     BOOST_TEST(fixture.starts.size() == row.starts);
 }
 
+/** Tasks of a step that may be unavailable at once, and the stops at the end of a drain's time-out of an
+ * upstream that runs all three tasks and whose tasks no other upstream may run. */
+struct OnlyPlaceRow {
+    const std::uint32_t maxUnavailable;
+    const std::size_t stops;
+
+    friend std::ostream& operator<<(std::ostream& out, const OnlyPlaceRow& row)
+    {
+        return out << row.maxUnavailable << " may be unavailable";
+    }
+};
+
+const std::vector<OnlyPlaceRow> onlyPlaceRows { { 0, 3 }, { 1, 0 }, { 2, 0 }, { 3, 3 } };
+
+/** Guards against a long-running task that is stopped for a maintenance that cannot begin, and does not run
+ * again. */
+BOOST_DATA_TEST_CASE(drain_stops_all_tasks_without_another_place_or_none, data::make(onlyPlaceRows), row)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    const jobs::Step step {
+        .count = 3, .resources = { 1000, 100, 0 }, .longRunning = true, .maxUnavailable = row.maxUnavailable
+    };
+    fixture.apply(JobAdded { makeJob("j", { step }) }, 10);
+    BOOST_REQUIRE_EQUAL(fixture.starts.size(), 3);
+    std::vector<RunningTask> running;
+    for (const auto& start : fixture.starts) {
+        running.push_back({ start.task, start.run, "", 100 });
+    }
+    fixture.applyTaskList("u1", running, {}, 100);
+    fixture.apply(DrainsChanged { { { UpstreamId { "u1" }, true } } }, 200);
+    BOOST_TEST(fixture.stops.empty());
+    const auto timeout = 200 + Policy {}.drainTimeout.milliseconds;
+    fixture.applyTaskList("u1", running, {}, timeout);
+    fixture.apply(Tick {}, timeout);
+    BOOST_TEST(fixture.stops.size() == row.stops);
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
