--- a/test/platform/soak/faults.cpp
+++ b/test/platform/soak/faults.cpp
@@ -4,15 +4,24 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <csignal>
 
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 namespace wasabiroad::soak {
 
 namespace {
 
 constexpr std::array<const char*, std::variant_size_v<Fault>> names { "kill", "stop", "freeze", "reload",
     "throttle", "output", "store-cut", "half-open", "revoke", "store", "compact", "vms-cut", "crash",
-    "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd", "revoke-in-turn", "revoke-takers" };
+    "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd", "revoke-in-turn", "revoke-takers",
+    "orders", "replace", "busy" };
+
+/** Most processes that keep the processors busy at once. */
+constexpr std::int64_t mostBusyProcesses = 24;
 
 Traffic drawTraffic(Dice& dice) { return dice.chance(0.5) ? Traffic::Held : Traffic::AnswersLost; }
 
@@ -66,8 +75,14 @@
         return AddOddEntries {};
     case 19:
         return RevokeInTurn { lasting(1000, 6000), dice.within(4, 500) };
-    default:
+    case 20:
         return RevokeTakers { lasting(3000, 6000), dice.within(50, 500) };
+    case 21:
+        return DisturbOrders { lasting(2000, 12000), static_cast<int>(dice.within(0, 2)) };
+    case 22:
+        return ReplaceUpstreams { count };
+    default:
+        return KeepBusy { static_cast<int>(dice.within(1, mostBusyProcesses)), lasting(1000, 6000) };
     }
 }
 
@@ -329,6 +344,55 @@
     co_return;
 }
 
+Task<> FaultPlayer::operator()(DisturbOrders fault)
+{
+    auto& faults = this->play.vms.faults();
+    switch (fault.kind) {
+    case 0:
+        faults.rejected = 1;
+        break;
+    case 1:
+        faults.late = 0.5;
+        break;
+    default:
+        faults.latency = 300;
+    }
+    co_await pause(fault.duration);
+    faults = {};
+}
+
+Task<> FaultPlayer::operator()(ReplaceUpstreams fault)
+{
+    for (auto* const upstream : someUpstreams(fault.count)) {
+        start(this->play.context, this->play.vms.replace(*upstream));
+    }
+    co_return;
+}
+
+Task<> FaultPlayer::operator()(KeepBusy fault)
+{
+    std::vector<pid_t> processes;
+    for (int number = 0; number < fault.processes; ++number) {
+        const auto process = ::fork();
+        if (process == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            // A copy of a connection would keep it open after this process has closed it.
+            ::close_range(0, ~0U, 0);
+            for (std::atomic<std::uint64_t> count { 0 };;) {
+                ++count;
+            }
+        }
+        if (process > 0) {
+            processes.push_back(process);
+        }
+    }
+    co_await pause(fault.duration);
+    for (const auto process : processes) {
+        ::kill(process, SIGKILL);
+        ::waitpid(process, nullptr, 0);
+    }
+}
+
 Task<> FaultPlayer::operator()(RevokeInTurn fault)
 {
     const auto until = Clock::now() + fault.duration;
--- a/test/platform/soak/faults.hpp
+++ b/test/platform/soak/faults.hpp
@@ -74,11 +74,25 @@
     int maxCount { 1 };
 };
 struct AddOddEntries { };
+/** @brief Orders to VMs are rejected, slow, or carried out late without an answer. */
+struct DisturbOrders {
+    milliseconds duration {};
+    int kind { 0 };
+};
+/** @brief VMs restart, each with another upstream. */
+struct ReplaceUpstreams {
+    int count { 1 };
+};
+/** @brief Other processes keep the processors busy. */
+struct KeepBusy {
+    int processes { 1 };
+    milliseconds duration {};
+};
 
 using Fault = std::variant<KillDaemons, StopDaemons, FreezeDaemons, ReloadDaemons, ThrottleDaemons,
     HoldOutput, CutStore, BreakConnections, RevokeLeases, DisturbStore, CompactStore, CutVms, CrashUpstreams,
     CutUpstreams, BreakUpstreams, LateUpstreams, DrainUpstreams, StartWave, AddOddEntries, RevokeInTurn,
-    RevokeTakers>;
+    RevokeTakers, DisturbOrders, ReplaceUpstreams, KeepBusy>;
 
 /** @return The names of all kinds of faults. */
 std::vector<std::string> faultNames();
@@ -122,6 +136,9 @@
     Task<> operator()(AddOddEntries fault);
     Task<> operator()(RevokeInTurn fault);
     Task<> operator()(RevokeTakers fault);
+    Task<> operator()(DisturbOrders fault);
+    Task<> operator()(ReplaceUpstreams fault);
+    Task<> operator()(KeepBusy fault);
 
 private:
     std::vector<Daemon*> someDaemons(int count);
--- a/test/platform/soak/play.cpp
+++ b/test/platform/soak/play.cpp
@@ -27,6 +27,9 @@
 /** Time of a burst of one pool, in ms; the pools take turns. */
 constexpr std::int64_t burstTime = 5000;
 
+/** Share of the upstreams that lose power with the daemons. */
+constexpr double upstreamPowerLoss = 0.3;
+
 /** Share of the work of a burst that arrives at other times. */
 constexpr double ebb = 0.05;
 
@@ -327,6 +330,12 @@
     }
     for (auto* const upstream : this->vms.upstreams()) {
         upstream->path().sever();
+        if (this->dice.chance(upstreamPowerLoss)) {
+            start(this->context,
+                this->dice.chance(0.5)
+                    ? this->vms.replace(*upstream)
+                    : this->vms.crash(*upstream, milliseconds { this->dice.within(300, 1500) }));
+        }
     }
     co_await pause(milliseconds { this->dice.within(300, 1500) });
     for (const auto& daemon : this->daemons) {
--- a/test/platform/soak/upstream.cpp
+++ b/test/platform/soak/upstream.cpp
@@ -66,6 +66,12 @@
     this->server.path().reset();
 }
 
+void Upstream::depart()
+{
+    this->departed = true;
+    crash();
+}
+
 void Upstream::revive()
 {
     ++this->incarnation;
@@ -92,10 +98,15 @@
 
 Task<std::optional<Answer>> Upstream::answer(Request request)
 {
+    const auto path = pathOf(request);
     if (!this->up) {
+        if (this->departed && path == "/run-start") {
+            const auto task = textField(bodyOf(request), "task");
+            this->ledger.violate("GONE", task.substr(0, task.find('.')),
+                task + " is started on " + this->name + " after its VM was ordered away");
+        }
         co_return std::nullopt;
     }
-    const auto path = pathOf(request);
     if (path == "/health") {
         co_return Answer {};
     }
--- a/test/platform/soak/upstream.hpp
+++ b/test/platform/soak/upstream.hpp
@@ -32,6 +32,9 @@
     /** @brief Loses all that it runs and answers nothing any more. */
     void crash();
 
+    /** @brief Ends with its VM by an order, after which no task may be started on it. */
+    void depart();
+
     /** @brief Begins another life at the same address. */
     void revive();
 
@@ -106,6 +109,7 @@
     std::int64_t sequence { 0 };
     bool up { true };
     bool draining { false };
+    bool departed { false };
     double late { 0 };
     Server server;
 };
--- a/test/platform/soak/vms.cpp
+++ b/test/platform/soak/vms.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds drainTime { 2500 };
 constexpr milliseconds advanceInterval { 10 };
 
+/** Time after which others see a change of the entry of an upstream. */
+constexpr milliseconds entryLag { 800 };
+
 /** Resources of a VM. */
 constexpr std::int64_t vmCpu = 32000;
 constexpr std::int64_t vmMemory = 65536;
@@ -81,7 +84,17 @@
     write(*vm.upstream);
 }
 
-void Vms::write(Upstream& upstream) { this->store.put("servers/" + upstream.id(), upstream.entry()); }
+void Vms::write(Upstream& upstream) { start(this->context, publish(upstream.id(), upstream.entry())); }
+
+Task<> Vms::publish(std::string id, std::optional<std::string> entry)
+{
+    co_await pause(entryLag);
+    if (entry) {
+        this->store.put("servers/" + id, *entry);
+    } else {
+        this->store.remove("servers/" + id);
+    }
+}
 
 Task<> Vms::heartbeat()
 {
@@ -115,7 +128,7 @@
     const bool isBack = std::ranges::any_of(
         this->all, [&](const auto& upstream) { return upstream->id() == id && upstream->isUp(); });
     if (!isBack) {
-        this->store.remove("servers/" + id);
+        co_await publish(id, std::nullopt);
     }
 }
 
@@ -143,6 +156,18 @@
     }
 }
 
+Task<> Vms::replace(Upstream& upstream)
+{
+    upstream.crash();
+    start(this->context, forget(upstream.id()));
+    const auto found
+        = std::ranges::find_if(this->vms, [&](const auto& vm) { return vm.upstream == &upstream; });
+    if (found != this->vms.end()) {
+        found->state = "down";
+        co_await complete(*found, milliseconds { this->dice.within(500, 2000) });
+    }
+}
+
 Task<> Vms::drain(Upstream& upstream)
 {
     upstream.drain(true);
@@ -181,11 +206,28 @@
 
 Task<std::optional<Answer>> Vms::answer(Request request)
 {
-    co_await pause(milliseconds { 2 });
-    Answer result = pathOf(request) == "/machines" ? list(request) : order(request);
+    if (pathOf(request) == "/machines") {
+        co_await pause(milliseconds { 2 });
+        co_return list(request);
+    }
+    co_await pause(milliseconds { this->orderFaults.latency });
+    if (this->dice.chance(this->orderFaults.rejected)) {
+        co_return Answer { 429, "{}" };
+    }
+    if (this->dice.chance(this->orderFaults.late)) {
+        start(this->context, orderLater(std::move(request)));
+        co_return std::nullopt;
+    }
+    auto result = order(request);
     co_return result;
 }
 
+Task<> Vms::orderLater(Request request)
+{
+    co_await pause(milliseconds { this->dice.within(2000, 12000) });
+    order(request);
+}
+
 Answer Vms::list(const Request& request) const
 {
     const auto token = queryValue(request, "pageToken");
@@ -235,7 +277,7 @@
     }
     ++this->ordered;
     if (vm.upstream != nullptr) {
-        vm.upstream->crash();
+        vm.upstream->depart();
         start(this->context, forget(vm.upstream->id()));
         vm.upstream = nullptr;
     }
--- a/test/platform/soak/vms.hpp
+++ b/test/platform/soak/vms.hpp
@@ -4,6 +4,7 @@
 #include "upstream.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace wasabiroad::soak {
 
@@ -21,6 +22,16 @@
     bool saves { false };
 };
 
+/** @brief What goes wrong with orders to VMs. */
+struct OrderFaults {
+    /** @brief Share of orders that are rejected without effect. */
+    double rejected { 0 };
+    /** @brief Share of orders without an answer that are carried out seconds later. */
+    double late { 0 };
+    /** @brief Time of an answer, in ms. */
+    std::int64_t latency { 2 };
+};
+
 /** @brief The VMs, their upstreams, and the service that moves and maintains them. */
 class Vms {
 public:
@@ -40,6 +51,9 @@
     /** @brief An upstream crashes; it returns under its id or is lost for good. */
     Task<> crash(Upstream& upstream, milliseconds away);
 
+    /** @brief An upstream crashes, and its VM starts another one. */
+    Task<> replace(Upstream& upstream);
+
     /** @brief An upstream is drained and returns as another one. */
     Task<> drain(Upstream& upstream);
 
@@ -49,6 +63,8 @@
     /** @return Free resources of each pool with jobs. */
     std::map<std::string, PoolRoom> rooms() const;
 
+    OrderFaults& faults() { return this->orderFaults; }
+
     /** @return Moves and maintenances so far. */
     std::size_t orders() const { return this->ordered; }
 
@@ -66,6 +82,9 @@
     Task<std::optional<Answer>> answer(Request request);
     Answer list(const Request& request) const;
     Answer order(const Request& request);
+    Task<> orderLater(Request request);
+    /** @brief Changes the entry of an upstream, which others see after a lag. */
+    Task<> publish(std::string id, std::optional<std::string> entry);
     Task<> complete(Vm& vm, milliseconds duration);
     Task<> heartbeat();
     Task<> advance();
@@ -84,6 +103,7 @@
     std::vector<std::unique_ptr<Server>> servers {};
     std::map<std::int64_t, std::set<std::string>> waves {};
     std::size_t ordered { 0 };
+    OrderFaults orderFaults {};
 };
 
 } // namespace wasabiroad::soak
