Trust the list of VMs only for upstreams that it must name by now

cause: a list of VMs that lags by more than a second would show an upstream that has just joined, and was cut off at once, as down; its tasks would run twice.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -64,6 +64,9 @@
  * exceeds the time by which that list may lag. */
 constexpr Duration unheardLimit { 1000 };
 
+/** Time in ms from the first answer of an upstream until the list of VMs surely names it. */
+constexpr Duration vmListDelay { 3000 };
+
 /** Interval in ms between reads of the list of VMs. */
 constexpr Duration vmListInterval { 500 };
 
@@ -663,9 +666,14 @@
     this->vmCount = listing.vms.size();
     std::set<UpstreamId> unheard;
     kernel::Instant longest = requested;
+    const auto isYoung = [&](const UpstreamId& id) {
+        const auto agent = this->upstreamAgents.find(id);
+        const auto reached = agent != this->upstreamAgents.end() ? agent->second->reachedAt() : std::nullopt;
+        return reached && requested - *reached < vmListDelay;
+    };
     for (const auto& id : this->scheduler->unheardUpstreams()) {
         const auto since = this->unheardSince.find(id);
-        if (since != this->unheardSince.end() && requested - since->second >= unheardLimit) {
+        if (since != this->unheardSince.end() && requested - since->second >= unheardLimit && !isYoung(id)) {
             unheard.insert(id);
             longest = std::min(longest, since->second);
         }
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -89,6 +89,9 @@
                 { "more_ends", tasks.moreEnds ? "yes" : "no" }, { "term", this->term.value } });
     }
     this->answering = true;
+    if (!this->firstAnswer) {
+        this->firstAnswer = kernel::bootNow();
+    }
     for (const auto& end : tasks.ended) {
         this->lastListed = std::max(this->lastListed, end.number);
     }
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace wasabiroad::agent {
 
@@ -43,6 +44,9 @@
     /** @return Boot clock time at which the last call that renews leases was sent. */
     kernel::Instant lastRenewalSent() const { return this->lastRenewal; }
 
+    /** @return Boot clock time of the first answer, or nothing if there was none. */
+    std::optional<kernel::Instant> reachedAt() const { return this->firstAnswer; }
+
     /** @return Whether the last poll was answered. */
     bool isAnswering() const { return this->answering; }
 
@@ -69,6 +73,7 @@
     bool awaitingRecord { false };
     kernel::Instant born {};
     kernel::Instant lastRenewal {};
+    std::optional<kernel::Instant> firstAnswer {};
     std::uint64_t lastListed { 0 };
     std::uint64_t lastRecorded { 0 };
 };
