Let upstreams of the soak depart silently in half of the cases

cause: a VM that is taken down need not reset its connections; with a reset the owner hears of it before it starts tasks there, unless it is slow.

--- a/test/platform/soak/upstream.cpp
+++ b/test/platform/soak/upstream.cpp
@@ -56,20 +56,22 @@
     return json::serialize(entry);
 }
 
-void Upstream::crash()
+void Upstream::crash(bool resets)
 {
     this->up = false;
     this->ledger.lose(life());
     this->runs.clear();
     this->ends.clear();
     this->ended.notify();
-    this->server.path().reset();
+    if (resets) {
+        this->server.path().reset();
+    }
 }
 
 void Upstream::depart()
 {
     this->departed = true;
-    crash();
+    crash(this->dice.chance(0.5));
 }
 
 void Upstream::revive()
--- a/test/platform/soak/upstream.hpp
+++ b/test/platform/soak/upstream.hpp
@@ -29,8 +29,9 @@
     /** @return Its entry in the store. */
     std::string entry();
 
-    /** @brief Loses all that it runs and answers nothing any more. */
-    void crash();
+    /** @brief Loses all that it runs and answers nothing any more. @param resets Whether its connections are
+     * reset. */
+    void crash(bool resets = true);
 
     /** @brief Ends with its VM by an order, after which no task may be started on it. */
     void depart();
