Fence each order to a VM by the revision of its record

Revisions rise from order to order, and each later term is above them, so an order that is carried out late is fenced by the next one.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -160,13 +160,19 @@
     changeInTerm(std::move(puts), {},
         [self = shared_from_this(), orders = std::exchange(this->queuedOrders, {})](
             const store::ChangeOutcome& outcome) {
-            const bool recorded = std::holds_alternative<store::Committed>(outcome) && self->mayOrder();
-            if (!recorded) {
+            const auto* const recorded = std::get_if<store::Committed>(&outcome);
+            const bool sends = recorded != nullptr && self->mayOrder();
+            if (!sends) {
                 kernel::logEvent("orders-dropped", { { "orders", orders.size() } });
             }
             for (const auto& order : orders) {
+                // The revision of the record is above that of each earlier order and below each later term,
+                // so an order that is carried out late is fenced by the ones after it.
                 std::visit(
-                    [&](const auto& kind) { recorded ? self->send(kind) : self->discardOrder(kind); }, order);
+                    [&](const auto& kind) {
+                        sends ? self->send(kind, { recorded->revision.value }) : self->discardOrder(kind);
+                    },
+                    order);
             }
         });
 }
@@ -555,9 +561,9 @@
     }
 }
 
-void FleetAgent::send(const MoveOrder& order)
+void FleetAgent::send(const MoveOrder& order, ports::Term fence)
 {
-    this->environment.fleet->move(order.vm, this->moves.at(order.vm).order.to, this->term, permission(),
+    this->environment.fleet->move(order.vm, this->moves.at(order.vm).order.to, fence, permission(),
         [self = shared_from_this(), vm = order.vm](
             ports::VmOrderResult result) { self->onMoveOrderResult(vm, result); });
 }
@@ -888,13 +894,13 @@
     this->queuedOrders.emplace_back(MaintenanceOrder { number, name });
 }
 
-void FleetAgent::send(const MaintenanceOrder& order)
+void FleetAgent::send(const MaintenanceOrder& order, ports::Term fence)
 {
     const auto& vm = this->waves.at(order.wave).vms.at(order.vm);
     kernel::logEvent("vm-maintenance",
         { { "wave", order.wave }, { "vm", order.vm.text() }, { "upstream", vm.upstream.text() },
-            { "term", this->term.value } });
-    this->environment.fleet->maintain(order.vm, order.wave, this->term, permission(),
+            { "term", this->term.value }, { "fence", fence.value } });
+    this->environment.fleet->maintain(order.vm, order.wave, fence, permission(),
         [self = shared_from_this(), order](
             ports::VmOrderResult result) { self->onMaintenanceOrderResult(order.wave, order.vm, result); });
 }
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -147,8 +147,9 @@
     void loadRecentOrders();
     /** Records the queued orders, then sends them: the next owner must know which VMs it has to wait for. */
     void sendOrders();
-    void send(const MoveOrder& order);
-    void send(const MaintenanceOrder& order);
+    /** @param fence Fencing token of the order; higher ones have not been used. */
+    void send(const MoveOrder& order, ports::Term fence);
+    void send(const MaintenanceOrder& order, ports::Term fence);
     void discardOrder(const MoveOrder& order);
     void discardOrder(const MaintenanceOrder& order);
     void onMoveOrderResult(const model::VmId& vm, ports::VmOrderResult result);
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -144,23 +144,25 @@
     comeUpLater(worker);
 }
 
-bool Workers::takeOrder(Worker& worker, std::uint64_t term)
+bool Workers::takeOrder(Worker& worker, const OrderOrigin& origin)
 {
-    if (term < worker.vmFence) {
+    if (origin.fence < worker.vmFence) {
         return false;
     }
-    if (worker.vmFence != 0 && term != worker.vmFence && now() - worker.vmOrdered < this->orderGap) {
+    if (!worker.vmHolder.empty() && origin.holder != worker.vmHolder
+        && now() - worker.vmOrdered < this->orderGap) {
         this->faults.push_back("two daemons gave orders to " + worker.name);
     }
-    worker.vmFence = term;
+    worker.vmFence = origin.fence;
+    worker.vmHolder = origin.holder;
     worker.vmOrdered = now();
     return true;
 }
 
-ports::VmOrderResult Workers::maintain(const model::VmId& vm, std::uint64_t term)
+ports::VmOrderResult Workers::maintain(const model::VmId& vm, const OrderOrigin& origin)
 {
     auto& worker = *std::ranges::find(this->workers, vm.text(), &Worker::name);
-    if (!takeOrder(worker, term)) {
+    if (!takeOrder(worker, origin)) {
         return ports::VmOrderResult::Fenced;
     }
     if (this->maintainedVms.contains(vm)) {
@@ -175,16 +177,17 @@
     return ports::VmOrderResult::Done;
 }
 
-ports::VmOrderResult Workers::move(const model::VmId& vm, const model::ServiceId& pool, std::uint64_t term)
+ports::VmOrderResult Workers::move(
+    const model::VmId& vm, const model::ServiceId& pool, const OrderOrigin& origin)
 {
     auto& worker = *std::ranges::find(this->workers, vm.text(), &Worker::name);
-    if (!takeOrder(worker, term)) {
+    if (!takeOrder(worker, origin)) {
         return ports::VmOrderResult::Fenced;
     }
     if (worker.service == pool) {
         return ports::VmOrderResult::Done;
     }
-    this->movingTerms.push_back(term);
+    this->movingHolders.push_back(origin.holder);
     worker.service = pool;
     takeDown(worker, "move");
     return ports::VmOrderResult::Done;
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -46,17 +46,25 @@
     /** @return The VMs. */
     std::vector<ports::VmFacts> vms() const;
 
+    /** @brief An order to a VM: who gives it, and its fencing token. */
+    struct OrderOrigin {
+        const std::string holder {};
+        const std::uint64_t fence { 0 };
+
+        friend auto operator<=>(const OrderOrigin&, const OrderOrigin&) = default;
+    };
+
     /** @brief Takes a VM down; a new upstream comes up on it after a while. */
-    ports::VmOrderResult maintain(const model::VmId& vm, std::uint64_t term);
+    ports::VmOrderResult maintain(const model::VmId& vm, const OrderOrigin& origin);
 
     /** @brief Gives a VM to another pool; a new upstream comes up on it after a while. */
-    ports::VmOrderResult move(const model::VmId& vm, const model::ServiceId& pool, std::uint64_t term);
+    ports::VmOrderResult move(const model::VmId& vm, const model::ServiceId& pool, const OrderOrigin& origin);
 
     /** @return Moves that were carried out. */
-    std::size_t moveCount() const { return this->movingTerms.size(); }
+    std::size_t moveCount() const { return this->movingHolders.size(); }
 
-    /** @return Terms of the daemons that ordered the moves, in order. */
-    const std::vector<std::uint64_t>& termsOfMoves() const { return this->movingTerms; }
+    /** @return The daemons that ordered the moves, in order. */
+    const std::vector<std::string>& holdersOfMoves() const { return this->movingHolders; }
 
     /** @brief Sets the time within which orders of two daemons to one VM break a promise. */
     void setOrderGap(kernel::Duration gap) { this->orderGap = gap; }
@@ -126,6 +134,7 @@
         bool poweredOff { false };
         std::uint64_t fence { 0 };
         std::uint64_t vmFence { 0 };
+        std::string vmHolder {};
         kernel::Instant vmOrdered {};
         kernel::Instant leaseEnd {};
         /** @brief When its lease was last found to have ended. */
@@ -149,7 +158,7 @@
     /** @brief Calls back after the time for which calls to an upstream that is gone wait. */
     void failLater(std::function<void()> callback);
     /** @return Whether the order is not fenced. */
-    bool takeOrder(Worker& worker, std::uint64_t term);
+    bool takeOrder(Worker& worker, const OrderOrigin& origin);
     Worker* find(const scheduling::UpstreamId& id);
     void takeDown(Worker& worker, const std::string& reason);
     void advance(Worker& worker);
@@ -170,7 +179,7 @@
     std::map<jobs::TaskId, std::pair<std::string, kernel::Instant>> done {};
     std::set<model::VmId> maintainedVms {};
     std::size_t downAtMost { 0 };
-    std::vector<std::uint64_t> movingTerms {};
+    std::vector<std::string> movingHolders {};
     kernel::Duration orderGap {};
     std::optional<kernel::Duration> downTime {};
     std::vector<Departed> departed {};
--- a/test/wasabiroad/agent/duty_health.cpp
+++ b/test/wasabiroad/agent/duty_health.cpp
@@ -72,7 +72,9 @@
     Site site { 2 };
     site.waves.push_back({ model::WaveId { "1" }, 1, { model::VmId { "vm0" } }, { 20000 }, 1 });
     BOOST_REQUIRE(site.runUntil([&] { return site.store.find(keys::owner(keys::fleetDuty)).has_value(); }));
-    site.workers.raiseFence("vm0", site.store.find(keys::owner(keys::fleetDuty))->created.value + 1);
+    // Above the revisions of the next changes, one of which is the fence of the order.
+    constexpr std::uint64_t lead = 20;
+    site.workers.raiseFence("vm0", site.store.find(keys::owner(keys::fleetDuty))->created.value + lead);
     BOOST_TEST(site.runUntil([&] {
         const auto status = site.store.find("status/1");
         return status && status->value == "completed";
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -95,7 +95,7 @@
     BOOST_REQUIRE(site.waitForOwner());
     site.runFor(500);
     site.waves.push_back({ model::WaveId { "1" }, 1, vms, { 20000 }, 1 });
-    BOOST_REQUIRE(site.runUntil([&] { return site.lateTerm != 0; }));
+    BOOST_REQUIRE(site.runUntil([&] { return !site.lateHolder.empty(); }));
     site.runFor(300);
     const std::size_t owner = site.store.find("owner/fleet")->value.starts_with("entry-0") ? 0 : 1;
     if (row.ownerEvent == OwnerEvent::Stops) {
@@ -192,6 +192,25 @@
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
 }
 
+/** Guards against an unanswered order of a move that is carried out after the VM was moved on. */
+BOOST_AUTO_TEST_CASE(late_order_does_not_move_a_vm_that_later_orders_have_moved)
+{
+    Site site { 1, 6 };
+    site.workers.add("r0", spare, 4000);
+    site.moveFault = MoveFault::Late;
+    BOOST_REQUIRE(site.waitForOwner());
+    BOOST_REQUIRE(site.runUntil([&] { return !site.store.list(keys::drainsOf(service)).entries.empty(); }));
+    site.runFor(1000);
+    // The orders are repeated and answered. A burst takes the VMs back before the first orders are carried
+    // out.
+    site.moveFault = MoveFault::None;
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.moveCount() >= 3; }));
+    site.submit(makeJob("wide", 20000, 28));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 28; }));
+    site.runFor(lateMoveDelay.milliseconds);
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 /** Whether VMs can be listed while drains are stale. */
 struct DrainRow {
     const char* title;
@@ -272,12 +291,12 @@
     site.submit(makeJob("wide", 6000, 20));
     BOOST_REQUIRE(site.runUntil([&] { return site.workers.moveCount() > 0; }));
     const auto moved = site.workers.moveCount();
-    const auto term = site.workers.termsOfMoves().front();
+    const auto holder = site.workers.holdersOfMoves().front();
     const std::size_t owner = site.store.find("owner/fleet")->value.starts_with("entry-0") ? 0 : 1;
     site.daemons[owner]->agent->stop([] {});
     site.submit(makeJob("wider", 6000, 60), 1 - owner);
     const auto changed = kernel::now(kernel::SteadyClock {});
-    BOOST_REQUIRE(site.runUntil([&] { return site.workers.termsOfMoves().back() != term; }));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.holdersOfMoves().back() != holder; }));
     BOOST_TEST((kernel::now(kernel::SteadyClock {}) - changed < gap));
     BOOST_TEST(site.workers.moveCount() > moved);
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
--- a/test/wasabiroad/agent/pool_stall.cpp
+++ b/test/wasabiroad/agent/pool_stall.cpp
@@ -33,6 +33,7 @@
         this->agent = std::make_shared<PoolAgent>(
             PoolContext { this->context,
                 std::make_shared<const store::Store>(this->store.connect(this->storeFaults)),
+                std::make_shared<const ports::Fleet>(makeFleet()),
                 std::make_shared<const ports::Upstreams>(this->workers.connect(this->workerFaults)),
                 std::make_shared<metrics::Metrics>(), kernel::Duration { 4000 }, [] { return true; },
                 [this] { return this->leaseValid; }, [] { return kernel::bootNow(); },
@@ -47,6 +48,24 @@
         }
     }
 
+    /** @return Calls of which only that for the list of VMs is made; it fails. */
+    static ports::Fleet makeFleet()
+    {
+        return {
+            .readOperator = {},
+            .watchOperator = {},
+            .listUpstreams = {},
+            .watchUpstreams = {},
+            .listVms =
+                [](const auto& callback) {
+                    callback(kernel::fail(kernel::ResultCode::PlatformTimeout, "vms", "no answer"));
+                },
+            .maintain = {},
+            .move = {},
+            .waveStatus = {},
+        };
+    }
+
     boost::asio::io_context context { 1 };
     standin::KeyValue store { context };
     standin::Workers workers { context };
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -103,7 +103,8 @@
             .entry = model::EntryId { "entry-" + std::to_string(number) },
             .access = access,
             .store = std::make_shared<const store::Store>(this->store.connect(daemon->storeFaults)),
-            .fleet = std::make_shared<const ports::Fleet>(makeFleet(daemon->storeFaults)),
+            .fleet = std::make_shared<const ports::Fleet>(
+                makeFleet(daemon->storeFaults, "entry-" + std::to_string(number))),
             .upstreams
             = std::make_shared<const ports::Upstreams>(this->workers.connect(daemon->workerFaults)),
             .metrics = std::make_shared<metrics::Metrics>(),
@@ -205,7 +206,8 @@
     /** @brief VMs whose maintenance orders by the first term are not answered and are carried out this much
      * later. */
     std::map<model::VmId, kernel::Duration> lateMaintenance {};
-    std::uint64_t lateTerm { 0 };
+    /** @brief The daemon whose maintenance orders are late. */
+    std::string lateHolder {};
     kernel::Instant lateUntil {};
     MoveFault moveFault { MoveFault::None };
     /** @brief VMs cannot be listed. */
@@ -214,7 +216,7 @@
     std::size_t upstreamLists { 0 };
 
 private:
-    ports::Fleet makeFleet(const std::shared_ptr<standin::StoreFaults>& faults)
+    ports::Fleet makeFleet(const std::shared_ptr<standin::StoreFaults>& faults, const std::string& holder)
     {
         const auto operatorState = [this](store::Revision asOf) {
             const jobs::Queue route { .id = queue, .host = "h", .prefix = "/q/", .service = service };
@@ -286,34 +288,36 @@
                     answer(callback, kernel::Expected<ports::VmListing> { { this->workers.vms() } });
                 },
             .maintain =
-                [=, this](const model::VmId& vm, std::uint64_t, ports::Term term, const ports::Permission&,
+                [=, this](const model::VmId& vm, std::uint64_t, ports::Term fence, const ports::Permission&,
                     const store::Callback<ports::VmOrderResult>& callback) {
                     const auto late = this->lateMaintenance.find(vm);
                     const auto now = kernel::now(kernel::SteadyClock {});
-                    if (this->lateTerm == 0) {
+                    if (this->lateHolder.empty()) {
                         this->lateUntil = now + lateOrdersSpan;
                     }
                     if (late != this->lateMaintenance.end() && now < this->lateUntil
-                        && (this->lateTerm == 0 || this->lateTerm == term.value)) {
-                        this->lateTerm = term.value;
-                        kernel::callLater(this->context, late->second,
-                            [this, vm, term] { this->workers.maintain(vm, term.value); });
+                        && (this->lateHolder.empty() || this->lateHolder == holder)) {
+                        this->lateHolder = holder;
+                        kernel::callLater(this->context, late->second, [this, vm, holder, fence] {
+                            this->workers.maintain(vm, { holder, fence.value });
+                        });
                         answer(callback, ports::VmOrderResult::Unknown);
                         return;
                     }
-                    answer(callback, this->workers.maintain(vm, term.value));
+                    answer(callback, this->workers.maintain(vm, { holder, fence.value }));
                 },
             .move =
-                [=, this](const model::VmId& vm, const model::ServiceId& pool, ports::Term term,
+                [=, this](const model::VmId& vm, const model::ServiceId& pool, ports::Term fence,
                     const ports::Permission&, const store::Callback<ports::VmOrderResult>& callback) {
                     if (this->moveFault == MoveFault::Late) {
-                        kernel::callLater(this->context, lateMoveDelay,
-                            [this, vm, pool, term] { this->workers.move(vm, pool, term.value); });
+                        kernel::callLater(this->context, lateMoveDelay, [this, vm, pool, holder, fence] {
+                            this->workers.move(vm, pool, { holder, fence.value });
+                        });
                         answer(callback, ports::VmOrderResult::Unknown);
                     } else if (this->moveFault == MoveFault::Rejected) {
                         answer(callback, ports::VmOrderResult::Overloaded);
                     } else {
-                        answer(callback, this->workers.move(vm, pool, term.value));
+                        answer(callback, this->workers.move(vm, pool, { holder, fence.value }));
                     }
                 },
             .waveStatus =
--- a/test/wasabiroad/agent/wave_room.cpp
+++ b/test/wasabiroad/agent/wave_room.cpp
@@ -27,7 +27,8 @@
         .stretch = 2,
         .allowance = { 1000 } });
     BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningOf(lasting) == count; }));
-    site.workers.maintain(model::VmId { "vm1" }, site.store.find("owner/fleet")->revision.value);
+    site.workers.maintain(
+        model::VmId { "vm1" }, { "operator", site.store.find("owner/fleet")->revision.value });
     BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningOf(lasting) == count; }));
     site.waves.push_back({ model::WaveId { "1" }, 1, { model::VmId { "vm0" } }, { 20000 }, 1 });
     site.runFor(12000);
