--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -34,8 +34,8 @@
 /** Maximum time of the drain before a move, and of the move itself; then the VM may be planned again. */
 constexpr Duration moveTimeout { 8000 };
 
-/** Time in ms from the plan of a move after which its VM is returned to a pool that needs it, unless the move
- * has been ordered; a pool empties nine of ten VMs within that time. */
+/** Time in ms from the plan of a move after which its VM is returned to a pool that needs it, unless an order
+ * is under way, unanswered or accepted. */
 constexpr Duration returnDelay { 1000 };
 
 /** Maximum age of the view behind a pool report; no VM is moved because of an older one. */
@@ -208,15 +208,16 @@
                 self->removeStaleDrains();
                 return;
             }
+            self->isListComplete = listing->complete;
             self->onVms(listing->vms);
         });
 }
 
-void FleetAgent::removeDrain(const model::ServiceId& pool, const model::VmId& vm)
+void FleetAgent::removeDrain(const model::ServiceId& pool, const model::VmId& vm, store::Revision revision)
 {
     // `removeStaleDrains` retries a failed removal.
-    changeInTerm(
-        {}, { keys::drain(pool, vm), keys::drainedVms + vm.text() }, [](const store::ChangeOutcome&) {});
+    changeInTerm({}, { keys::drain(pool, vm), keys::drainedVms + vm.text() },
+        [](const store::ChangeOutcome&) {}, { { keys::drain(pool, vm), revision } });
 }
 
 bool FleetAgent::isDraining(const model::VmId& vm) const
@@ -485,7 +486,7 @@
         const auto own = std::ranges::count_if(
             vms, [&](const scheduling::MovableVm& vm) { return vm.pool == pool && !vm.leaving; });
         const auto member = std::ranges::find(vms, pool, &scheduling::MovableVm::pool);
-        // A pool that gives all its VMs needs some like those of the others.
+        // The need of a pool without VMs is computed with the capacity of another pool's VM.
         const auto sample = member != vms.end() ? member : vms.begin();
         const auto excess = sample != vms.end() ? own - scheduling::vmsNeeded(view, sample->capacity) : 0;
         this->surpluses[pool] = excess;
@@ -522,16 +523,18 @@
     kernel::logEvent("vm-move",
         { { "vm", order.vm.text() }, { "from", order.from.text() }, { "to", order.to.text() },
             { "upstream", order.upstream.text() } });
-    this->moves.emplace(order.vm, Move { .order = order, .stateChangedAt = kernel::bootNow() });
+    const auto number = ++this->plannedMoves;
+    this->moves.emplace(
+        order.vm, Move { .order = order, .number = number, .stateChangedAt = kernel::bootNow() });
     if (!this->poolsWithJobs.contains(order.from)) {
         queueMove(order.vm);
         return;
     }
     changeInTerm(
         { { keys::drain(order.from, order.vm), jobs::encode(jobs::Drain { order.upstream.text(), false }) } },
-        {}, [self = shared_from_this(), vm = order.vm](const store::ChangeOutcome& outcome) {
+        {}, [self = shared_from_this(), vm = order.vm, number](const store::ChangeOutcome& outcome) {
             const auto move = self->moves.find(vm);
-            if (move == self->moves.end()) {
+            if (move == self->moves.end() || move->second.number != number) {
                 return;
             }
             if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
@@ -613,9 +616,10 @@
 
 void FleetAgent::endMove(const model::VmId& vm)
 {
-    const auto& order = this->moves.at(vm).order;
-    if (this->poolsWithJobs.contains(order.from)) {
-        removeDrain(order.from, vm);
+    const auto& move = this->moves.at(vm);
+    // Without the revision, `removeStaleDrains` removes the drain.
+    if (this->poolsWithJobs.contains(move.order.from) && move.drainRevision) {
+        removeDrain(move.order.from, vm, *move.drainRevision);
     }
     this->moves.erase(vm);
 }
@@ -630,7 +634,8 @@
         }
         const bool arrived = move.accepted && found != facts.end() && found->second->pool == move.order.to
             && found->second->condition == ports::VmCondition::Up;
-        if (!move.orderInFlight && (arrived || found == facts.end())) {
+        move.missedLists = found != facts.end() ? 0 : move.missedLists + (this->isListComplete ? 1 : 0);
+        if (!move.orderInFlight && (arrived || move.missedLists >= maxMissedLists)) {
             ended.push_back(name);
         }
     }
@@ -656,8 +661,8 @@
     std::vector<model::VmId> expired;
     const auto now = kernel::bootNow();
     for (const auto& [name, move] : this->moves) {
-        // An order without an answer may still end all that runs on the VM, so its drain stays until one is
-        // answered.
+        // An order without an answer may still be carried out, so its drain stays until a repeated order or a
+        // list of VMs settles it.
         if (!move.orderInFlight && !move.mayBeCarriedOut && now - move.stateChangedAt > moveTimeout) {
             expired.push_back(name);
         }
@@ -680,7 +685,8 @@
     }
     std::vector<model::VmId> returned;
     for (const auto& [name, move] : this->moves) {
-        const bool mayEnd = !move.orderInFlight && !move.mayBeCarriedOut && !move.accepted;
+        const bool mayEnd
+            = move.drainRevision && !move.orderInFlight && !move.mayBeCarriedOut && !move.accepted;
         if (mayEnd && now - move.stateChangedAt > returnDelay && missing[move.order.from] > 0) {
             --missing[move.order.from];
             returned.push_back(name);
@@ -725,7 +731,8 @@
     for (auto& [name, vm] : wave.vms) {
         const auto found = facts.find(name);
         if (found == facts.end()) {
-            if (++vm.missedLists >= maxMissedLists && vm.stage != WaveStage::Done
+            vm.missedLists += this->isListComplete ? 1 : 0;
+            if (vm.missedLists >= maxMissedLists && vm.stage != WaveStage::Done
                 && vm.stage != WaveStage::InMaintenance) {
                 kernel::logEvent("wave-vm-gone", { { "wave", wave.request.number }, { "vm", name.text() } });
                 vm.stage = WaveStage::Done;
@@ -734,7 +741,9 @@
         }
         vm.missedLists = 0;
         const auto& current = *found->second;
-        const bool up = current.condition == ports::VmCondition::Up;
+        // A VM of a pool with jobs runs an upstream; without its id nobody could drain it.
+        const bool isNamed = !this->poolsWithJobs.contains(current.pool) || !current.upstream.text().empty();
+        const bool up = current.condition == ports::VmCondition::Up && isNamed;
         switch (vm.stage) {
         case WaveStage::InMaintenance:
             // The upstream cannot show the end of the maintenance, since a spare VM has none. The list must
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -91,6 +91,8 @@
 
     struct Move {
         scheduling::VmMove order;
+        /** @brief Tells moves of one VM apart. */
+        std::uint64_t number { 0 };
         /** @brief Revision of the drain request, as for waves. */
         std::optional<store::Revision> drainRevision {};
         /** @brief When the move was planned; replaced by the time at which the platform accepted it. */
@@ -102,6 +104,8 @@
         bool mayBeCarriedOut { false };
         /** @brief The platform has accepted the order and is moving the VM. */
         bool accepted { false };
+        /** @brief Consecutive complete lists without the VM. */
+        std::uint32_t missedLists { 0 };
     };
 
     /** @brief A queued order to move a VM to another pool. */
@@ -133,7 +137,8 @@
         const store::Listing& reports, const std::vector<scheduling::MovableVm>& vms);
     std::vector<scheduling::MovableVm> movableVms(const std::vector<ports::VmFacts>& facts) const;
     void updateMoves(const std::map<model::VmId, const ports::VmFacts*>& facts);
-    /** Finds out from a list of VMs whether an order without an answer still matters. */
+    /** Clears `mayBeCarriedOut` once a list of VMs shows that the unanswered order was carried out, or that
+     * the drained upstream is gone. */
     static void settleUnansweredOrder(Move& move, const ports::VmFacts& vm);
     /** Ends the moves that have taken too long, and their drains. */
     void expireMoves();
@@ -147,7 +152,7 @@
     void loadRecentOrders();
     /** Records the queued orders, then sends them: the next owner must know which VMs it has to wait for. */
     void sendOrders();
-    /** @param fence Fencing token of the order; higher ones have not been used. */
+    /** @param fence Fencing token: the revision at which the order was recorded. */
     void send(const MoveOrder& order, ports::Term fence);
     void send(const MaintenanceOrder& order, ports::Term fence);
     void discardOrder(const MoveOrder& order);
@@ -160,7 +165,8 @@
     void removeStaleDrains(const model::ServiceId& pool, const store::Listing& drains);
     /** Requests the drains of waves again, and ends the moves, whose requests are missing from the store. */
     void restoreLostDrains(const model::ServiceId& pool, const store::Listing& drains);
-    void removeDrain(const model::ServiceId& pool, const model::VmId& vm);
+    /** Removes a drain if it is still the one of this revision: a late removal must not end the next one. */
+    void removeDrain(const model::ServiceId& pool, const model::VmId& vm, store::Revision revision);
     bool isDraining(const model::VmId& vm) const;
     void loadWave(std::uint64_t number);
     void loadUnansweredOrders(std::uint64_t number, const std::vector<std::string>& done);
@@ -207,6 +213,9 @@
     std::set<model::ServiceId> poolsWithJobs {};
     std::set<model::ServiceId> sparePools {};
     std::map<model::VmId, Move> moves {};
+    std::uint64_t plannedMoves { 0 };
+    /** @brief Whether the last list of VMs could be read in full. */
+    bool isListComplete { false };
     std::map<model::ServiceId, kernel::Instant> surplusSince {};
     std::map<model::ServiceId, Trend> trends {};
     /** @brief VMs of each pool beyond its need, by the last reports. */
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -1,7 +1,7 @@
 #include "wasabiroad/agent/pool_agent.hpp"
 
+#include "wasabiroad/agent/down_upstreams.hpp"
 #include "wasabiroad/agent/keys.hpp"
-#include "wasabiroad/agent/upstream_lives.hpp"
 #include "wasabiroad/kernel/log.hpp"
 #include "wasabiroad/kernel/overloaded.hpp"
 
@@ -60,11 +60,12 @@
 /** Time for which an upstream is not called after another one has answered at its address. */
 constexpr Duration replacedPause { 1000 };
 
-/** Time in ms for which an upstream holds up tasks without an answer before the list of VMs is read; it
- * exceeds the time by which that list may lag. */
+/** Time in ms without an answer after which an upstream that holds up tasks is looked up in the list of VMs.
+ */
 constexpr Duration unheardLimit { 1000 };
 
-/** Time in ms from the first answer of an upstream until the list of VMs surely names it. */
+/** Time in ms from the first answer of an upstream during which its absence from the list of VMs is ignored,
+ * since the list may lag. */
 constexpr Duration vmListDelay { 3000 };
 
 /** Interval in ms between reads of the list of VMs. */
@@ -678,7 +679,11 @@
             longest = std::min(longest, since->second);
         }
     }
-    const auto down = findDownUpstreams(unheard, listing);
+    // Pages of a list are no snapshot, so a second list has to agree.
+    const auto missingBefore
+        = std::exchange(this->missingUpstreams, findDownUpstreams(this->service, unheard, listing));
+    std::set<UpstreamId> down;
+    std::ranges::set_intersection(missingBefore, this->missingUpstreams, std::inserter(down, down.end()));
     if (!unheard.empty()) {
         kernel::logEvent("upstreams-unheard",
             { { "pool", this->service.text() }, { "term", this->term.value }, { "upstreams", unheard.size() },
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -178,8 +178,11 @@
     kernel::Instant lastTickAt {};
     /** @brief Upstreams that do not answer and hold up tasks, and since when they have. */
     std::map<scheduling::UpstreamId, kernel::Instant> unheardSince {};
+    /** @brief Those that no VM named in the last list. */
+    std::set<scheduling::UpstreamId> missingUpstreams {};
     bool listingVms { false };
     kernel::Instant lastVmList {};
+    /** @brief Number of VMs in the last list; sets the interval of reads. */
     std::size_t vmCount { 0 };
     /** @brief Number of upstreams of the previous owner that had not answered at the last tick. */
     std::size_t unreconciled { 0 };
--- a/src/wasabiroad/ports/fleet.hpp
+++ b/src/wasabiroad/ports/fleet.hpp
@@ -79,7 +79,8 @@
 /** @brief The VMs of all pools. */
 struct VmListing {
     const std::vector<VmFacts> vms {};
-    /** @brief Whether each entry of the list could be read; a VM that is missing may exist otherwise. */
+    /** @brief Whether each entry of the list could be read; if not, a VM that is missing from it may exist.
+     */
     const bool complete { true };
 
     friend bool operator==(const VmListing&, const VmListing&) = default;
@@ -124,11 +125,11 @@
     const std::function<void(store::Callback<kernel::Expected<VmListing>>)> listVms;
     /** @brief Takes a VM down for maintenance; its tasks end at once. */
     const std::function<void(
-        model::VmId, std::uint64_t wave, Term, Permission, store::Callback<VmOrderResult>)>
+        model::VmId, std::uint64_t wave, Term fence, Permission, store::Callback<VmOrderResult>)>
         maintain;
     /** @brief Gives a VM to another pool; its tasks end at once. */
     const std::function<void(
-        model::VmId, model::ServiceId pool, Term, Permission, store::Callback<VmOrderResult>)>
+        model::VmId, model::ServiceId pool, Term fence, Permission, store::Callback<VmOrderResult>)>
         move;
     /** @brief Entry with the state of a wave, as the operator reads it. */
     const std::function<store::Put(std::uint64_t wave, bool completed)> waveStatus;
--- a/src/wasabiroad/ports/upstreams.hpp
+++ b/src/wasabiroad/ports/upstreams.hpp
@@ -10,7 +10,7 @@
 
 namespace wasabiroad::ports {
 
-/** @brief Term of ownership of a pool; upstreams reject orders of a lower term. */
+/** @brief Term of ownership of a pool, or the revision of an order to a VM; lower ones are rejected. */
 struct Term {
     std::uint64_t value { 0 };
 
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -628,7 +628,8 @@
     for (const auto& id : lapsed) {
         releaseAll(id, now);
     }
-    // An answer to a call from before the end of the drain of an unknown upstream has arrived by then.
+    // Drops upstreams that are not known any more, once no call from before the end of their drain can be
+    // answered.
     std::erase_if(this->reopening, [&](const auto& entry) {
         return now.steady - entry.second > this->policy.taskListTimeout
             && !this->upstreams.contains(entry.first);
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -97,7 +97,7 @@
 
     /** @return Whether pace control or a drain needs lists of its tasks in short intervals: it runs both
      * filler and serving tasks, or tasks of a step that limits how many a drain may stop, or it has no tasks
-     * and gets some only after an answer since the end of its drain. */
+     * and is being drained, or has not answered since its drain ended. */
     bool needsFrequentPolling(const UpstreamId& upstream) const;
 
     /** @brief Reports that the record of a job was written; an ended job is erased once none of its tasks
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -288,7 +288,7 @@
 {
     auto* const worker = find(order.upstream);
     if (worker == nullptr) {
-        this->startsOnDeparted.push_back(order.upstream);
+        this->departedStarts.push_back(order.upstream);
         return StartResult::Unknown;
     }
     advance(*worker);
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -46,7 +46,7 @@
     /** @return The VMs. */
     std::vector<ports::VmFacts> vms() const;
 
-    /** @brief An order to a VM: who gives it, and its fencing token. */
+    /** @brief The daemon that sends an order to a VM, and the fencing token of the order. */
     struct OrderOrigin {
         const std::string holder {};
         const std::uint64_t fence { 0 };
@@ -95,7 +95,7 @@
     const std::vector<std::string>& broken() const { return this->faults; }
 
     /** @return Upstreams that were gone when a start reached them, in order. */
-    const std::vector<scheduling::UpstreamId>& startsOnGone() const { return this->startsOnDeparted; }
+    const std::vector<scheduling::UpstreamId>& startsOnDeparted() const { return this->departedStarts; }
 
     /** @return Starts of tasks of a job. */
     std::size_t startsOf(const jobs::JobId& job) const;
@@ -183,7 +183,7 @@
     kernel::Duration orderGap {};
     std::optional<kernel::Duration> downTime {};
     std::vector<Departed> departed {};
-    std::vector<scheduling::UpstreamId> startsOnDeparted {};
+    std::vector<scheduling::UpstreamId> departedStarts {};
     kernel::Duration departedListed {};
     kernel::Duration departedSilent {};
     std::size_t endsPerList { 500 };
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -223,6 +223,16 @@
     BOOST_TEST(page->next == "t");
     BOOST_TEST(decodeVms(R"({"machines":[],"nextToken":null})")->next.empty());
     BOOST_TEST(!decodeVms("{}").has_value());
+    for (const std::string token : { "200", "true", "{}", "[]" }) {
+        BOOST_TEST(!decodeVms(R"({"machines":[],"nextToken":)" + token + "}").has_value());
+    }
+    for (const std::string id : { "7", "true", "{}", "[]" }) {
+        const auto odd
+            = decodeVms(R"({"machines":[{"machine":"m-1","pool":"s","state":"up","id":)" + id + "}]}");
+        BOOST_REQUIRE(odd.has_value());
+        BOOST_TEST(odd->vms.empty());
+        BOOST_TEST(!odd->complete);
+    }
 }
 
 } // namespace
--- a/test/platform/soak/faults.cpp
+++ b/test/platform/soak/faults.cpp
@@ -20,8 +20,12 @@
     "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd", "revoke-in-turn", "revoke-takers",
     "orders", "replace", "busy" };
 
-/** Most processes that keep the processors busy at once. */
-constexpr std::int64_t mostBusyProcesses = 24;
+/** Maximum number of processes that keep the processors busy at once. */
+constexpr std::int64_t maxBusyProcesses = 24;
+
+/** Share of the orders to VMs that are carried out late, and time of an answer to slow ones. */
+constexpr double lateOrderShare = 0.5;
+constexpr milliseconds slowOrderLatency { 300 };
 
 Traffic drawTraffic(Dice& dice) { return dice.chance(0.5) ? Traffic::Held : Traffic::AnswersLost; }
 
@@ -78,11 +82,11 @@
     case 20:
         return RevokeTakers { lasting(3000, 6000), dice.within(50, 500) };
     case 21:
-        return DisturbOrders { lasting(2000, 12000), static_cast<int>(dice.within(0, 2)) };
+        return DisturbOrders { lasting(2000, 12000), static_cast<OrderFault>(dice.within(0, 2)) };
     case 22:
         return ReplaceUpstreams { count };
     default:
-        return KeepBusy { static_cast<int>(dice.within(1, mostBusyProcesses)), lasting(1000, 6000) };
+        return KeepBusy { static_cast<int>(dice.within(1, maxBusyProcesses)), lasting(1000, 6000) };
     }
 }
 
@@ -348,14 +352,15 @@
 {
     auto& faults = this->play.vms.faults();
     switch (fault.kind) {
-    case 0:
+    case OrderFault::Rejected:
         faults.rejected = 1;
         break;
-    case 1:
-        faults.late = 0.5;
+    case OrderFault::Late:
+        faults.late = lateOrderShare;
+        break;
+    case OrderFault::Slow:
+        faults.latency = slowOrderLatency;
         break;
-    default:
-        faults.latency = 300;
     }
     co_await pause(fault.duration);
     faults = {};
--- a/test/platform/soak/faults.hpp
+++ b/test/platform/soak/faults.hpp
@@ -74,10 +74,12 @@
     int maxCount { 1 };
 };
 struct AddOddEntries { };
-/** @brief Orders to VMs are rejected, slow, or carried out late without an answer. */
+/** @brief What happens to orders to VMs. */
+enum class OrderFault : unsigned char { Rejected, Late, Slow };
+
 struct DisturbOrders {
     milliseconds duration {};
-    int kind { 0 };
+    OrderFault kind { OrderFault::Rejected };
 };
 /** @brief VMs restart, each with another upstream. */
 struct ReplaceUpstreams {
--- a/test/platform/soak/play.cpp
+++ b/test/platform/soak/play.cpp
@@ -28,7 +28,7 @@
 constexpr std::int64_t burstTime = 5000;
 
 /** Share of the upstreams that lose power with the daemons. */
-constexpr double upstreamPowerLoss = 0.3;
+constexpr double upstreamPowerLossShare = 0.3;
 
 /** Share of the work of a burst that arrives at other times. */
 constexpr double ebb = 0.05;
@@ -330,7 +330,7 @@
     }
     for (auto* const upstream : this->vms.upstreams()) {
         upstream->path().sever();
-        if (this->dice.chance(upstreamPowerLoss)) {
+        if (this->dice.chance(upstreamPowerLossShare)) {
             start(this->context,
                 this->dice.chance(0.5)
                     ? this->vms.replace(*upstream)
--- a/test/platform/soak/vms.cpp
+++ b/test/platform/soak/vms.cpp
@@ -18,6 +18,13 @@
 /** Time after which others see a change of the entry of an upstream. */
 constexpr milliseconds entryLag { 800 };
 
+/** Time of an answer with the list of VMs. */
+constexpr milliseconds listLatency { 2 };
+
+/** Least and greatest delay of an order that is carried out late, in ms. */
+constexpr std::int64_t minOrderDelay = 2000;
+constexpr std::int64_t maxOrderDelay = 12000;
+
 /** Resources of a VM. */
 constexpr std::int64_t vmCpu = 32000;
 constexpr std::int64_t vmMemory = 65536;
@@ -207,10 +214,10 @@
 Task<std::optional<Answer>> Vms::answer(Request request)
 {
     if (pathOf(request) == "/machines") {
-        co_await pause(milliseconds { 2 });
+        co_await pause(listLatency);
         co_return list(request);
     }
-    co_await pause(milliseconds { this->orderFaults.latency });
+    co_await pause(this->orderFaults.latency);
     if (this->dice.chance(this->orderFaults.rejected)) {
         co_return Answer { 429, "{}" };
     }
@@ -224,7 +231,7 @@
 
 Task<> Vms::orderLater(Request request)
 {
-    co_await pause(milliseconds { this->dice.within(2000, 12000) });
+    co_await pause(milliseconds { this->dice.within(minOrderDelay, maxOrderDelay) });
     order(request);
 }
 
--- a/test/platform/soak/vms.hpp
+++ b/test/platform/soak/vms.hpp
@@ -28,8 +28,8 @@
     double rejected { 0 };
     /** @brief Share of orders without an answer that are carried out seconds later. */
     double late { 0 };
-    /** @brief Time of an answer, in ms. */
-    std::int64_t latency { 2 };
+    /** @brief Time of an answer. */
+    milliseconds latency { 2 };
 };
 
 /** @brief The VMs, their upstreams, and the service that moves and maintains them. */
@@ -63,6 +63,7 @@
     /** @return Free resources of each pool with jobs. */
     std::map<std::string, PoolRoom> rooms() const;
 
+    /** @return Faults of orders to VMs, which the caller may change. */
     OrderFaults& faults() { return this->orderFaults; }
 
     /** @return Moves and maintenances so far. */
--- a/test/wasabiroad/agent/upstream_lives.cpp
+++ b/test/wasabiroad/agent/down_upstreams.cpp
@@ -1,4 +1,4 @@
-#include "wasabiroad/agent/upstream_lives.hpp"
+#include "wasabiroad/agent/down_upstreams.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -32,6 +32,8 @@
     { "its VM is in maintenance", { { makeVm("m1", VmCondition::Maintenance, "") } }, true },
     { "its VM runs another upstream", { { makeVm("m1", VmCondition::Up, "u2") } }, true },
     { "its VM is gone", { { makeVm("m2", VmCondition::Up, "u2") } }, true },
+    { "a VM of the pool is up and names none",
+        { { makeVm("m1", VmCondition::Up, ""), makeVm("m2", VmCondition::Up, "u2") } }, false },
     { "a VM that is not up names it", { { makeVm("m1", VmCondition::Down, "u1") } }, false },
     { "an entry could not be read", { { makeVm("m2", VmCondition::Up, "u2") }, false }, false },
     { "there are no VMs", {}, false },
@@ -40,8 +42,9 @@
 /** Guards against tasks that start elsewhere while an upstream that is cut off still runs them. */
 BOOST_DATA_TEST_CASE(only_an_upstream_that_no_vm_names_is_down, data::make(rows), row)
 {
-    const auto down = findDownUpstreams({ UpstreamId { "u1" } }, row.listing);
-    BOOST_TEST((down == (row.isDown ? std::vector { UpstreamId { "u1" } } : std::vector<UpstreamId> {})));
+    const std::set<UpstreamId> unheard { UpstreamId { "u1" } };
+    const auto down = findDownUpstreams(model::ServiceId { "s" }, unheard, row.listing);
+    BOOST_TEST((down == (row.isDown ? unheard : std::set<UpstreamId> {})));
 }
 
 } // namespace
--- a/test/wasabiroad/agent/fleet_agent.cpp
+++ b/test/wasabiroad/agent/fleet_agent.cpp
@@ -154,7 +154,7 @@
         site.submit(makeJob("j" + std::to_string(++jobs), 40, 8));
         site.runFor(20);
     }
-    BOOST_TEST(site.workers.startsOnGone().empty(), boost::test_tools::per_element());
+    BOOST_TEST(site.workers.startsOnDeparted().empty(), boost::test_tools::per_element());
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
 }
 
@@ -175,8 +175,7 @@
     BOOST_TEST((kernel::now(kernel::SteadyClock {}) - submitted).milliseconds < standLimit);
 }
 
-/** Guards against tasks that end with a VM whose move was not answered and is carried out after its drain
- * ended. */
+/** Guards against tasks that end with a VM whose unanswered move is carried out late. */
 BOOST_AUTO_TEST_CASE(vm_stays_drained_while_its_move_may_be_carried_out)
 {
     Site site { 1, 6 };
--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -234,8 +234,7 @@
         true },
 };
 
-/** Guards against a pool that stands after a takeover until the leases of an upstream that is gone have
- * expired, and against tasks that run twice as it does not wait. */
+/** Guards against takeovers that wait for a lost upstream, or start the tasks of one that is cut off. */
 BOOST_DATA_TEST_CASE(takeover_waits_only_for_upstreams_that_may_run_tasks, data::make(lostUpstreams), row)
 {
     /** Time for which a job with tasks to start may stand, in ms. */
--- a/test/wasabiroad/scheduling/drains.cpp
+++ b/test/wasabiroad/scheduling/drains.cpp
@@ -28,8 +28,7 @@
     { "answer to a later call", drainEnd + 1, 1 },
 };
 
-/** Guards against tasks that start on an upstream whose VM was moved or maintained at the end of its drain.
- */
+/** Guards against starts on an upstream whose VM was ordered away at the end of its drain. */
 BOOST_DATA_TEST_CASE(
     drained_upstream_gets_tasks_only_after_it_has_answered_again, data::make(reopeningRows), row)
 {
@@ -62,8 +61,7 @@
 
 const std::vector<OnlyPlaceRow> onlyPlaceRows { { 0, 3 }, { 1, 0 }, { 2, 0 }, { 3, 3 } };
 
-/** Guards against a long-running task that is stopped for a maintenance that cannot begin, and does not run
- * again. */
+/** Guards against stopping a long-running task for a maintenance that cannot begin. */
 BOOST_DATA_TEST_CASE(drain_stops_all_tasks_without_another_place_or_none, data::make(onlyPlaceRows), row)
 {
     SchedulerFixture fixture { { makeUpstream("u1") } };
--- a/test/wasabiroad/scheduling/lost_upstreams.cpp
+++ b/test/wasabiroad/scheduling/lost_upstreams.cpp
@@ -44,8 +44,7 @@
     BOOST_TEST(fixture.starts.size() == row.starts);
 }
 
-/** Guards against a pool that stands after a takeover until the leases of an upstream that is down have
- * expired. */
+/** Guards against takeovers that wait for the leases of an upstream that is down. */
 BOOST_AUTO_TEST_CASE(takeover_does_not_wait_for_an_upstream_that_is_down)
 {
     const UpstreamId down { "u1" };
