--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -280,9 +280,14 @@
     }
     this->sparePools.clear();
     for (const auto& pool : configuration.pools) {
-        if (pool.spare) {
-            this->sparePools.insert(pool.service);
+        if (!pool.spare) {
+            continue;
         }
+        this->sparePools.insert(pool.service);
+        const auto queues = std::ranges::count(configuration.queues, pool.service, &jobs::Queue::service);
+        kernel::logEvent("spare-pool",
+            { { "pool", pool.service.text() }, { "generation", configuration.generation.value },
+                { "queues", queues } });
     }
     this->wantedDuties.insert(keys::fleetDuty);
     this->duties->setWanted(this->wantedDuties);
--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -50,6 +50,11 @@
 /** Interval between searches for stale drains; these withhold capacity from tasks. */
 constexpr Duration staleDrainInterval { 2000 };
 
+/** Time in ms after which the drain of a wave is logged as overdue; tasks that can be stopped have ended
+ * then.
+ */
+constexpr Duration overdueDrainAge { 8000 };
+
 /** Consecutive lists without a VM, over 3 s or more, after which it counts as removed. */
 constexpr std::uint32_t maxMissedLists = 30;
 
@@ -372,6 +377,7 @@
     for (auto& [number, wave] : this->waves) {
         if (wave.loaded && !wave.completed) {
             updateStages(wave, byName);
+            logOverdueDrains(wave);
             advance(wave, facts);
         }
     }
@@ -774,6 +780,21 @@
     }
 }
 
+void FleetAgent::logOverdueDrains(Wave& wave)
+{
+    for (auto& [name, vm] : wave.vms) {
+        const auto age = kernel::bootNow() - vm.stageChangedAt;
+        if (vm.stage != WaveStage::Draining) {
+            vm.isOverdueLogged = false;
+        } else if (age > overdueDrainAge && !std::exchange(vm.isOverdueLogged, true)) {
+            kernel::logEvent("wave-drain-overdue",
+                { { "wave", wave.request.number }, { "vm", name.text() }, { "pool", vm.pool.text() },
+                    { "upstream", vm.upstream.text() }, { "since_ms", age.milliseconds },
+                    { "requested", vm.drainRevision ? "yes" : "no" } });
+        }
+    }
+}
+
 void FleetAgent::advance(Wave& wave, const std::vector<ports::VmFacts>& facts)
 {
     if (!wave.statusWritten) {
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -75,6 +75,8 @@
         bool seenInMaintenance { false };
         /** @brief Consecutive lists without the VM. */
         std::uint32_t missedLists { 0 };
+        /** @brief Its drain was logged as overdue. */
+        bool isOverdueLogged { false };
     };
 
     struct Wave {
@@ -179,6 +181,8 @@
     void readDrained();
     void onDrained(const store::Listing& listing);
     void updateStages(Wave& wave, const std::map<model::VmId, const ports::VmFacts*>& facts);
+    /** @brief Logs the drains of a wave that have lasted too long, each once. */
+    static void logOverdueDrains(Wave& wave);
     void advance(Wave& wave, const std::vector<ports::VmFacts>& facts);
     /** Drains a VM for its maintenance, or orders it at once if its pool runs no jobs. */
     void takeOutOfService(Wave& wave, const model::VmId& name, WaveVmState& vm);
--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -749,6 +749,7 @@
             { "cpu_room", demand.room.cpu }, { "memory_wanted", demand.wanted.memory },
             { "memory_taken", demand.taken.memory }, { "memory_room", demand.room.memory },
             { "cpu_arriving", demand.arriving }, { "spread", demand.spread },
+            { "drains", this->drains.size() }, { "emptied", this->reportedDrained.size() },
             { "starting", this->startsInFlight }, { "held_steps", footprint.steps },
             { "held_tasks", footprint.tasks }, { "job_looks", spent.jobs }, { "step_looks", spent.steps },
             { "upstream_looks", spent.upstreams },
@@ -889,6 +890,8 @@
     this->drains.erase(vm);
     if (drain) {
         this->drains.emplace(vm, *drain);
+    } else if (value) {
+        kernel::logEvent("drain-unreadable", { { "vm", vm }, { "pool", this->service.text() } });
     }
     this->reportedDrained.erase(vm);
     std::vector<scheduling::Drain> all;
