Drain VMs that run an upstream instead of VMs of pools that queues name

cause: whether a VM has to be drained was taken from the configuration: the service of each queue counted as a pool with jobs, spare or not, for as long as the daemon ran. A queue that names the spare pool, or once named it, let spare VMs be drained before a move or a maintenance. They run no upstream, so nobody could report them as drained: no VM left the spare pool, and waves with spare VMs never ended. change: a VM is drained if the list of VMs names an upstream on it. A spare pool needs no VMs for its queues. Drains are looked for in all pools that have VMs, and one in a pool that the VM has left is stale. A VM that stays up without an upstream for 30 lists runs none. The stand-in runs no upstreams on VMs of spare pools, as the platform does. measured: test agent-configuration.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -58,6 +58,13 @@
 /** Consecutive lists without a VM, over 3 s or more, after which it counts as removed. */
 constexpr std::uint32_t maxMissedLists = 30;
 
+/** Consecutive lists, over 3 s or more, that show a VM up without an upstream, after which it counts as
+ * running none though its pool is not a spare pool. */
+constexpr std::uint32_t maxUnnamedLists = 30;
+
+/** @return Whether the VM runs an upstream, which has to be drained before an order ends its tasks. */
+bool runsUpstream(const scheduling::UpstreamId& upstream) { return !upstream.text().empty(); }
+
 } // namespace
 
 FleetAgent::FleetAgent(FleetContext context, ports::Term ownTerm)
@@ -233,13 +240,34 @@
     });
 }
 
+bool FleetAgent::isDraining(const model::ServiceId& pool, const model::VmId& vm) const
+{
+    const auto move = this->moves.find(vm);
+    if (move != this->moves.end() && move->second.order.from == pool) {
+        return true;
+    }
+    return std::ranges::any_of(this->waves, [&](const auto& entry) {
+        const auto found = entry.second.vms.find(vm);
+        // The pool of a VM that a previous owner drained is not known until the next list of VMs.
+        return found != entry.second.vms.end() && found->second.stage == WaveStage::Draining
+            && (found->second.pool == pool || found->second.pool.text().empty());
+    });
+}
+
+std::set<model::ServiceId> FleetAgent::poolsWithDrains() const
+{
+    auto pools = this->poolsWithJobs;
+    pools.insert(this->listedPools.begin(), this->listedPools.end());
+    return pools;
+}
+
 void FleetAgent::removeStaleDrains()
 {
     if (!mayOrder() || kernel::bootNow() - this->lastDrainCheck < staleDrainInterval) {
         return;
     }
     this->lastDrainCheck = kernel::bootNow();
-    for (const auto& pool : this->poolsWithJobs) {
+    for (const auto& pool : poolsWithDrains()) {
         this->environment.store->list(keys::drainsOf(pool),
             [self = shared_from_this(), pool](const kernel::Expected<store::Listing>& drains) {
                 if (drains && !self->closed) {
@@ -254,7 +282,7 @@
 {
     for (const auto& entry : drains.entries) {
         const model::VmId vm { entry.key.substr(keys::drainsOf(pool).size()) };
-        if (!isDraining(vm) && mayOrder(vm)) {
+        if (!isDraining(pool, vm) && mayOrder(vm)) {
             kernel::logEvent("stale-drain",
                 { { "vm", vm.text() }, { "pool", pool.text() }, { "revision", entry.revision.value } });
             // A drain that this owner requests meanwhile is kept; a failed removal is retried.
@@ -368,8 +396,10 @@
 {
     this->vmCount = facts.size();
     std::map<model::VmId, const ports::VmFacts*> byName;
+    this->listedPools.clear();
     for (const auto& vm : facts) {
         byName[vm.vm] = &vm;
+        this->listedPools.insert(vm.pool);
     }
     updateMoves(byName);
     expireMoves();
@@ -470,7 +500,8 @@
     for (const auto& entry : reports.entries) {
         const model::ServiceId pool { entry.key.substr(keys::reports.size()) };
         const auto report = jobs::decodePoolReport(entry.value);
-        if (!report || !this->poolsWithJobs.contains(pool)) {
+        // The VMs of a spare pool are switched off, so its queues need none of them.
+        if (!report || !this->poolsWithJobs.contains(pool) || this->sparePools.contains(pool)) {
             continue;
         }
         // A pool with an outdated report neither gets nor gives VMs: its demand may have changed since.
@@ -532,7 +563,7 @@
     const auto number = ++this->plannedMoves;
     this->moves.emplace(
         order.vm, Move { .order = order, .number = number, .stateChangedAt = kernel::bootNow() });
-    if (!this->poolsWithJobs.contains(order.from)) {
+    if (!runsUpstream(order.upstream)) {
         queueMove(order.vm);
         return;
     }
@@ -564,7 +595,7 @@
 void FleetAgent::retryMoves()
 {
     for (const auto& [vm, move] : this->moves) {
-        if (!this->poolsWithJobs.contains(move.order.from)) {
+        if (!runsUpstream(move.order.upstream)) {
             queueMove(vm);
         }
     }
@@ -747,9 +778,12 @@
         }
         vm.missedLists = 0;
         const auto& current = *found->second;
-        // A VM of a pool with jobs runs an upstream; without its id nobody could drain it.
-        const bool isNamed = !this->poolsWithJobs.contains(current.pool) || !current.upstream.text().empty();
-        const bool up = current.condition == ports::VmCondition::Up && isNamed;
+        const bool isUp = current.condition == ports::VmCondition::Up;
+        vm.unnamedLists = isUp && !runsUpstream(current.upstream) ? vm.unnamedLists + 1 : 0;
+        // A VM that is up outside of the spare pools runs an upstream; without its id nobody could drain it.
+        const bool isNamed = runsUpstream(current.upstream) || this->sparePools.contains(current.pool)
+            || vm.unnamedLists >= maxUnnamedLists;
+        const bool up = isUp && isNamed;
         switch (vm.stage) {
         case WaveStage::InMaintenance:
             // The upstream cannot show the end of the maintenance, since a spare VM has none. The list must
@@ -768,7 +802,7 @@
         case WaveStage::Draining:
             if (up && !vm.orderInFlight
                 && (current.upstream != vm.upstream || current.pool != vm.pool
-                    || !this->poolsWithJobs.contains(vm.pool))) {
+                    || !runsUpstream(vm.upstream))) {
                 vm.pool = current.pool;
                 vm.upstream = current.upstream;
                 takeOutOfService(wave, name, vm);
@@ -820,7 +854,7 @@
     pools.reserve(counts.size());
     for (const auto& [pool, count] : counts) {
         const auto surplus = this->surpluses.find(pool);
-        pools.push_back({ pool, count, this->poolsWithJobs.contains(pool),
+        pools.push_back({ pool, count, !this->sparePools.contains(pool),
             surplus != this->surpluses.end() ? surplus->second : 0 });
     }
     std::vector<scheduling::WaveVm> vms;
@@ -844,7 +878,7 @@
 
 void FleetAgent::takeOutOfService(Wave& wave, const model::VmId& name, WaveVmState& vm)
 {
-    if (this->poolsWithJobs.contains(vm.pool)) {
+    if (runsUpstream(vm.upstream)) {
         requestDrain(wave, name, vm);
     } else {
         queueMaintenance(wave.request.number, name);
@@ -939,7 +973,7 @@
 {
     auto& vm = this->waves.at(order.wave).vms.at(order.vm);
     vm.orderInFlight = false;
-    if (!this->poolsWithJobs.contains(vm.pool) && !vm.mayBeTakenDown) {
+    if (!runsUpstream(vm.upstream) && !vm.mayBeTakenDown) {
         vm.stage = WaveStage::Waiting;
     }
 }
@@ -979,7 +1013,7 @@
         return;
     case VmOrderResult::Busy:
     case VmOrderResult::Overloaded:
-        if (!this->poolsWithJobs.contains(vm.pool) && !vm.mayBeTakenDown) {
+        if (!runsUpstream(vm.upstream) && !vm.mayBeTakenDown) {
             vm.stage = WaveStage::Waiting;
         }
         return;
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -34,7 +34,7 @@
 /**
  * @brief Carries out maintenance waves and moves of VMs between pools for one term.
  *
- * A VM whose pool runs jobs is drained first: a key in the store asks the owner of the pool to drain its
+ * A VM that runs an upstream is drained first: a key in the store asks the owner of the pool to drain its
  * upstream, and another key reports that it is drained. The progress of waves is stored, so the next owner
  * resumes them. Ordered VMs are recorded before the orders are sent, so that the next owner has to wait
  * before it orders these VMs, but no others.
@@ -48,7 +48,7 @@
     /** @brief Adds the waves that the operator has requested. */
     void addWaves(const std::map<std::uint64_t, ports::WaveRequest>& requests);
 
-    /** @brief Sets the pools that run jobs, and the spare pools. */
+    /** @brief Sets the pools that queues name, and the spare pools; a pool may be both. */
     void setPools(std::set<model::ServiceId> withJobs, std::set<model::ServiceId> spare);
 
     /** @return Whether waves and moves are carried out. */
@@ -75,6 +75,8 @@
         bool seenInMaintenance { false };
         /** @brief Consecutive lists without the VM. */
         std::uint32_t missedLists { 0 };
+        /** @brief Consecutive lists that show it up without an upstream. */
+        std::uint32_t unnamedLists { 0 };
         /** @brief Its drain was logged as overdue. */
         bool isOverdueLogged { false };
     };
@@ -170,6 +172,10 @@
     /** Removes a drain if it is still the one of this revision: a late removal must not end the next one. */
     void removeDrain(const model::ServiceId& pool, const model::VmId& vm, store::Revision revision);
     bool isDraining(const model::VmId& vm) const;
+    /** @return Whether a move or a wave drains the VM in this pool. */
+    bool isDraining(const model::ServiceId& pool, const model::VmId& vm) const;
+    /** @return Pools that may have drains. */
+    std::set<model::ServiceId> poolsWithDrains() const;
     void loadWave(std::uint64_t number);
     void loadUnansweredOrders(std::uint64_t number, const std::vector<std::string>& done);
     void startWave(std::uint64_t number, const std::vector<std::string>& done,
@@ -216,6 +222,8 @@
     std::map<std::uint64_t, Wave> waves {};
     std::set<model::ServiceId> poolsWithJobs {};
     std::set<model::ServiceId> sparePools {};
+    /** @brief Pools of the last list of VMs. */
+    std::set<model::ServiceId> listedPools {};
     std::map<model::VmId, Move> moves {};
     std::uint64_t plannedMoves { 0 };
     /** @brief Whether the last list of VMs could be read in full. */
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -49,7 +49,8 @@
         .service = service,
         .cpu = cpu,
         .id = UpstreamId { name + "-" + std::to_string(life) },
-        .born = static_cast<std::int64_t>(life) });
+        .born = static_cast<std::int64_t>(life),
+        .switchedOff = this->sparePools.contains(service) });
 }
 
 scheduling::UpstreamFacts Workers::factsOf(const Worker& worker)
@@ -67,7 +68,7 @@
 {
     std::vector<scheduling::UpstreamFacts> facts;
     for (const auto& worker : this->workers) {
-        if (worker.up) {
+        if (worker.up && !worker.switchedOff) {
             facts.push_back(factsOf(worker));
         }
     }
@@ -87,7 +88,9 @@
 
 void Workers::depart(Worker& worker)
 {
-    this->departed.push_back({ factsOf(worker), now() + this->departedListed });
+    if (!worker.switchedOff) {
+        this->departed.push_back({ factsOf(worker), now() + this->departedListed });
+    }
     worker.up = false;
     lose(worker);
 }
@@ -113,7 +116,7 @@
                 : worker.poweredOff    ? ports::VmCondition::Down
                 : worker.inMaintenance ? ports::VmCondition::Maintenance
                                        : ports::VmCondition::Moving,
-            worker.up ? worker.id : UpstreamId {}, { worker.cpu, 65536, 0 } });
+            worker.up && !worker.switchedOff ? worker.id : UpstreamId {}, { worker.cpu, 65536, 0 } });
     }
     return facts;
 }
@@ -208,6 +211,7 @@
         auto& back = *std::ranges::find(this->workers, name, &Worker::name);
         back.up = true;
         back.inMaintenance = false;
+        back.switchedOff = this->sparePools.contains(back.service);
         back.id = UpstreamId { back.name + "-" + std::to_string(++this->lives) };
     });
 }
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -72,6 +72,9 @@
     /** @brief Sets how many ends an upstream lists at a time. */
     void setEndsPerList(std::size_t count) { this->endsPerList = count; }
 
+    /** @brief Sets the pools whose VMs are switched off: a VM that joins one runs no upstream. */
+    void setSparePools(std::set<model::ServiceId> pools) { this->sparePools = std::move(pools); }
+
     /** @brief Sets the time that a VM takes for a move or for maintenance. */
     void setDownTime(kernel::Duration time) { this->downTime = time; }
 
@@ -132,6 +135,8 @@
         bool up { true };
         bool inMaintenance { false };
         bool poweredOff { false };
+        /** @brief It joined a spare pool and runs no upstream. */
+        bool switchedOff { false };
         std::uint64_t fence { 0 };
         std::uint64_t vmFence { 0 };
         std::string vmHolder {};
@@ -182,6 +187,7 @@
     std::vector<std::string> movingHolders {};
     kernel::Duration orderGap {};
     std::optional<kernel::Duration> downTime {};
+    std::set<model::ServiceId> sparePools {};
     std::vector<Departed> departed {};
     std::vector<scheduling::UpstreamId> departedStarts {};
     kernel::Duration departedListed {};
--- /dev/null
+++ b/test/wasabiroad/agent/configuration.cpp
@@ -0,0 +1,118 @@
+#include "wasabiroad/agent/site.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace wasabiroad::agent::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/** When a queue names the spare pool. */
+struct SpareQueueRow {
+    const char* title;
+    const bool fromStart;
+    const bool isRemoved;
+
+    friend std::ostream& operator<<(std::ostream& out, const SpareQueueRow& row) { return out << row.title; }
+};
+
+const std::vector<SpareQueueRow> spareQueueRows {
+    { "from the start", true, false },
+    { "added during the day", false, false },
+    { "there from the start and removed", true, true },
+    { "added and removed", false, true },
+};
+
+/** Brings a queue that names the spare pool into force as a row says, with a daemon in charge. */
+void configureSpareQueue(Site& site, const SpareQueueRow& row)
+{
+    const auto usual = site.queues;
+    auto withSpare = usual;
+    withSpare.push_back(makeQueue(jobs::QueueId { "of-spare" }, spare));
+    if (row.fromStart) {
+        site.configure(withSpare, site.pools);
+    }
+    BOOST_REQUIRE(site.waitForOwner());
+    site.runFor(300);
+    if (!row.fromStart) {
+        site.configure(withSpare, site.pools);
+        site.runFor(300);
+    }
+    if (row.isRemoved) {
+        site.configure(usual, site.pools);
+        site.runFor(300);
+    }
+}
+
+/** Guards against spare VMs that enter no pool because a queue names the spare pool. */
+BOOST_DATA_TEST_CASE(spare_vms_join_pools_while_a_queue_names_their_pool, data::make(spareQueueRows), row)
+{
+    /** Time in which a pool that lacks room has got a VM, in ms. */
+    constexpr std::int64_t joinLimit = 3000;
+    Site site { 1, 3 };
+    for (const auto* const name : { "r0", "r1", "r2" }) {
+        site.workers.add(name, spare, 4000);
+    }
+    configureSpareQueue(site, row);
+    const auto submitted = kernel::now(kernel::SteadyClock {});
+    site.submit(makeJob("wide", 20000, 24));
+    BOOST_TEST(site.runUntil([&] { return site.workers.runningCount() == 24; }));
+    BOOST_TEST((kernel::now(kernel::SteadyClock {}) - submitted).milliseconds < joinLimit);
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
+/** Guards against a wave that never ends because a queue names the pool of its spare VMs. */
+BOOST_DATA_TEST_CASE(wave_maintains_spare_vms_while_a_queue_names_their_pool, data::make(spareQueueRows), row)
+{
+    Site site { 1, 3 };
+    for (const auto* const name : { "r0", "r1", "r2" }) {
+        site.workers.add(name, spare, 4000);
+    }
+    configureSpareQueue(site, row);
+    const std::vector<model::VmId> vms { model::VmId { "r0" }, model::VmId { "r1" }, model::VmId { "vm0" } };
+    site.waves.push_back({ model::WaveId { "1" }, 1, vms, { 20000 }, 2 });
+    BOOST_TEST(site.runUntil([&] {
+        const auto status = site.store.find("status/1");
+        return status && status->value == "completed";
+    }));
+    BOOST_TEST(site.workers.maintained().size() == vms.size());
+    BOOST_TEST(site.workers.mostDown() <= 2);
+}
+
+/** Guards against tasks that end with VMs that still run upstreams when their pool becomes a spare pool. */
+BOOST_AUTO_TEST_CASE(vms_are_drained_when_their_pool_becomes_a_spare_pool)
+{
+    const model::ServiceId other { "other" };
+    const jobs::QueueId otherQueue { "other" };
+    Site site { 1, 3 };
+    for (const auto* const name : { "o0", "o1", "o2" }) {
+        site.workers.add(name, other, 4000);
+    }
+    const std::vector<jobs::Queue> queues { makeQueue(queue, service), makeQueue(otherQueue, other) };
+    site.configure(queues, { { service, false }, { other, false }, { spare, true } });
+    BOOST_REQUIRE(site.waitForOwner());
+    const auto withPool = [&](jobs::Job job) {
+        return jobs::Job { .id = job.id,
+            .queue = otherQueue,
+            .service = other,
+            .payload = job.payload,
+            .steps = job.steps,
+            .accepted = job.accepted,
+            .maxAttempts = job.maxAttempts,
+            .stretch = job.stretch,
+            .allowance = job.allowance };
+    };
+    site.submit(withPool(makeJob("earlier", 3000, 12)));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 12; }));
+    site.configure(queues, { { service, false }, { other, true }, { spare, true } });
+    site.runFor(300);
+    site.submit(makeJob("wide", 8000, 24));
+    BOOST_TEST(site.runUntil([&] { return site.workers.runningOf(jobs::JobId { "wide" }) == 24; }));
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
+} // namespace
+
+} // namespace wasabiroad::agent::test
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -54,6 +54,12 @@
         .allowance = { 1000 } };
 }
 
+/** @return A queue whose jobs run in a pool. */
+inline jobs::Queue makeQueue(const jobs::QueueId& id, const model::ServiceId& pool)
+{
+    return { .id = id, .host = "h", .prefix = "/" + id.text() + "/", .service = pool };
+}
+
 /** @brief Daemons of a site with in-memory stand-ins, all on one execution context. */
 class Site {
 public:
@@ -71,6 +77,7 @@
         , workers(context)
     {
         this->workers.setOrderGap(this->orderGap);
+        this->workers.setSparePools({ spare });
         for (std::size_t index = 0; index < upstreams; ++index) {
             this->workers.add("vm" + std::to_string(index), service, 4000);
         }
@@ -120,6 +127,14 @@
         return *this->daemons.back();
     }
 
+    /** @brief Puts another configuration in force. */
+    void configure(std::vector<jobs::Queue> newQueues, std::vector<jobs::ServicePool> newPools)
+    {
+        this->queues.swap(newQueues);
+        this->pools.swap(newPools);
+        ++this->generation.value;
+    }
+
     /** @brief Runs until a condition holds. @return Whether it did within `waitTimeout`. */
     bool runUntil(const std::function<bool()>& condition)
     {
@@ -202,6 +217,10 @@
     standin::KeyValue store;
     standin::Workers workers;
     std::vector<std::unique_ptr<Daemon>> daemons {};
+    /** @brief The configuration in force, see configure(). */
+    model::Generation generation { 1 };
+    std::vector<jobs::Queue> queues { makeQueue(queue, service) };
+    std::vector<jobs::ServicePool> pools { { service, false }, { spare, true } };
     std::vector<ports::WaveRequest> waves {};
     /** @brief VMs whose maintenance orders by the first term are not answered and are carried out this much
      * later. */
@@ -219,9 +238,7 @@
     ports::Fleet makeFleet(const std::shared_ptr<standin::StoreFaults>& faults, const std::string& holder)
     {
         const auto operatorState = [this](store::Revision asOf) {
-            const jobs::Queue route { .id = queue, .host = "h", .prefix = "/q/", .service = service };
-            return ports::OperatorState { jobs::Configuration {
-                                              { 1 }, { route }, { { service, false }, { spare, true } } },
+            return ports::OperatorState { jobs::Configuration { this->generation, this->queues, this->pools },
                 this->waves, asOf };
         };
         const auto answer = [this](auto callback, auto result) {
