Count the VMs of other waves against a pool and end drains that cannot empty a VM

cause: a wave counted only its own VMs as withheld from a pool, so two waves took two VMs of a pool of three. A drain that long-running tasks without another place hold up had no end, unlike a drain for a move, and each new owner of the fleet duty requested it again. change: the limit of a pool holds for all waves together, a VM that one wave has out of service is not selected by another, and VMs that move away do not count. Two new rows of selectWaveVms.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -55,6 +55,13 @@
  */
 constexpr Duration overdueDrainAge { 8000 };
 
+/** Time in ms after which the drain of a wave is given up if the pool needs VMs, and in any case. */
+constexpr Duration shortPoolDrainLimit { 9000 };
+constexpr Duration drainLimit { 18000 };
+
+/** Time in ms before a VM whose drain was given up is selected again. */
+constexpr Duration drainPause { 6000 };
+
 /** Consecutive lists without a VM, over 3 s or more, after which it counts as removed. */
 constexpr std::uint32_t maxMissedLists = 30;
 
@@ -408,6 +415,7 @@
         if (wave.loaded && !wave.completed) {
             updateStages(wave, byName);
             logOverdueDrains(wave);
+            returnUndrainedVms(wave);
             advance(wave, facts);
         }
     }
@@ -829,6 +837,66 @@
     }
 }
 
+void FleetAgent::returnUndrainedVms(Wave& wave)
+{
+    const auto now = kernel::bootNow();
+    for (auto& [name, vm] : wave.vms) {
+        if (vm.stage != WaveStage::Draining || !vm.drainRevision || vm.orderInFlight || vm.mayBeTakenDown) {
+            continue;
+        }
+        const auto surplus = this->surpluses.find(vm.pool);
+        const bool isShort = surplus != this->surpluses.end() && surplus->second < 0;
+        const auto age = now - vm.stageChangedAt;
+        if (age <= (isShort ? shortPoolDrainLimit : drainLimit)) {
+            continue;
+        }
+        kernel::logEvent("wave-vm-returned",
+            { { "wave", wave.request.number }, { "vm", name.text() }, { "pool", vm.pool.text() },
+                { "upstream", vm.upstream.text() }, { "after_ms", age.milliseconds },
+                { "short", isShort ? "yes" : "no" } });
+        removeDrain(vm.pool, name, *vm.drainRevision);
+        vm.drainRevision.reset();
+        vm.stage = WaveStage::Waiting;
+        vm.stageChangedAt = now;
+        vm.deferredUntil = now + drainPause;
+        if (isShort) {
+            this->drainPauses.insert_or_assign(vm.pool, vm.deferredUntil);
+        }
+    }
+}
+
+std::map<model::ServiceId, std::uint32_t> FleetAgent::outOfServiceForOthers(const Wave& wave) const
+{
+    std::map<model::ServiceId, std::uint32_t> counts;
+    for (const auto& [number, other] : this->waves) {
+        if (number == wave.request.number || other.completed) {
+            continue;
+        }
+        for (const auto& [name, vm] : other.vms) {
+            counts[vm.pool] += scheduling::isOutOfService(vm.stage) ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
+bool FleetAgent::isOutOfServiceForOthers(const Wave& wave, const model::VmId& vm) const
+{
+    return std::ranges::any_of(this->waves, [&](const auto& entry) {
+        const auto found = entry.second.vms.find(vm);
+        return entry.first != wave.request.number && !entry.second.completed
+            && found != entry.second.vms.end() && scheduling::isOutOfService(found->second.stage);
+    });
+}
+
+bool FleetAgent::isDeferred(const Wave& wave, const model::VmId& name, const WaveVmState& vm) const
+{
+    const auto now = kernel::bootNow();
+    const auto pause = this->drainPauses.find(vm.pool);
+    return vm.stage == WaveStage::Waiting
+        && (now < vm.deferredUntil || (pause != this->drainPauses.end() && now < pause->second)
+            || isOutOfServiceForOthers(wave, name));
+}
+
 void FleetAgent::advance(Wave& wave, const std::vector<ports::VmFacts>& facts)
 {
     if (!wave.statusWritten) {
@@ -848,14 +916,16 @@
     }
     std::map<model::ServiceId, std::uint32_t> counts;
     for (const auto& vm : facts) {
-        ++counts[vm.pool];
+        const auto move = this->moves.find(vm.vm);
+        counts[vm.pool] += move == this->moves.end() || move->second.order.from != vm.pool ? 1 : 0;
     }
+    auto otherWaves = outOfServiceForOthers(wave);
     std::vector<scheduling::PoolSize> pools;
     pools.reserve(counts.size());
     for (const auto& [pool, count] : counts) {
         const auto surplus = this->surpluses.find(pool);
         pools.push_back({ pool, count, !this->sparePools.contains(pool),
-            surplus != this->surpluses.end() ? surplus->second : 0 });
+            surplus != this->surpluses.end() ? surplus->second : 0, otherWaves[pool] });
     }
     std::vector<scheduling::WaveVm> vms;
     vms.reserve(wave.vms.size());
@@ -863,8 +933,10 @@
         // A previous owner's order may be missing from the progress and not be visible in the list yet.
         const bool mayBeDown = (vm.stage == WaveStage::Waiting || vm.stage == WaveStage::Unavailable)
             && (vm.seenInMaintenance || !mayOrder(name));
-        vms.push_back({ name, vm.pool, mayBeDown ? WaveStage::InMaintenance : vm.stage,
-            this->idleUpstreams.contains(vm.upstream) });
+        const auto stage = mayBeDown     ? WaveStage::InMaintenance
+            : isDeferred(wave, name, vm) ? WaveStage::Unavailable
+                                         : vm.stage;
+        vms.push_back({ name, vm.pool, stage, this->idleUpstreams.contains(vm.upstream) });
     }
     const bool early = kernel::bootNow() - wave.loadedAt
         < Duration { wave.request.duration.milliseconds / earlyWaveDivisor };
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -79,6 +79,8 @@
         std::uint32_t unnamedLists { 0 };
         /** @brief Its drain was logged as overdue. */
         bool isOverdueLogged { false };
+        /** @brief Until then it is not selected again, since a drain of it was given up. */
+        kernel::Instant deferredUntil {};
     };
 
     struct Wave {
@@ -189,6 +191,14 @@
     void updateStages(Wave& wave, const std::map<model::VmId, const ports::VmFacts*>& facts);
     /** @brief Logs the drains of a wave that have lasted too long, each once. */
     static void logOverdueDrains(Wave& wave);
+    /** Ends the drains of a wave that have lasted too long: what their tasks wait for may need these VMs. */
+    void returnUndrainedVms(Wave& wave);
+    /** @return VMs of each pool that the other waves have out of service. */
+    std::map<model::ServiceId, std::uint32_t> outOfServiceForOthers(const Wave& wave) const;
+    /** @return Whether another wave has the VM out of service. */
+    bool isOutOfServiceForOthers(const Wave& wave, const model::VmId& vm) const;
+    /** @return Whether the VM waits after a drain that was given up, or for another wave. */
+    bool isDeferred(const Wave& wave, const model::VmId& name, const WaveVmState& vm) const;
     void advance(Wave& wave, const std::vector<ports::VmFacts>& facts);
     /** Drains a VM for its maintenance, or orders it at once if its pool runs no jobs. */
     void takeOutOfService(Wave& wave, const model::VmId& name, WaveVmState& vm);
@@ -236,6 +246,10 @@
     std::set<scheduling::UpstreamId> idleUpstreams {};
     /** @brief VMs whose move the platform rejected. */
     std::set<model::VmId> unmovable {};
+    /** @brief VMs whose move expired, and until when they are not planned again. */
+    std::map<model::VmId, kernel::Instant> expiredMoves {};
+    /** @brief Pools that need the VM of a drain that was given up, and until when they give none to waves. */
+    std::map<model::ServiceId, kernel::Instant> drainPauses {};
     bool listingVms { false };
     bool readingReports { false };
     bool readingDrained { false };
--- a/src/wasabiroad/scheduling/wave_plan.cpp
+++ b/src/wasabiroad/scheduling/wave_plan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** One in this many VMs of a pool with jobs may be out of service for a wave. */
+/** One in this many VMs of a pool with jobs may be out of service for waves. */
 constexpr std::uint32_t outOfServiceDivisor = 4;
 
 struct PoolUsage {
@@ -18,11 +18,6 @@
     std::int64_t surplus { 0 };
 };
 
-bool isOutOfService(WaveStage stage)
-{
-    return stage == WaveStage::Draining || stage == WaveStage::InMaintenance;
-}
-
 } // namespace
 
 std::vector<model::VmId> selectWaveVms(const std::vector<WaveVm>& vms, const std::vector<PoolSize>& pools,
@@ -34,7 +29,7 @@
         const auto limit = pool.runsJobs
             ? std::max({ 1U, surplus, (pool.vms + outOfServiceDivisor - 1) / outOfServiceDivisor })
             : parallelism;
-        usages[pool.pool] = { 0, limit, pool.runsJobs, pool.surplus };
+        usages[pool.pool] = { pool.outOfService, limit, pool.runsJobs, pool.surplus };
     }
     std::uint32_t outOfService = 0;
     std::vector<const WaveVm*> waiting;
--- a/src/wasabiroad/scheduling/wave_plan.hpp
+++ b/src/wasabiroad/scheduling/wave_plan.hpp
@@ -21,6 +21,12 @@
     Done,
 };
 
+/** @return Whether a VM of this stage is withheld from its pool. */
+constexpr bool isOutOfService(WaveStage stage)
+{
+    return stage == WaveStage::Draining || stage == WaveStage::InMaintenance;
+}
+
 /** @brief A VM in a maintenance wave. */
 struct WaveVm {
     const model::VmId vm {};
@@ -35,11 +41,13 @@
 /** @brief Size of a pool. */
 struct PoolSize {
     const model::ServiceId pool {};
-    /** @brief Number of its VMs that are up. */
+    /** @brief Number of its VMs, without those that move to another pool. */
     const std::uint32_t vms { 0 };
     const bool runsJobs { false };
     /** @brief VMs that it has beyond its need; negative if it needs more. */
     const std::int64_t surplus { 0 };
+    /** @brief Number of its VMs that other waves have out of service. */
+    const std::uint32_t outOfService { 0 };
 
     friend auto operator<=>(const PoolSize&, const PoolSize&) = default;
 };
@@ -49,7 +57,7 @@
  *
  * VMs of pools without jobs come first, since they need no drain, then idle VMs, then those of the pools with
  * the largest surplus. At most the surplus of a pool with jobs or a quarter of it, whichever is more, but at
- * least one VM, is out of service for the wave at once, so that its tasks fit on the other VMs.
+ * least one VM, is out of service for all waves at once, so that its tasks fit on the other VMs.
  * @param vms VMs of the wave.
  * @param pools Sizes of the pools.
  * @param parallelism Maximum number of VMs of the wave out of service at once.
--- a/test/wasabiroad/scheduling/wave_plan.cpp
+++ b/test/wasabiroad/scheduling/wave_plan.cpp
@@ -28,6 +28,8 @@
     /** @brief VMs of the pool with jobs beyond its need. */
     const std::int64_t surplus { 0 };
     const bool sparesShortPools { false };
+    /** @brief VMs of the pool with jobs that other waves have out of service. */
+    const std::uint32_t otherWaves { 0 };
 
     friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
 };
@@ -62,6 +64,11 @@
         { vm("a", checks, WaveStage::Waiting), vm("b", checks, WaveStage::Waiting),
             vm("c", checks, WaveStage::Waiting) },
         5, { "a", "b" }, -1 },
+    { "VMs of other waves count against the pool",
+        { vm("a", checks, WaveStage::Waiting), vm("b", checks, WaveStage::Waiting) }, 5, { "a" }, 0, false,
+        1 },
+    { "other waves have taken what the pool can give", { vm("a", checks, WaveStage::Waiting) }, 5, {}, 0,
+        false, 2 },
     { "only VMs that are up", { vm("a", spare, WaveStage::Unavailable), vm("b", spare, WaveStage::Done) }, 4,
         {} },
 };
@@ -69,7 +76,8 @@
 /** Guards against more VMs out of service than the limits of the wave and of the pool allow. */
 BOOST_DATA_TEST_CASE(selection_stays_within_the_limits, data::make(rows), row)
 {
-    const std::vector<PoolSize> pools { { checks, 8, true, row.surplus }, { spare, 4, false } };
+    const std::vector<PoolSize> pools { { checks, 8, true, row.surplus, row.otherWaves },
+        { spare, 4, false } };
     std::vector<std::string> names;
     for (const auto& chosen : selectWaveVms(row.vms, pools, row.parallelism, row.sparesShortPools)) {
         names.push_back(chosen.text());
