Reject jobs for a spare pool at once, unless they were accepted before

Callers that handed a job in to a queue of a spare pool were told that it was accepted; it waited for VMs that are switched off.

cause: nothing looked at the mark of the pool when a job was handed in. change: such a job is rejected with code 309 (no-upstream), without Retry-After.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -129,6 +129,11 @@
 
 void Agent::submit(jobs::Job job, Duration deadline, store::Callback<SubmitOutcome> callback)
 {
+    if (this->sparePools.contains(job.service)) {
+        // Its VMs are switched off.
+        this->submissions->refuse(std::move(job), kernel::ResultCode::NoUpstream, std::move(callback));
+        return;
+    }
     this->submissions->submit(std::move(job), deadline, std::move(callback));
 }
 
--- a/src/wasabiroad/agent/submissions.cpp
+++ b/src/wasabiroad/agent/submissions.cpp
@@ -86,6 +86,25 @@
     scheduleSend(batchDelay);
 }
 
+void Submissions::refuse(jobs::Job job, ResultCode code, store::Callback<SubmitOutcome> callback)
+{
+    const auto key = keys::acceptance(job.id);
+    this->store->read(key,
+        [self = shared_from_this(), code,
+            submission = PendingSubmission { std::move(job), std::move(callback), {}, {} }](
+            const kernel::Expected<std::optional<store::Entry>>& entry) {
+            if (!entry) {
+                self->answer(submission, Undecided {});
+            } else if (!*entry) {
+                self->answer(submission, Rejected { code });
+            } else if ((*entry)->value.empty()) {
+                self->answer(submission, Rejected { ResultCode::Cancelled });
+            } else {
+                self->answer(submission, Accepted {});
+            }
+        });
+}
+
 void Submissions::scheduleSend(Duration delay)
 {
     if (!this->sendScheduled) {
--- a/src/wasabiroad/agent/submissions.hpp
+++ b/src/wasabiroad/agent/submissions.hpp
@@ -23,6 +23,14 @@
     /** @brief Stores a job and calls back with the outcome as far as it is known. */
     void submit(jobs::Job job, kernel::Duration deadline, store::Callback<SubmitOutcome> callback);
 
+    /**
+     * @brief Answers a submission of a job that cannot run: it is accepted only if it has been stored before.
+     * @param job Job that was submitted.
+     * @param code Reason of the rejection.
+     * @param callback Takes the outcome; Undecided if the store does not answer.
+     */
+    void refuse(jobs::Job job, kernel::ResultCode code, store::Callback<SubmitOutcome> callback);
+
 private:
     struct PendingSubmission {
         const jobs::Job job;
