Own each pool that may hold accepted jobs, whether a queue names it or not

Callers would see accepted jobs stand for ever after their queue was removed or moved to another pool and the daemons had restarted.

cause: a daemon wanted the duties of the pools that queues named since it started. After a restart under a configuration in which no queue names the pool, nobody owned it. change: daemons want the duties of all pools that are on and of all that have a report in the store, which each owner writes; the reports are read at start and each 60 s. A pool without queues whose jobs need VMs takes part in the planning of moves. measured: test agent-configuration, accepted_jobs_run_after_their_queue_has_changed: before, the job did not complete within 30 s in all three rows (queue removed, queue moved, queue and pool removed); after, all rows pass.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -29,6 +29,9 @@
 /** Maximum time to record the state of the owned pools before their duties are released. */
 constexpr Duration handOverTimeout { 400 };
 
+/** Interval in ms between reads of the pools that have had an owner. */
+constexpr Duration ownedPoolsInterval { 60000 };
+
 /** Attempts to cancel a job whose record changes concurrently. */
 constexpr int cancelAttempts = 6;
 
@@ -47,6 +50,7 @@
     , environment(withRevisionTracking(std::move(agentContext), revisions))
     , submissions(std::make_shared<Submissions>(environment.context, environment.store, environment.metrics))
     , pendingCounter(std::make_shared<PendingCounter>(environment.store))
+    , ownedPoolsTimer(environment.context)
 {
 }
 
@@ -78,6 +82,7 @@
             },
         });
     this->duties->start();
+    readOwnedPools();
     readOperator();
 }
 
@@ -110,6 +115,7 @@
 void Agent::abandon()
 {
     this->abandoned = true;
+    this->ownedPoolsTimer.cancel();
     this->duties->abandon();
     this->directory->stop();
     for (const auto& [service, agent] : this->poolAgents) {
@@ -231,6 +237,29 @@
         [self = shared_from_this()](const ports::OperatorOutcome& outcome) { self->onOperator(outcome); });
 }
 
+void Agent::readOwnedPools()
+{
+    if (this->abandoned || this->stopping) {
+        return;
+    }
+    this->environment.store->list(
+        keys::reports, [self = shared_from_this()](const kernel::Expected<store::Listing>& reports) {
+            self->ownedPoolsTimer.start(
+                reports ? ownedPoolsInterval : retryInterval, [weak = self->weak_from_this()] {
+                    if (const auto locked = weak.lock()) {
+                        locked->readOwnedPools();
+                    }
+                });
+            if (!reports || self->abandoned) {
+                return;
+            }
+            for (const auto& entry : reports->entries) {
+                self->wantedDuties.insert(keys::poolDuty + entry.key.substr(keys::reports.size()));
+            }
+            self->duties->setWanted(self->wantedDuties);
+        });
+}
+
 void Agent::watchOperator(store::Revision after)
 {
     this->environment.fleet->watchOperator(
@@ -279,6 +308,13 @@
     kernel::logEvent("configuration-adopted",
         { { "generation", configuration.generation.value }, { "queues", configuration.queues.size() } });
     this->environment.configurations->publish(std::make_shared<const jobs::Configuration>(configuration));
+    // Jobs that were accepted earlier may wait in any pool whose upstreams are on, whether a queue names it
+    // or not.
+    for (const auto& pool : configuration.pools) {
+        if (!pool.spare) {
+            this->wantedDuties.insert(keys::poolDuty + pool.service.text());
+        }
+    }
     for (const auto& queue : configuration.queues) {
         this->wantedDuties.insert(keys::poolDuty + queue.service.text());
         this->poolsWithJobs.insert(queue.service);
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -92,6 +92,9 @@
     void endDuty(const std::string& duty);
     /** @return Whether the agent of a held duty makes progress. */
     DutyHealth dutyHealth(const std::string& duty) const;
+    /** @brief Reads which pools have had an owner: they may hold jobs though the configuration does not name
+     * them any more. */
+    void readOwnedPools();
     void onUpstreams();
     /** @param readsAcceptance Whether a job without a record is looked up in the service that accepted it. */
     void readState(const model::ServiceId& service, const jobs::JobId& job, bool readsAcceptance,
@@ -144,6 +147,7 @@
     std::shared_ptr<FleetAgent> fleetAgent {};
     std::shared_ptr<UpstreamDirectory> directory {};
     kernel::Instant lastOperatorAnswer {};
+    kernel::Timer ownedPoolsTimer;
     bool abandoned { false };
     /** @brief The pools are being handed over; their agents have ended before the duties are released. */
     bool stopping { false };
--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -509,7 +509,9 @@
         const model::ServiceId pool { entry.key.substr(keys::reports.size()) };
         const auto report = jobs::decodePoolReport(entry.value);
         // The VMs of a spare pool are switched off, so its queues need none of them.
-        if (!report || !this->poolsWithJobs.contains(pool) || this->sparePools.contains(pool)) {
+        const bool hasJobs
+            = report && (this->poolsWithJobs.contains(pool) || report->wanted != jobs::Resources {});
+        if (!hasJobs || this->sparePools.contains(pool)) {
             continue;
         }
         // A pool with an outdated report neither gets nor gives VMs: its demand may have changed since.
@@ -663,7 +665,7 @@
 {
     const auto& move = this->moves.at(vm);
     // Without the revision, `removeStaleDrains` removes the drain.
-    if (this->poolsWithJobs.contains(move.order.from) && move.drainRevision) {
+    if (move.drainRevision) {
         removeDrain(move.order.from, vm, *move.drainRevision);
     }
     this->moves.erase(vm);
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -200,7 +200,7 @@
     /** @return Whether the VM waits after a drain that was given up, or for another wave. */
     bool isDeferred(const Wave& wave, const model::VmId& name, const WaveVmState& vm) const;
     void advance(Wave& wave, const std::vector<ports::VmFacts>& facts);
-    /** Drains a VM for its maintenance, or orders it at once if its pool runs no jobs. */
+    /** Drains a VM for its maintenance, or orders it at once if it runs no upstream. */
     void takeOutOfService(Wave& wave, const model::VmId& name, WaveVmState& vm);
     /** @return The record of the VMs of a wave with unanswered orders. */
     static store::Put unansweredOrdersOf(const Wave& wave);
@@ -246,8 +246,6 @@
     std::set<scheduling::UpstreamId> idleUpstreams {};
     /** @brief VMs whose move the platform rejected. */
     std::set<model::VmId> unmovable {};
-    /** @brief VMs whose move expired, and until when they are not planned again. */
-    std::map<model::VmId, kernel::Instant> expiredMoves {};
     /** @brief Pools that need the VM of a drain that was given up, and until when they give none to waves. */
     std::map<model::ServiceId, kernel::Instant> drainPauses {};
     bool listingVms { false };
--- a/test/wasabiroad/agent/configuration.cpp
+++ b/test/wasabiroad/agent/configuration.cpp
@@ -113,6 +113,70 @@
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
 }
 
+/** What a new configuration does to the queue of a job that waits. */
+enum class QueueChange : unsigned char { Removed, OtherPool };
+
+struct QueueChangeRow {
+    const char* title;
+    const QueueChange change;
+    /** @brief The configuration still names the pool that accepted the job. */
+    const bool keepsPool;
+
+    friend std::ostream& operator<<(std::ostream& out, const QueueChangeRow& row) { return out << row.title; }
+};
+
+const std::vector<QueueChangeRow> queueChangeRows {
+    { "queue removed", QueueChange::Removed, true },
+    { "queue moved to another pool", QueueChange::OtherPool, true },
+    { "queue and pool removed", QueueChange::Removed, false },
+};
+
+/** Guards against accepted jobs that nobody runs after their queue has changed and all daemons have
+ * restarted.
+ */
+BOOST_DATA_TEST_CASE(accepted_jobs_run_after_their_queue_has_changed, data::make(queueChangeRows), row)
+{
+    const model::ServiceId other { "other" };
+    Site site { 1, 2 };
+    site.workers.add("o0", other, 4000);
+    site.configure({ makeQueue(queue, service) }, { { service, false }, { other, false }, { spare, true } });
+    BOOST_REQUIRE(site.waitForOwner());
+    site.submit(makeJob("waits", 300, 24));
+    std::vector<jobs::Queue> queues { makeQueue(jobs::QueueId { "another" }, other) };
+    if (row.change == QueueChange::OtherPool) {
+        queues.push_back(makeQueue(queue, other));
+    }
+    std::vector<jobs::ServicePool> pools { { other, false }, { spare, true } };
+    if (row.keepsPool) {
+        pools.push_back({ service, false });
+    }
+    site.configure(queues, pools);
+    site.runFor(200);
+    site.daemons[0]->agent->abandon();
+    site.addDaemon();
+    BOOST_TEST(site.reaches("waits", jobs::JobState::Completed, 1));
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
+/** Guards against callers that wait for a job of a queue whose VMs are switched off. */
+BOOST_AUTO_TEST_CASE(jobs_for_a_spare_pool_are_rejected_unless_accepted_before)
+{
+    Site site { 1, 2 };
+    BOOST_REQUIRE(site.waitForOwner());
+    BOOST_REQUIRE((site.submit(makeJob("earlier", 20000, 2)) == SubmitOutcome { Accepted {} }));
+    site.configure(site.queues, { { service, true }, { spare, true } });
+    site.runFor(300);
+    const auto outcome = site.submit(makeJob("later"));
+    BOOST_REQUIRE(std::holds_alternative<Rejected>(outcome));
+    BOOST_TEST(number(std::get<Rejected>(outcome).code) == number(kernel::ResultCode::NoUpstream));
+    BOOST_TEST((site.submit(makeJob("earlier", 20000, 2)) == SubmitOutcome { Accepted {} }));
+    BOOST_TEST((site.state("later") == StateOutcome { NoSuchJob {} }));
+    // It is not blocked for later configurations.
+    site.configure(site.queues, { { service, false }, { spare, true } });
+    site.runFor(300);
+    BOOST_TEST((site.submit(makeJob("later")) == SubmitOutcome { Accepted {} }));
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
