--- a/test/platform/soak/faults.cpp
+++ b/test/platform/soak/faults.cpp
@@ -18,11 +18,18 @@
 constexpr std::array<const char*, std::variant_size_v<Fault>> names { "kill", "stop", "freeze", "reload",
     "throttle", "output", "store-cut", "half-open", "revoke", "store", "compact", "vms-cut", "crash",
     "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd", "revoke-in-turn", "revoke-takers",
-    "orders", "replace", "busy" };
+    "orders", "replace", "busy", "spare-queue", "empty-queues", "queue-moved", "queue-removed" };
 
 /** Maximum number of processes that keep the processors busy at once. */
 constexpr std::int64_t maxBusyProcesses = 24;
 
+/** Queues without jobs that are added at once, and jobs that are handed in to an added queue. */
+constexpr int emptyQueues = 110;
+constexpr int jobsOfQueue = 5;
+
+/** Time for the daemons to adopt a configuration. */
+constexpr milliseconds adoptionTime { 1500 };
+
 /** Share of the orders to VMs that are carried out late, and time of an answer to slow ones. */
 constexpr double lateOrderShare = 0.5;
 constexpr milliseconds slowOrderLatency { 300 };
@@ -85,8 +92,16 @@
         return DisturbOrders { lasting(2000, 12000), static_cast<OrderFault>(dice.within(0, 2)) };
     case 22:
         return ReplaceUpstreams { count };
-    default:
+    case 23:
         return KeepBusy { static_cast<int>(dice.within(1, maxBusyProcesses)), lasting(1000, 6000) };
+    case 24:
+        return AddSpareQueue { {}, lasting(3000, 20000) };
+    case 25:
+        return AddEmptyQueues { {}, lasting(3000, 20000) };
+    case 26:
+        return MoveQueue { {}, lasting(1000, 15000) };
+    default:
+        return RemoveQueue {};
     }
 }
 
@@ -107,6 +122,13 @@
     return kinds.empty() ? std::nullopt : std::optional { draw(dice, dice.pick(kinds), daemons) };
 }
 
+bool isChangeOfConfiguration(const Fault& fault)
+{
+    return std::visit(
+        [](const auto& kind) { return std::is_base_of_v<ConfigurationChange, std::decay_t<decltype(kind)>>; },
+        fault);
+}
+
 std::vector<Daemon*> FaultPlayer::someDaemons(int count)
 {
     std::vector<Daemon*> found;
@@ -441,4 +463,77 @@
     }
 }
 
+Task<std::vector<std::string>> FaultPlayer::submitToNewQueue(std::string name, std::string pool)
+{
+    this->play.addQueues({ { name, pool } });
+    co_await pause(adoptionTime);
+    const auto& settings = *std::ranges::find(this->play.settings.pools, pool, &PoolSettings::name);
+    std::vector<std::string> jobs;
+    for (int count = 0; count < jobsOfQueue; ++count) {
+        jobs.push_back(this->play.newJob(settings, false, "/" + name + "/"));
+    }
+    co_await pause(milliseconds { this->play.dice.within(300, 2000) });
+    for (const auto& job : jobs) {
+        if (!this->play.ledger.all().at(job).accepted) {
+            this->play.ledger.cancel(job);
+        }
+    }
+    co_return jobs;
+}
+
+void FaultPlayer::removeQueue(
+    const std::string& name, const std::string& pool, const std::vector<std::string>& jobs)
+{
+    this->play.removeQueues({ name });
+    for (const auto& job : jobs) {
+        this->play.ledger.redirect(job, "/" + pool + "/");
+    }
+}
+
+Task<> FaultPlayer::operator()(AddSpareQueue fault)
+{
+    const auto& pools = this->play.settings.pools;
+    const auto pool = std::ranges::find(pools, true, &PoolSettings::spare)->name;
+    const auto name = this->play.newQueueName();
+    const auto jobs = co_await submitToNewQueue(name, pool);
+    co_await pause(fault.duration);
+    this->play.removeQueues({ name });
+    for (const auto& job : jobs) {
+        if (this->play.ledger.all().at(job).accepted) {
+            this->play.ledger.violate("LOST", job, "accepted for a pool whose VMs are switched off");
+        }
+    }
+}
+
+Task<> FaultPlayer::operator()(AddEmptyQueues fault)
+{
+    std::vector<ExtraQueue> queues;
+    std::vector<std::string> names;
+    for (int count = 0; count < emptyQueues; ++count) {
+        names.push_back(this->play.newQueueName());
+        queues.push_back({ names.back(), this->play.dice.pick(this->play.settings.pools).name });
+    }
+    this->play.addQueues(queues);
+    co_await pause(fault.duration);
+    this->play.removeQueues(names);
+}
+
+Task<> FaultPlayer::operator()(MoveQueue fault)
+{
+    const auto name = this->play.newQueueName();
+    const auto from = this->play.drawPool();
+    const auto jobs = co_await submitToNewQueue(name, from);
+    this->play.moveQueue(name, this->play.drawPool());
+    co_await pause(fault.duration);
+    removeQueue(name, from, jobs);
+}
+
+Task<> FaultPlayer::operator()(RemoveQueue)
+{
+    const auto name = this->play.newQueueName();
+    const auto pool = this->play.drawPool();
+    const auto jobs = co_await submitToNewQueue(name, pool);
+    removeQueue(name, pool, jobs);
+}
+
 } // namespace wasabiroad::soak
--- a/test/platform/soak/faults.hpp
+++ b/test/platform/soak/faults.hpp
@@ -91,10 +91,28 @@
     milliseconds duration {};
 };
 
+/** @brief A change of configuration, beside which all rules hold. */
+struct ConfigurationChange { };
+/** @brief A queue of the spare pool is added, and jobs are handed in to it; it is removed again. */
+struct AddSpareQueue : ConfigurationChange {
+    milliseconds duration {};
+};
+/** @brief Many queues without jobs are added and removed again. */
+struct AddEmptyQueues : ConfigurationChange {
+    milliseconds duration {};
+};
+/** @brief A queue changes its pool while its jobs wait, and is removed later. */
+struct MoveQueue : ConfigurationChange {
+    milliseconds duration {};
+};
+/** @brief A queue is removed while its jobs wait. */
+struct RemoveQueue : ConfigurationChange { };
+
 using Fault = std::variant<KillDaemons, StopDaemons, FreezeDaemons, ReloadDaemons, ThrottleDaemons,
     HoldOutput, CutStore, BreakConnections, RevokeLeases, DisturbStore, CompactStore, CutVms, CrashUpstreams,
     CutUpstreams, BreakUpstreams, LateUpstreams, DrainUpstreams, StartWave, AddOddEntries, RevokeInTurn,
-    RevokeTakers, DisturbOrders, ReplaceUpstreams, KeepBusy>;
+    RevokeTakers, DisturbOrders, ReplaceUpstreams, KeepBusy, AddSpareQueue, AddEmptyQueues, MoveQueue,
+    RemoveQueue>;
 
 /** @return The names of all kinds of faults. */
 std::vector<std::string> faultNames();
@@ -105,6 +123,9 @@
 /** @return A fault of a kind that is not disabled, or nothing if all are. */
 std::optional<Fault> drawFault(Dice& dice, const std::set<std::string>& disabled, int daemons);
 
+/** @return Whether a fault is a ConfigurationChange. */
+bool isChangeOfConfiguration(const Fault& fault);
+
 class Daemon;
 class Play;
 class Upstream;
@@ -141,10 +162,19 @@
     Task<> operator()(DisturbOrders fault);
     Task<> operator()(ReplaceUpstreams fault);
     Task<> operator()(KeepBusy fault);
+    Task<> operator()(AddSpareQueue fault);
+    Task<> operator()(AddEmptyQueues fault);
+    Task<> operator()(MoveQueue fault);
+    Task<> operator()(RemoveQueue fault);
 
 private:
     std::vector<Daemon*> someDaemons(int count);
     std::vector<Upstream*> someUpstreams(int count);
+    /** @brief Adds a queue of a pool, hands jobs in to it and waits until some have been accepted.
+     * @return The jobs; those that were not accepted in time are not judged. */
+    Task<std::vector<std::string>> submitToNewQueue(std::string name, std::string pool);
+    /** @brief Removes a queue; clients ask for its jobs through the queue of their pool from then on. */
+    void removeQueue(const std::string& name, const std::string& pool, const std::vector<std::string>& jobs);
 
     Play& play;
 };
--- a/test/platform/soak/ledger.hpp
+++ b/test/platform/soak/ledger.hpp
@@ -65,6 +65,9 @@
     void accept(const std::string& id);
     void cancel(const std::string& id) { this->jobs.at(id).cancelled = true; }
 
+    /** @brief Clients ask for the job through another queue from now on. */
+    void redirect(const std::string& id, const std::string& prefix) { this->jobs.at(id).prefix = prefix; }
+
     /**
      * @brief Checks the state that a client was shown.
      * @param state Text of the answer; empty if the job is not known.
--- a/test/platform/soak/play.cpp
+++ b/test/platform/soak/play.cpp
@@ -33,11 +33,24 @@
 /** Share of the work of a burst that arrives at other times. */
 constexpr double ebb = 0.05;
 
+/** Version of the first configuration. */
+constexpr std::int64_t firstVersion = 7;
+
 /** Faults of a series, and the longest time between two of them, in ms. */
 constexpr std::int64_t seriesFaults = 6;
 constexpr std::int64_t seriesGap = 1500;
 
-std::string configuration(const std::vector<PoolSettings>& pools)
+/** @return The row of a queue whose name is also its prefix. */
+json::object queueRow(const std::string& name, const std::string& prefix, const PoolSettings& pool)
+{
+    return { { "name", name }, { "host", "queue.example" }, { "prefix", "/" + prefix + "/" },
+        { "kind", "non_idempotent" }, { "timeoutMs", 3000 }, { "sloMs", 600 },
+        { "priority", pool.saves ? 1 : 0 }, { "service", pool.name }, { "maxAttempts", 4 },
+        { "stretch", 1.6 } };
+}
+
+std::string configuration(
+    const std::vector<PoolSettings>& pools, const std::vector<ExtraQueue>& queues, std::int64_t version)
 {
     json::array routes;
     json::array services;
@@ -45,17 +58,18 @@
         services.push_back({ { "name", pool.name }, { "healthPath", "/health" }, { "maxConns", 64 },
             { "protocol", "h1" }, { "tls", false }, { "enforcesCapacity", false }, { "spare", pool.spare } });
         if (!pool.spare) {
-            routes.push_back({ { "name", "queue-" + pool.name }, { "host", "queue.example" },
-                { "prefix", "/" + pool.name + "/" }, { "kind", "non_idempotent" }, { "timeoutMs", 3000 },
-                { "sloMs", 600 }, { "priority", pool.saves ? 1 : 0 }, { "service", pool.name },
-                { "maxAttempts", 4 }, { "stretch", 1.6 } });
+            routes.push_back(queueRow("queue-" + pool.name, pool.name, pool));
         }
     }
-    return json::serialize(
-        json::object { { "version", 7 }, { "routes", std::move(routes) }, { "services", std::move(services) },
-            { "limits",
-                { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 262144 }, { "headerTimeoutMs", 3000 },
-                    { "idleTimeoutMs", 15000 } } } });
+    for (const auto& queue : queues) {
+        routes.push_back(
+            queueRow(queue.name, queue.name, *std::ranges::find(pools, queue.pool, &PoolSettings::name)));
+    }
+    return json::serialize(json::object { { "version", version }, { "routes", std::move(routes) },
+        { "services", std::move(services) },
+        { "limits",
+            { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 262144 }, { "headerTimeoutMs", 3000 },
+                { "idleTimeoutMs", 15000 } } } });
 }
 
 std::string encode(const std::vector<Step>& steps)
@@ -91,7 +105,7 @@
     , store(io, settings.seed + 1)
     , vms(io, store, ledger, settings.pools, settings.zones, settings.seed + 2)
 {
-    this->store.put("op/config", configuration(this->settings.pools));
+    configure();
     for (int number = 0; number < this->settings.daemons; ++number) {
         const auto& zone
             = this->settings.zones[static_cast<std::size_t>(number) % this->settings.zones.size()];
@@ -178,13 +192,51 @@
     }
 }
 
-void Play::newJob(const PoolSettings& pool, bool lasts)
+std::string Play::newQueueName() { return "extra-" + std::to_string(++this->queueNames); }
+
+std::string Play::drawPool()
+{
+    std::vector<std::string> names;
+    for (const auto& pool : this->settings.pools) {
+        if (!pool.spare) {
+            names.push_back(pool.name);
+        }
+    }
+    return this->dice.pick(names);
+}
+
+void Play::addQueues(const std::vector<ExtraQueue>& added)
+{
+    std::ranges::copy(added, std::back_inserter(this->queues));
+    configure();
+}
+
+void Play::moveQueue(const std::string& name, const std::string& pool)
+{
+    std::ranges::find(this->queues, name, &ExtraQueue::name)->pool = pool;
+    configure();
+}
+
+void Play::removeQueues(const std::vector<std::string>& names)
+{
+    std::erase_if(
+        this->queues, [&](const auto& queue) { return std::ranges::find(names, queue.name) != names.end(); });
+    configure();
+}
+
+void Play::configure()
+{
+    this->store.put("op/config",
+        configuration(this->settings.pools, this->queues, firstVersion + this->configurationVersion++));
+}
+
+std::string Play::newJob(const PoolSettings& pool, bool lasts, std::string prefix)
 {
     char id[17] {};
     std::snprintf(
         id, sizeof id, "%016llx", static_cast<unsigned long long>(this->settings.seed << 24U) + ++this->jobs);
     const auto around = [this](std::int64_t mean) { return this->dice.within(mean / 2, mean * 3 / 2); };
-    Ledger::Job job { pool.name, "/" + pool.name + "/", {}, "", false, false, false, 0, false };
+    Ledger::Job job { pool.name, std::move(prefix), {}, "", false, false, false, 0, false };
     if (lasts) {
         job.steps.push_back({ 5, 2600, 4000, 0, 1, false });
     } else {
@@ -197,6 +249,7 @@
     job.body = encode(job.steps);
     this->ledger.add(id, std::move(job));
     start(this->context, submit(id));
+    return id;
 }
 
 Task<Answer> Play::ask(const char* method, std::string id)
@@ -263,8 +316,8 @@
     std::ranges::copy_if(
         this->settings.pools, std::back_inserter(pools), [](const auto& pool) { return !pool.spare; });
     for (const auto& pool : pools) {
-        newJob(pool, true);
-        newJob(pool, true);
+        newJob(pool, true, "/" + pool.name + "/");
+        newJob(pool, true, "/" + pool.name + "/");
     }
     const auto begin = nowMs();
     while (nowMs() - begin < this->settings.seconds * 1000) {
@@ -277,10 +330,10 @@
             const auto rate = this->settings.press * pool.vms * 32 / work * (index == turn ? 1 : ebb);
             if (this->dice.chance(
                     std::min(1.0, rate * static_cast<double>(trafficInterval.count()) / 1000))) {
-                newJob(pool, false);
+                newJob(pool, false, "/" + pool.name + "/");
             }
             if (this->dice.chance(0.002)) {
-                newJob(pool, true);
+                newJob(pool, true, "/" + pool.name + "/");
             }
         }
     }
@@ -310,6 +363,11 @@
 Task<> Play::act(Fault fault)
 {
     report("fault " + nameOf(fault));
+    if (isChangeOfConfiguration(fault)) {
+        co_await std::visit(FaultPlayer { *this }, fault);
+        report("end of fault " + nameOf(fault));
+        co_return;
+    }
     ++this->disruptions;
     co_await std::visit(FaultPlayer { *this }, fault);
     --this->disruptions;
--- a/test/platform/soak/play.hpp
+++ b/test/platform/soak/play.hpp
@@ -35,6 +35,12 @@
     bool powerLoss { true };
 };
 
+/** @brief A queue that is added to those of the pools. */
+struct ExtraQueue {
+    std::string name {};
+    std::string pool {};
+};
+
 enum class Verdict : int { Held = 0, Broken = 1, NotRun = 2 };
 
 /** @brief One run: a deployment, its clients, its faults and the checks. */
@@ -60,7 +66,16 @@
     Task<> follow(std::string id);
     Task<> finish();
     Task<> act(Fault fault);
-    void newJob(const PoolSettings& pool, bool lasts);
+    /** @return Id of a new job, which is handed in to a queue with this prefix. */
+    std::string newJob(const PoolSettings& pool, bool lasts, std::string prefix);
+    std::string newQueueName();
+    /** @return A pool that runs jobs. */
+    std::string drawPool();
+    void addQueues(const std::vector<ExtraQueue>& added);
+    void moveQueue(const std::string& name, const std::string& pool);
+    void removeQueues(const std::vector<std::string>& names);
+    /** @brief Puts a configuration with the current queues into force. */
+    void configure();
     Task<Answer> ask(const char* method, std::string id);
     std::int64_t calm() const;
     void report(const std::string& text) const;
@@ -75,6 +90,9 @@
     int disruptions { 0 };
     std::int64_t lastDisruption { 0 };
     bool over { false };
+    std::vector<ExtraQueue> queues {};
+    std::size_t queueNames { 0 };
+    std::int64_t configurationVersion { 0 };
     std::size_t jobs { 0 };
     std::size_t ended { 0 };
     Verdict result { Verdict::NotRun };
