--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -179,6 +179,7 @@
         30 * dayMs },
     { R"("stretch":-1e300,"sloMs":-9223372036854775808,"timeoutMs":-1)", 0, 0, 0 },
     { R"("stretch":"1","sloMs":1e300,"timeoutMs":[])", 1, 0, 0 },
+    { R"("stretch":0e999,"sloMs":600,"timeoutMs":3000)", 1, 600, 3000 },
 };
 
 /** Guards against deadlines beyond the range of their type. */
