--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -14,15 +14,16 @@
         "seed", "seed of the run", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seconds", "time of the traffic", cxxopts::value<std::int64_t>()->default_value("40"))(
         "keep", "folder for settings and logs", cxxopts::value<std::string>())("without",
-        "kinds of faults that are not played", cxxopts::value<std::vector<std::string>>()->default_value(""))(
-        "only", "kinds of faults that are played",
-        cxxopts::value<std::vector<std::string>>()->default_value(""))("calm", "no faults and no power loss")(
-        "no-power-loss", "no power loss at the end")("press", "work of a burst as a share of the capacity",
-        cxxopts::value<double>()->default_value("1.0"))("throttled",
-        "daemons that are throttled all the time", cxxopts::value<int>()->default_value("0"))("unlimited",
-        "daemons have no processor quota")("calm-gap", "calm time after a series of faults in ms",
-        cxxopts::value<std::int64_t>()->default_value("9000"))("daemons", "number of daemons",
-        cxxopts::value<int>()->default_value("7"))("help", "shows the options");
+        "kinds of faults that are not played",
+        cxxopts::value<std::vector<std::string>>()->default_value(""))("only",
+        "kinds of faults that are played", cxxopts::value<std::vector<std::string>>()->default_value(""))(
+        "calm", "no faults and no power loss")("no-power-loss", "no power loss at the end")("press",
+        "work of a burst as a share of the capacity", cxxopts::value<double>()->default_value("1.0"))(
+        "throttled", "daemons that are throttled all the time", cxxopts::value<int>()->default_value("0"))(
+        "unlimited", "daemons have no processor quota")("calm-gap",
+        "calm time after a series of faults in ms", cxxopts::value<std::int64_t>()->default_value("9000"))(
+        "daemons", "number of daemons", cxxopts::value<int>()->default_value("7"))(
+        "spare-queue", "a queue without jobs names the spare pool")("help", "shows the options");
     try {
         const auto given = options.parse(argc, argv);
         if (given.count("help") != 0 || given.count("daemon") == 0 || given.count("keep") == 0) {
@@ -38,6 +39,7 @@
         settings.daemons = given["daemons"].as<int>();
         settings.calmGap = given["calm-gap"].as<std::int64_t>();
         settings.throttled = given["throttled"].as<int>();
+        settings.spareQueue = given.count("spare-queue") != 0;
         settings.limited = given.count("unlimited") == 0;
         settings.powerLoss = given.count("calm") == 0 && given.count("no-power-loss") == 0;
         const auto without = given["without"].as<std::vector<std::string>>();
--- a/test/platform/soak/play.cpp
+++ b/test/platform/soak/play.cpp
@@ -105,6 +105,10 @@
     , store(io, settings.seed + 1)
     , vms(io, store, ledger, settings.pools, settings.zones, settings.seed + 2)
 {
+    if (this->settings.spareQueue) {
+        this->queues.push_back(
+            { newQueueName(), std::ranges::find(this->settings.pools, true, &PoolSettings::spare)->name });
+    }
     configure();
     for (int number = 0; number < this->settings.daemons; ++number) {
         const auto& zone
--- a/test/platform/soak/play.hpp
+++ b/test/platform/soak/play.hpp
@@ -28,6 +28,8 @@
     bool limited { true };
     /** @brief Daemons that are throttled all the time, though they don't work. */
     int throttled { 0 };
+    /** @brief Whether a queue without jobs names the spare pool all the time. */
+    bool spareQueue { false };
     std::set<std::string> disabled {};
     /** @brief Calm time after a series of faults, in ms. */
     std::int64_t calmGap { 9000 };
