Keep the report of a drained VM when a drain in its former pool is removed

cause: by reading: since drains are looked for in all pools, a stale drain in the pool that a VM has left could remove the report on its drain in the pool that it is in now. change: the report is removed only if the VM is not being drained. measured: nothing; the window is the 150 ms between two reads of the reports.

--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -292,8 +292,12 @@
         if (!isDraining(pool, vm) && mayOrder(vm)) {
             kernel::logEvent("stale-drain",
                 { { "vm", vm.text() }, { "pool", pool.text() }, { "revision", entry.revision.value } });
+            std::vector<std::string> removals { entry.key };
+            if (!isDraining(vm)) {
+                removals.push_back(keys::drainedVms + vm.text());
+            }
             // A drain that this owner requests meanwhile is kept; a failed removal is retried.
-            changeInTerm({}, { entry.key, keys::drainedVms + vm.text() }, [](const store::ChangeOutcome&) {},
+            changeInTerm({}, std::move(removals), [](const store::ChangeOutcome&) {},
                 { { entry.key, entry.revision } });
         }
     }
