--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -29,8 +29,8 @@
 /** Maximum time to record the state of the owned pools before their duties are released. */
 constexpr Duration handOverTimeout { 400 };
 
-/** Interval in ms between reads of the pools that have had an owner. */
-constexpr Duration ownedPoolsInterval { 60000 };
+/** Interval in ms between reads of the pools that have a report. */
+constexpr Duration reportedPoolsInterval { 60000 };
 
 /** Attempts to cancel a job whose record changes concurrently. */
 constexpr int cancelAttempts = 6;
@@ -50,7 +50,7 @@
     , environment(withRevisionTracking(std::move(agentContext), revisions))
     , submissions(std::make_shared<Submissions>(environment.context, environment.store, environment.metrics))
     , pendingCounter(std::make_shared<PendingCounter>(environment.store))
-    , ownedPoolsTimer(environment.context)
+    , reportedPoolsTimer(environment.context)
 {
 }
 
@@ -82,7 +82,7 @@
             },
         });
     this->duties->start();
-    readOwnedPools();
+    readReportedPools();
     readOperator();
 }
 
@@ -115,7 +115,7 @@
 void Agent::abandon()
 {
     this->abandoned = true;
-    this->ownedPoolsTimer.cancel();
+    this->reportedPoolsTimer.cancel();
     this->duties->abandon();
     this->directory->stop();
     for (const auto& [service, agent] : this->poolAgents) {
@@ -137,7 +137,8 @@
 {
     if (this->sparePools.contains(job.service)) {
         // Its VMs are switched off.
-        this->submissions->refuse(std::move(job), kernel::ResultCode::NoUpstream, std::move(callback));
+        this->submissions->answerIneligible(
+            std::move(job), kernel::ResultCode::NoUpstream, std::move(callback));
         return;
     }
     this->submissions->submit(std::move(job), deadline, std::move(callback));
@@ -237,20 +238,23 @@
         [self = shared_from_this()](const ports::OperatorOutcome& outcome) { self->onOperator(outcome); });
 }
 
-void Agent::readOwnedPools()
+void Agent::readReportedPools()
 {
     if (this->abandoned || this->stopping) {
         return;
     }
     this->environment.store->list(
         keys::reports, [self = shared_from_this()](const kernel::Expected<store::Listing>& reports) {
-            self->ownedPoolsTimer.start(
-                reports ? ownedPoolsInterval : retryInterval, [weak = self->weak_from_this()] {
+            if (self->abandoned || self->stopping) {
+                return;
+            }
+            self->reportedPoolsTimer.start(
+                reports ? reportedPoolsInterval : retryInterval, [weak = self->weak_from_this()] {
                     if (const auto locked = weak.lock()) {
-                        locked->readOwnedPools();
+                        locked->readReportedPools();
                     }
                 });
-            if (!reports || self->abandoned) {
+            if (!reports) {
                 return;
             }
             for (const auto& entry : reports->entries) {
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -92,9 +92,9 @@
     void endDuty(const std::string& duty);
     /** @return Whether the agent of a held duty makes progress. */
     DutyHealth dutyHealth(const std::string& duty) const;
-    /** @brief Reads which pools have had an owner: they may hold jobs though the configuration does not name
-     * them any more. */
-    void readOwnedPools();
+    /** @brief Wants the duties of all pools that have a report in the store: they may hold jobs of queues
+     * that were removed. */
+    void readReportedPools();
     void onUpstreams();
     /** @param readsAcceptance Whether a job without a record is looked up in the service that accepted it. */
     void readState(const model::ServiceId& service, const jobs::JobId& job, bool readsAcceptance,
@@ -147,7 +147,7 @@
     std::shared_ptr<FleetAgent> fleetAgent {};
     std::shared_ptr<UpstreamDirectory> directory {};
     kernel::Instant lastOperatorAnswer {};
-    kernel::Timer ownedPoolsTimer;
+    kernel::Timer reportedPoolsTimer;
     bool abandoned { false };
     /** @brief The pools are being handed over; their agents have ended before the duties are released. */
     bool stopping { false };
--- a/src/wasabiroad/agent/fleet_agent.cpp
+++ b/src/wasabiroad/agent/fleet_agent.cpp
@@ -55,20 +55,23 @@
  */
 constexpr Duration overdueDrainAge { 8000 };
 
-/** Time in ms after which the drain of a wave is given up if the pool needs VMs, and in any case. */
+/** Time in ms after which the drain of a wave is given up if the pool needs VMs. */
 constexpr Duration shortPoolDrainLimit { 9000 };
+
+/** The same in ms for any other pool. */
 constexpr Duration drainLimit { 18000 };
 
-/** Time in ms before a VM whose drain was given up is selected again. */
+/** Time in ms for which a pool that needs VMs gives none to waves after a drain that was given up. */
 constexpr Duration drainPause { 6000 };
 
+/** Time in ms before a VM whose drain was given up is selected again; doubled with each drain, at most this
+ * often. It exceeds `drainPause`, so that the other VMs of the wave have their turn. */
+constexpr Duration drainRetryDelay { 12000 };
+constexpr std::uint32_t maxDrainDoublings = 4;
+
 /** Consecutive lists without a VM, over 3 s or more, after which it counts as removed. */
 constexpr std::uint32_t maxMissedLists = 30;
 
-/** Consecutive lists, over 3 s or more, that show a VM up without an upstream, after which it counts as
- * running none though its pool is not a spare pool. */
-constexpr std::uint32_t maxUnnamedLists = 30;
-
 /** @return Whether the VM runs an upstream, which has to be drained before an order ends its tasks. */
 bool runsUpstream(const scheduling::UpstreamId& upstream) { return !upstream.text().empty(); }
 
@@ -685,8 +688,11 @@
         }
         const bool arrived = move.accepted && found != facts.end() && found->second->pool == move.order.to
             && found->second->condition == ports::VmCondition::Up;
+        // A spare VM that was switched on meanwhile would have to be drained.
+        const bool isOutdated = found != facts.end() && !move.accepted && !move.mayBeCarriedOut
+            && !runsUpstream(move.order.upstream) && runsUpstream(found->second->upstream);
         move.missedLists = found != facts.end() ? 0 : move.missedLists + (this->isListComplete ? 1 : 0);
-        if (!move.orderInFlight && (arrived || move.missedLists >= maxMissedLists)) {
+        if (!move.orderInFlight && (arrived || isOutdated || move.missedLists >= maxMissedLists)) {
             ended.push_back(name);
         }
     }
@@ -764,7 +770,13 @@
 
 void FleetAgent::readReports(const std::vector<ports::VmFacts>& facts)
 {
-    if (this->sparePools.empty() || this->readingReports) {
+    if (this->sparePools.empty()) {
+        // Reports are not read without a spare pool, and waves must not act on outdated ones.
+        this->surpluses.clear();
+        this->idleUpstreams.clear();
+        return;
+    }
+    if (this->readingReports) {
         return;
     }
     this->readingReports = true;
@@ -792,14 +804,17 @@
         }
         vm.missedLists = 0;
         const auto& current = *found->second;
-        const bool isUp = current.condition == ports::VmCondition::Up;
-        vm.unnamedLists = isUp && !runsUpstream(current.upstream) ? vm.unnamedLists + 1 : 0;
-        // A VM that is up outside of the spare pools runs an upstream; without its id nobody could drain it.
-        const bool isNamed = runsUpstream(current.upstream) || this->sparePools.contains(current.pool)
-            || vm.unnamedLists >= maxUnnamedLists;
-        const bool up = isUp && isNamed;
+        // A VM that is up outside of the spare pools should run an upstream, and cannot be drained before the
+        // list shows its id.
+        const bool isUpstreamSettled
+            = runsUpstream(current.upstream) || this->sparePools.contains(current.pool);
+        const bool up = current.condition == ports::VmCondition::Up && isUpstreamSettled;
         switch (vm.stage) {
         case WaveStage::InMaintenance:
+            if (vm.pool.text().empty()) {
+                // Ordered by a previous owner.
+                vm.pool = current.pool;
+            }
             // The upstream cannot show the end of the maintenance, since a spare VM has none. The list must
             // be newer than the order.
             if (up && !vm.orderInFlight && this->lastListRequest > vm.stageChangedAt) {
@@ -864,14 +879,16 @@
         vm.drainRevision.reset();
         vm.stage = WaveStage::Waiting;
         vm.stageChangedAt = now;
-        vm.deferredUntil = now + drainPause;
+        vm.deferredUntil
+            = now + drainRetryDelay * (std::int64_t { 1 } << std::min(vm.failedDrains, maxDrainDoublings));
+        ++vm.failedDrains;
         if (isShort) {
-            this->drainPauses.insert_or_assign(vm.pool, vm.deferredUntil);
+            this->drainPauses.insert_or_assign(vm.pool, now + drainPause);
         }
     }
 }
 
-std::map<model::ServiceId, std::uint32_t> FleetAgent::outOfServiceForOthers(const Wave& wave) const
+std::map<model::ServiceId, std::uint32_t> FleetAgent::outOfServiceInOtherWaves(const Wave& wave) const
 {
     std::map<model::ServiceId, std::uint32_t> counts;
     for (const auto& [number, other] : this->waves) {
@@ -885,7 +902,7 @@
     return counts;
 }
 
-bool FleetAgent::isOutOfServiceForOthers(const Wave& wave, const model::VmId& vm) const
+bool FleetAgent::isOutOfServiceInOtherWave(const Wave& wave, const model::VmId& vm) const
 {
     return std::ranges::any_of(this->waves, [&](const auto& entry) {
         const auto found = entry.second.vms.find(vm);
@@ -900,7 +917,7 @@
     const auto pause = this->drainPauses.find(vm.pool);
     return vm.stage == WaveStage::Waiting
         && (now < vm.deferredUntil || (pause != this->drainPauses.end() && now < pause->second)
-            || isOutOfServiceForOthers(wave, name));
+            || isOutOfServiceInOtherWave(wave, name));
 }
 
 void FleetAgent::advance(Wave& wave, const std::vector<ports::VmFacts>& facts)
@@ -925,7 +942,7 @@
         const auto move = this->moves.find(vm.vm);
         counts[vm.pool] += move == this->moves.end() || move->second.order.from != vm.pool ? 1 : 0;
     }
-    auto otherWaves = outOfServiceForOthers(wave);
+    auto otherWaves = outOfServiceInOtherWaves(wave);
     std::vector<scheduling::PoolSize> pools;
     pools.reserve(counts.size());
     for (const auto& [pool, count] : counts) {
--- a/src/wasabiroad/agent/fleet_agent.hpp
+++ b/src/wasabiroad/agent/fleet_agent.hpp
@@ -48,7 +48,8 @@
     /** @brief Adds the waves that the operator has requested. */
     void addWaves(const std::map<std::uint64_t, ports::WaveRequest>& requests);
 
-    /** @brief Sets the pools that queues name, and the spare pools; a pool may be both. */
+    /** @brief Sets the pools that queues name or have named since the daemon started, and the spare pools; a
+     * pool may be both. */
     void setPools(std::set<model::ServiceId> withJobs, std::set<model::ServiceId> spare);
 
     /** @return Whether waves and moves are carried out. */
@@ -75,12 +76,12 @@
         bool seenInMaintenance { false };
         /** @brief Consecutive lists without the VM. */
         std::uint32_t missedLists { 0 };
-        /** @brief Consecutive lists that show it up without an upstream. */
-        std::uint32_t unnamedLists { 0 };
         /** @brief Its drain was logged as overdue. */
         bool isOverdueLogged { false };
         /** @brief Until then it is not selected again, since a drain of it was given up. */
         kernel::Instant deferredUntil {};
+        /** @brief Drains that were given up. */
+        std::uint32_t failedDrains { 0 };
     };
 
     struct Wave {
@@ -194,9 +195,9 @@
     /** Ends the drains of a wave that have lasted too long: what their tasks wait for may need these VMs. */
     void returnUndrainedVms(Wave& wave);
     /** @return VMs of each pool that the other waves have out of service. */
-    std::map<model::ServiceId, std::uint32_t> outOfServiceForOthers(const Wave& wave) const;
+    std::map<model::ServiceId, std::uint32_t> outOfServiceInOtherWaves(const Wave& wave) const;
     /** @return Whether another wave has the VM out of service. */
-    bool isOutOfServiceForOthers(const Wave& wave, const model::VmId& vm) const;
+    bool isOutOfServiceInOtherWave(const Wave& wave, const model::VmId& vm) const;
     /** @return Whether the VM waits after a drain that was given up, or for another wave. */
     bool isDeferred(const Wave& wave, const model::VmId& name, const WaveVmState& vm) const;
     void advance(Wave& wave, const std::vector<ports::VmFacts>& facts);
@@ -246,7 +247,8 @@
     std::set<scheduling::UpstreamId> idleUpstreams {};
     /** @brief VMs whose move the platform rejected. */
     std::set<model::VmId> unmovable {};
-    /** @brief Pools that need the VM of a drain that was given up, and until when they give none to waves. */
+    /** @brief Ends of the times in which pools that need VMs give none to waves, since a drain was given up.
+     */
     std::map<model::ServiceId, kernel::Instant> drainPauses {};
     bool listingVms { false };
     bool readingReports { false };
--- a/src/wasabiroad/agent/submissions.cpp
+++ b/src/wasabiroad/agent/submissions.cpp
@@ -86,7 +86,7 @@
     scheduleSend(batchDelay);
 }
 
-void Submissions::refuse(jobs::Job job, ResultCode code, store::Callback<SubmitOutcome> callback)
+void Submissions::answerIneligible(jobs::Job job, ResultCode code, store::Callback<SubmitOutcome> callback)
 {
     const auto key = keys::acceptance(job.id);
     this->store->read(key,
--- a/src/wasabiroad/agent/submissions.hpp
+++ b/src/wasabiroad/agent/submissions.hpp
@@ -24,12 +24,13 @@
     void submit(jobs::Job job, kernel::Duration deadline, store::Callback<SubmitOutcome> callback);
 
     /**
-     * @brief Answers a submission of a job that cannot run: it is accepted only if it has been stored before.
+     * @brief Answers a submission of a job that cannot run: Accepted if it is stored already, Rejected with
+     * Cancelled if it was cancelled before, else Rejected with the code.
      * @param job Job that was submitted.
      * @param code Reason of the rejection.
      * @param callback Takes the outcome; Undecided if the store does not answer.
      */
-    void refuse(jobs::Job job, kernel::ResultCode code, store::Callback<SubmitOutcome> callback);
+    void answerIneligible(jobs::Job job, kernel::ResultCode code, store::Callback<SubmitOutcome> callback);
 
 private:
     struct PendingSubmission {
--- a/src/wasabiroad/scheduling/wave_plan.hpp
+++ b/src/wasabiroad/scheduling/wave_plan.hpp
@@ -16,7 +16,7 @@
     Draining,
     /** @brief Down for maintenance in this wave. */
     InMaintenance,
-    /** @brief Down for another reason. */
+    /** @brief Down for another reason, or not to be selected for now. */
     Unavailable,
     Done,
 };
@@ -55,9 +55,9 @@
 /**
  * @brief Selects the VMs to take out of service next.
  *
- * VMs of pools without jobs come first, since they need no drain, then idle VMs, then those of the pools with
- * the largest surplus. At most the surplus of a pool with jobs or a quarter of it, whichever is more, but at
- * least one VM, is out of service for all waves at once, so that its tasks fit on the other VMs.
+ * VMs of pools without jobs come first, since they usually run no upstream, then idle VMs, then those of the
+ * pools with the largest surplus. At most the surplus of a pool with jobs or a quarter of it, whichever is
+ * more, but at least one VM, is out of service for all waves at once, so that its tasks fit on the other VMs.
  * @param vms VMs of the wave.
  * @param pools Sizes of the pools.
  * @param parallelism Maximum number of VMs of the wave out of service at once.
--- a/test/wasabiroad/agent/configuration.cpp
+++ b/test/wasabiroad/agent/configuration.cpp
@@ -9,6 +9,9 @@
 
 namespace data = boost::unit_test::data;
 
+/** Time in ms for daemons to adopt a configuration. */
+constexpr std::int64_t adoptionTime = 300;
+
 /** When a queue names the spare pool. */
 struct SpareQueueRow {
     const char* title;
@@ -35,14 +38,14 @@
         site.configure(withSpare, site.pools);
     }
     BOOST_REQUIRE(site.waitForOwner());
-    site.runFor(300);
+    site.runFor(adoptionTime);
     if (!row.fromStart) {
         site.configure(withSpare, site.pools);
-        site.runFor(300);
+        site.runFor(adoptionTime);
     }
     if (row.isRemoved) {
         site.configure(usual, site.pools);
-        site.runFor(300);
+        site.runFor(adoptionTime);
     }
 }
 
@@ -107,7 +110,7 @@
     site.submit(withPool(makeJob("earlier", 3000, 12)));
     BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 12; }));
     site.configure(queues, { { service, false }, { other, true }, { spare, true } });
-    site.runFor(300);
+    site.runFor(adoptionTime);
     site.submit(makeJob("wide", 8000, 24));
     BOOST_TEST(site.runUntil([&] { return site.workers.runningOf(jobs::JobId { "wide" }) == 24; }));
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
@@ -151,7 +154,7 @@
         pools.push_back({ service, false });
     }
     site.configure(queues, pools);
-    site.runFor(200);
+    site.runFor(adoptionTime);
     site.daemons[0]->agent->abandon();
     site.addDaemon();
     BOOST_TEST(site.reaches("waits", jobs::JobState::Completed, 1));
@@ -165,7 +168,7 @@
     BOOST_REQUIRE(site.waitForOwner());
     BOOST_REQUIRE((site.submit(makeJob("earlier", 20000, 2)) == SubmitOutcome { Accepted {} }));
     site.configure(site.queues, { { service, true }, { spare, true } });
-    site.runFor(300);
+    site.runFor(adoptionTime);
     const auto outcome = site.submit(makeJob("later"));
     BOOST_REQUIRE(std::holds_alternative<Rejected>(outcome));
     BOOST_TEST(number(std::get<Rejected>(outcome).code) == number(kernel::ResultCode::NoUpstream));
@@ -173,7 +176,7 @@
     BOOST_TEST((site.state("later") == StateOutcome { NoSuchJob {} }));
     // It is not blocked for later configurations.
     site.configure(site.queues, { { service, false }, { spare, true } });
-    site.runFor(300);
+    site.runFor(adoptionTime);
     BOOST_TEST((site.submit(makeJob("later")) == SubmitOutcome { Accepted {} }));
 }
 
--- a/test/wasabiroad/agent/wave_room.cpp
+++ b/test/wasabiroad/agent/wave_room.cpp
@@ -64,7 +64,8 @@
 /** Guards against VMs that waves withhold without an end from a pool whose tasks cannot move elsewhere. */
 BOOST_DATA_TEST_CASE(waves_return_vms_that_cannot_be_emptied, data::make(shortPoolRows), row)
 {
-    /** Time for which the pool may lack a VM for one drain, in ms. */
+    /** Maximum time in ms for which one drain may withhold a VM: 9 s in a pool that needs VMs, and 3 s for
+     * its removal. */
     constexpr std::int64_t withholdLimit = 12000;
     Site site { 1, 3 };
     BOOST_REQUIRE(site.waitForOwner());
@@ -92,6 +93,28 @@
     BOOST_TEST(site.runUntil([&] { return drains() > 0; }));
 }
 
+/** Guards against a wave that drains the same VM again and again, although it cannot be emptied. */
+BOOST_AUTO_TEST_CASE(wave_turns_to_other_vms_after_a_drain_that_was_given_up)
+{
+    Site site { 1, 3 };
+    BOOST_REQUIRE(site.waitForOwner());
+    const jobs::JobId lasting { "lasting" };
+    site.submit(makeLastingJob(lasting, 4, 3000));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningOf(lasting) == 3; }));
+    std::vector<model::VmId> vms;
+    for (const auto& vm : site.workers.vms()) {
+        vms.push_back(vm.vm);
+    }
+    site.waves.push_back({ model::WaveId { "1" }, 1, vms, { 1000 }, 1 });
+    std::set<std::string> drained;
+    BOOST_TEST(site.runUntil([&] {
+        for (const auto& entry : site.store.list(keys::drainsOf(service)).entries) {
+            drained.insert(entry.key);
+        }
+        return drained.size() >= 2;
+    }));
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
