Log the incarnation and age of the clock reading behind each lease end

Readings of upstreams' clocks move from platform/, which only translates, to UpstreamAgent as ClockReading values; they are aged on the boot clock, as leases are. task-start names the incarnation and the age of the reading, upstream-restarted an answer whose clock is behind it, leases-expired the tasks that are given up. The row of orders.cpp expects the clock of the list as well.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -77,9 +77,6 @@
 /** Interval of updating the members in the scheduler and the record of used upstreams. */
 constexpr Duration membersUpdateInterval { 200 };
 
-/** Upstream clocks may run this much slower than ours; a lease then lasts longer by our clock. */
-constexpr std::int64_t maxClockSlowdownPercent = 2;
-
 /** Upper limit of a task lease: tasks on a lost upstream start elsewhere only after their lease has expired.
  */
 constexpr Duration maxTaskLease { 4000 };
@@ -453,14 +450,17 @@
 
 void PoolAgent::execute(const scheduling::StartTask& order, UpstreamAgent& upstream)
 {
+    const auto& reading = upstream.clockReading();
     kernel::logEvent("task-start",
         { { "task", jobs::toText(order.task) }, { "run", order.run.value },
-            { "upstream", order.upstream.text() }, { "resumes", order.checkpoint.empty() ? "no" : "yes" } });
+            { "upstream", order.upstream.text() }, { "resumes", order.checkpoint.empty() ? "no" : "yes" },
+            { "born", reading ? reading->incarnation.milliseconds : 0 },
+            { "clock_age_ms", reading ? (kernel::bootNow() - reading->received).milliseconds : 0 } });
     this->startCounter.increment();
     this->stallLog->recordStart(kernel::bootNow());
     ++this->startsInFlight;
     const auto permission = [self = shared_from_this()] { return !self->closed && self->mayStartTasks(); };
-    upstream.upstreamLink().start(order, this->term, this->taskLease, permission,
+    upstream.startTask(order, permission,
         [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run](
             const ports::StartOutcome& outcome) {
             --self->startsInFlight;
@@ -469,7 +469,8 @@
             }
             std::visit(
                 kernel::Overloaded {
-                    [&](const scheduling::StartResult& result) {
+                    [&](const ports::StartAnswer& answer) {
+                        const auto result = answer.result;
                         if (result != scheduling::StartResult::Started) {
                             kernel::logEvent("task-not-started",
                                 { { "task", jobs::toText(task) }, { "run", run.value },
@@ -622,6 +623,7 @@
     this->tickTimer.start(tickInterval, [self = shared_from_this()] { self->tick(); });
     this->lastTickAt = kernel::bootNow();
     apply(scheduling::Tick {});
+    logExpiries();
     logReconciled();
     checkUnheard();
     if (kernel::bootNow() - this->membersAppliedAt >= membersUpdateInterval) {
@@ -712,6 +714,22 @@
         this->writingRecordedUpstreams, this->writer->unwrittenCount() };
 }
 
+void PoolAgent::logExpiries()
+{
+    for (const auto& expiry : this->scheduler->takeExpiries()) {
+        const auto agent = this->upstreamAgents.find(expiry.upstream);
+        const auto renewed
+            = agent != this->upstreamAgents.end() ? agent->second->lastRenewalSent() : kernel::Instant {};
+        this->environment.metrics->count("wasabiroad_leases_expired_total",
+            { { "pool", this->service.text() } }, static_cast<double>(expiry.tasks));
+        kernel::logEvent("leases-expired",
+            { { "upstream", expiry.upstream.text() }, { "pool", this->service.text() },
+                { "term", this->term.value }, { "born", expiry.born.milliseconds }, { "tasks", expiry.tasks },
+                { "list_age_ms", expiry.sinceList.milliseconds },
+                { "renewed_ms", (kernel::bootNow() - renewed).milliseconds } });
+    }
+}
+
 void PoolAgent::logReconciled()
 {
     const auto count = this->scheduler->unreconciledCount();
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -122,6 +122,8 @@
     void acknowledge(const TaskEnds& ends);
     void tick();
     OwnerState ownerState(scheduling::Moment at) const;
+    /** @brief Logs upstreams whose tasks count as ended since their leases have expired. */
+    void logExpiries();
     /** @brief Logs when all upstreams with tasks of the previous owner have been reconciled. */
     void logReconciled();
     void publishReport();
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -54,8 +54,10 @@
     const auto wait = this->callbacks.needsFrequentPolling(this->upstream.id) ? frequentPollWait : pollWait;
     // After a missed answer another incarnation may answer, whose ends have the same numbers.
     const auto acknowledged = this->answering ? this->lastRecorded : 0;
-    this->link->look({ this->term, acknowledged, renews ? std::optional { this->taskLease } : std::nullopt,
-                         this->answering ? wait : Duration {} },
+    const auto end = renews && this->reading
+        ? std::optional { leaseEnd(*this->reading, this->taskLease, sent) }
+        : std::nullopt;
+    this->link->look({ this->term, acknowledged, end, this->answering ? wait : Duration {} },
         [self = shared_from_this(), sent](const ports::LookOutcome& outcome) {
             if (!self->closed) {
                 self->onOutcome(outcome, sent);
@@ -77,14 +79,21 @@
 void UpstreamAgent::onTasks(const ports::Tasks& tasks, kernel::Instant sent)
 {
     if (tasks.born != this->born) {
+        if (this->answering) {
+            logRestart("list", tasks.clock);
+        }
         this->born = tasks.born;
         this->lastListed = 0;
         this->lastRecorded = 0;
     }
+    if (tasks.clock) {
+        this->reading.emplace(ClockReading { tasks.born, *tasks.clock, kernel::bootNow() });
+    }
     const bool first = !this->answering;
     if (first) {
         kernel::logEvent("upstream-reached",
             { { "upstream", this->upstream.id.text() }, { "born", tasks.born.milliseconds },
+                { "clock_ms", tasks.clock.value_or(ports::UpstreamTime {}).milliseconds },
                 { "running", tasks.running.size() }, { "ended", tasks.ended.size() },
                 { "more_ends", tasks.moreEnds ? "yes" : "no" }, { "term", this->term.value } });
     }
@@ -111,7 +120,8 @@
     if (this->answering) {
         kernel::logEvent("upstream-silent",
             { { "upstream", this->upstream.id.text() }, { "code", number(error.code) },
-                { "reason", error.found } });
+                { "reason", error.found }, { "born", this->born.milliseconds },
+                { "renewed_ms", (kernel::bootNow() - this->lastRenewal).milliseconds } });
     }
     this->answering = false;
     kernel::runIsolated({ "chain", "upstream" },
@@ -122,6 +132,43 @@
     this->timer.start(retryInterval, [self = shared_from_this()] { self->poll(); });
 }
 
+void UpstreamAgent::startTask(const scheduling::StartTask& order, ports::Permission permission,
+    store::Callback<ports::StartOutcome> callback)
+{
+    if (!this->reading) {
+        callback(ports::StartAnswer { scheduling::StartResult::NotSent });
+        return;
+    }
+    const auto sent = kernel::bootNow();
+    this->link->start(order, this->term, leaseEnd(*this->reading, this->taskLease, sent),
+        std::move(permission),
+        [self = shared_from_this(), used = *this->reading, sent, callback = std::move(callback)](
+            const ports::StartOutcome& outcome) {
+            self->checkIncarnation(outcome, used, sent);
+            callback(outcome);
+        });
+}
+
+void UpstreamAgent::checkIncarnation(
+    const ports::StartOutcome& outcome, const ClockReading& used, kernel::Instant sent)
+{
+    const auto* const answer = std::get_if<ports::StartAnswer>(&outcome);
+    if (answer != nullptr && answer->clock && isRestarted(used, *answer->clock, sent)) {
+        logRestart("start", answer->clock);
+    }
+}
+
+void UpstreamAgent::logRestart(const char* seenBy, std::optional<ports::UpstreamTime> clock) const
+{
+    const auto now = kernel::bootNow();
+    const auto expected = this->reading ? leaseEnd(*this->reading, {}, now) : ports::UpstreamTime {};
+    kernel::logEvent("upstream-restarted",
+        { { "upstream", this->upstream.id.text() }, { "seen_by", seenBy },
+            { "former_born", this->born.milliseconds }, { "expected_clock_ms", expected.milliseconds },
+            { "clock_ms", clock.value_or(ports::UpstreamTime {}).milliseconds },
+            { "clock_age_ms", this->reading ? (now - this->reading->received).milliseconds : 0 } });
+}
+
 void UpstreamAgent::acknowledge(kernel::Instant incarnation, std::uint64_t number)
 {
     if (incarnation != this->born) {
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "wasabiroad/agent/upstream_clock.hpp"
 #include "wasabiroad/kernel/timer.hpp"
-#include "wasabiroad/ports/upstreams.hpp"
 
 #include <functional>
 #include <memory>
@@ -41,6 +41,19 @@
     const scheduling::UpstreamFacts& facts() const { return this->upstream; }
     const ports::UpstreamLink& upstreamLink() const { return *this->link; }
 
+    /**
+     * @brief Sends a start with a lease that ends on the upstream's clock.
+     * @param order Order to send.
+     * @param permission Asked right before the order is written to its connection.
+     * @param callback Receives the outcome, also after `close`; the result is NotSent while the clock of the
+     * upstream is not known.
+     */
+    void startTask(const scheduling::StartTask& order, ports::Permission permission,
+        store::Callback<ports::StartOutcome> callback);
+
+    /** @return Latest reading of the upstream's clock, or nothing before the first one. */
+    const std::optional<ClockReading>& clockReading() const { return this->reading; }
+
     /** @return Boot clock time at which the last call that renews leases was sent. */
     kernel::Instant lastRenewalSent() const { return this->lastRenewal; }
 
@@ -61,6 +74,11 @@
     void onOutcome(const ports::LookOutcome& outcome, kernel::Instant sent);
     void onTasks(const ports::Tasks& tasks, kernel::Instant sent);
     void onError(const kernel::Error& error);
+    /** @brief Compares the clock of an answer to a start with the reading of which its lease end was
+     * computed.
+     */
+    void checkIncarnation(const ports::StartOutcome& outcome, const ClockReading& used, kernel::Instant sent);
+    void logRestart(const char* seenBy, std::optional<ports::UpstreamTime> clock) const;
 
     const std::shared_ptr<const ports::UpstreamLink> link;
     const scheduling::UpstreamFacts upstream;
@@ -74,6 +92,7 @@
     kernel::Instant born {};
     kernel::Instant lastRenewal {};
     std::optional<kernel::Instant> firstAnswer {};
+    std::optional<ClockReading> reading {};
     std::uint64_t lastListed { 0 };
     std::uint64_t lastRecorded { 0 };
 };
--- a/src/wasabiroad/ports/upstreams.hpp
+++ b/src/wasabiroad/ports/upstreams.hpp
@@ -17,13 +17,20 @@
     friend auto operator<=>(const Term&, const Term&) = default;
 };
 
+/** @brief Time on the clock of one incarnation of an upstream, in ms; each incarnation has its own clock. */
+struct UpstreamTime {
+    std::int64_t milliseconds { 0 };
+
+    friend auto operator<=>(const UpstreamTime&, const UpstreamTime&) = default;
+};
+
 /** @brief Asks an upstream for its tasks and renews their lease. */
 struct Look {
     const Term term {};
     /** @brief Ends up to this number are recorded; the upstream may forget them. */
     const std::uint64_t acknowledged { 0 };
-    /** @brief New lease of all tasks there; nothing leaves it as it is. */
-    const std::optional<kernel::Duration> lease {};
+    /** @brief New end of the lease of all tasks there; nothing leaves it as it is. */
+    const std::optional<UpstreamTime> leaseEnd {};
     /** @brief The upstream may wait this long for an end of a task. */
     const kernel::Duration wait {};
 
@@ -38,6 +45,8 @@
     const std::vector<scheduling::EndedTask> ended {};
     /** @brief The list of ends is truncated; the others are listed once these are acknowledged. */
     const bool moreEnds { false };
+    /** @brief The upstream's clock as it answered. */
+    const std::optional<UpstreamTime> clock {};
 
     friend bool operator==(const Tasks&, const Tasks&) = default;
 };
@@ -52,8 +61,17 @@
     friend auto operator<=>(const OtherUpstream&, const OtherUpstream&) = default;
 };
 
+/** @brief How a start order ended. */
+struct StartAnswer {
+    const scheduling::StartResult result { scheduling::StartResult::Unknown };
+    /** @brief The upstream's clock as it answered; nothing without an answer. */
+    const std::optional<UpstreamTime> clock {};
+
+    friend auto operator<=>(const StartAnswer&, const StartAnswer&) = default;
+};
+
 using LookOutcome = std::variant<Tasks, Superseded, OtherUpstream, kernel::Error>;
-using StartOutcome = std::variant<scheduling::StartResult, Superseded, OtherUpstream>;
+using StartOutcome = std::variant<StartAnswer, Superseded, OtherUpstream>;
 /** @brief True when the upstream has answered. */
 using OrderOutcome = std::variant<bool, Superseded, OtherUpstream>;
 
@@ -64,7 +82,7 @@
 struct UpstreamLink {
     const std::function<void(Look, store::Callback<LookOutcome>)> look;
     const std::function<void(
-        scheduling::StartTask, Term, kernel::Duration lease, Permission, store::Callback<StartOutcome>)>
+        scheduling::StartTask, Term, UpstreamTime leaseEnd, Permission, store::Callback<StartOutcome>)>
         start;
     const std::function<void(scheduling::StopTask, Term, store::Callback<OrderOutcome>)> stop;
     const std::function<void(scheduling::PaceTask, Term, store::Callback<OrderOutcome>)> pace;
--- a/src/wasabiroad/scheduling/event.hpp
+++ b/src/wasabiroad/scheduling/event.hpp
@@ -239,6 +239,19 @@
 
 using Order = std::variant<StartTask, StopTask, PaceTask>;
 
+/** @brief Tasks of an upstream that does not answer count as ended, since their lease has expired by the
+ * owner's estimate; for the log. */
+struct LeaseExpiry {
+    const UpstreamId upstream {};
+    /** @brief The incarnation that listed its tasks last. */
+    const kernel::Instant born {};
+    const std::size_t tasks { 0 };
+    /** @brief Time since the call for its last list was sent. */
+    const kernel::Duration sinceList {};
+
+    friend auto operator<=>(const LeaseExpiry&, const LeaseExpiry&) = default;
+};
+
 /** @brief A record that has to be written. */
 struct RecordChange {
     const jobs::JobId job {};
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -626,6 +626,9 @@
         }
     }
     for (const auto& id : lapsed) {
+        const auto& upstream = this->upstreams.at(id);
+        this->expiries.push_back(
+            { id, upstream.born, upstream.tasks.size(), now.steady - upstream.listedAt });
         releaseAll(id, now);
     }
     // Drops upstreams that are not known any more, once no call from before the end of their drain can be
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -51,6 +51,9 @@
     /** @return Job records that changed since the last call and have to be written. */
     std::vector<RecordChange> takeChanges();
 
+    /** @return Upstreams whose leases expired since the last call. */
+    std::vector<LeaseExpiry> takeExpiries() { return std::exchange(this->expiries, {}); }
+
     /** @return Whether an unwritten record ends a job; a caller may be waiting for it. */
     bool hasUrgentChange() const { return this->urgent; }
 
@@ -269,6 +272,7 @@
     std::map<UpstreamId, Upstream> upstreams {};
     std::set<jobs::JobId> changed {};
     std::vector<Order> orders {};
+    std::vector<LeaseExpiry> expiries {};
     /** @brief Occurrences and upstreams whose index entries may be out of date. */
     std::set<std::pair<jobs::JobId, std::uint32_t>> dirtySteps {};
     std::set<UpstreamId> dirtyUpstreams {};
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -21,6 +21,10 @@
 constexpr Duration usualDownTime { 400 };
 constexpr Duration endInterval { 10 };
 
+/** Time for which an upstream has run when it is added: its clock is ahead of those of later incarnations by
+ * more than the longest lease. */
+constexpr Duration ageOfFirstLife { 100000 };
+
 /** Tasks that run for longer are long-running ones: these are at work, with a progress of 100, at once. */
 constexpr Duration longRunTime { 1000000 };
 constexpr std::int64_t usualPercent = 50;
@@ -50,6 +54,7 @@
         .cpu = cpu,
         .id = UpstreamId { name + "-" + std::to_string(life) },
         .born = static_cast<std::int64_t>(life),
+        .started = now() - ageOfFirstLife,
         .switchedOff = this->sparePools.contains(service) });
 }
 
@@ -136,6 +141,18 @@
     worker.fence = 0;
     worker.leaseEnd = {};
     worker.born = static_cast<std::int64_t>(++this->lives);
+    worker.started = now();
+}
+
+ports::UpstreamTime Workers::clockOf(const Worker& worker)
+{
+    return { (now() - worker.started).milliseconds };
+}
+
+void Workers::extendLease(Worker& worker, ports::UpstreamTime end) const
+{
+    const Duration wanted { end.milliseconds - clockOf(worker).milliseconds };
+    worker.leaseEnd = std::max(worker.leaseEnd, now() + std::min(wanted, this->maxLease));
 }
 
 void Workers::crash(const std::string& name) { lose(*std::ranges::find(this->workers, name, &Worker::name)); }
@@ -269,8 +286,8 @@
         return ports::Superseded {};
     }
     worker->fence = look.term.value;
-    if (look.lease) {
-        worker->leaseEnd = std::max(worker->leaseEnd, now() + *look.lease);
+    if (look.leaseEnd) {
+        extendLease(*worker, *look.leaseEnd);
     }
     worker->ends.erase(worker->ends.begin(), worker->ends.upper_bound(look.acknowledged));
     std::vector<scheduling::RunningTask> running;
@@ -285,27 +302,34 @@
         }
     }
     const bool mayHaveMore = ended.size() >= this->endsPerList;
-    return ports::Tasks { { worker->born }, std::move(running), std::move(ended), mayHaveMore };
+    return ports::Tasks { { worker->born }, std::move(running), std::move(ended), mayHaveMore,
+        clockOf(*worker) };
 }
 
-ports::StartOutcome Workers::start(const scheduling::StartTask& order, ports::Term term, Duration lease)
+ports::StartOutcome Workers::start(
+    const scheduling::StartTask& order, ports::Term term, ports::UpstreamTime leaseEnd)
 {
     auto* const worker = find(order.upstream);
     if (worker == nullptr) {
         this->departedStarts.push_back(order.upstream);
-        return StartResult::Unknown;
+        return ports::StartAnswer { StartResult::Unknown };
     }
+    const auto answer = [&](StartResult result) { return ports::StartAnswer { result, clockOf(*worker) }; };
     advance(*worker);
     if (term.value < worker->fence) {
         return ports::Superseded {};
     }
     worker->fence = term.value;
     if (worker->running.contains(order.task)) {
-        return worker->running.at(order.task).run == order.run ? StartResult::Started : StartResult::StaleRun;
+        return answer(
+            worker->running.at(order.task).run == order.run ? StartResult::Started : StartResult::StaleRun);
     }
     const auto closed = worker->closedRuns.find(order.task);
     if (closed != worker->closedRuns.end() && order.run <= closed->second) {
-        return StartResult::StaleRun;
+        return answer(StartResult::StaleRun);
+    }
+    if (leaseEnd <= clockOf(*worker)) {
+        return answer(StartResult::Refused);
     }
     for (auto& other : this->workers) {
         advance(other);
@@ -316,10 +340,10 @@
     if (isDone(order.task)) {
         this->faults.push_back("start after the end of " + jobs::toText(order.task));
     }
-    worker->leaseEnd = std::max(worker->leaseEnd, now() + lease);
+    extendLease(*worker, leaseEnd);
     worker->running[order.task] = { order.run, now() + runTime(order.payload) };
     ++this->starts[order.task.job];
-    return StartResult::Started;
+    return answer(StartResult::Started);
 }
 
 ports::OrderOutcome Workers::stop(const scheduling::StopTask& order, ports::Term term)
@@ -390,18 +414,25 @@
                     });
                 },
             .start =
-                [this, isCut](const scheduling::StartTask& order, ports::Term term, Duration lease,
-                    const ports::Permission& permission,
+                [this, isCut, workerFaults](const scheduling::StartTask& order, ports::Term term,
+                    ports::UpstreamTime leaseEnd, const ports::Permission& permission,
                     const store::Callback<ports::StartOutcome>& callback) {
                     if (isCut(order.upstream)) {
-                        kernel::callLater(
-                            this->context, silence, [callback] { callback(StartResult::Unknown); });
+                        kernel::callLater(this->context, silence,
+                            [callback] { callback(ports::StartAnswer { StartResult::Unknown }); });
                         return;
                     }
-                    kernel::callLater(
-                        this->context, latency, [this, order, term, lease, permission, callback] {
-                            callback(permission() ? start(order, term, lease)
-                                                  : ports::StartOutcome { StartResult::NotTried });
+                    kernel::callLater(this->context, latency,
+                        [this, workerFaults, order, term, leaseEnd, permission, callback] {
+                            const ports::StartOutcome outcome = permission()
+                                ? start(order, term, leaseEnd)
+                                : ports::StartAnswer { StartResult::NotTried };
+                            if (workerFaults->losesStartAnswers) {
+                                kernel::callLater(this->context, silence,
+                                    [callback] { callback(ports::StartAnswer { StartResult::Unknown }); });
+                                return;
+                            }
+                            callback(outcome);
                         });
                 },
             .stop =
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -22,6 +22,8 @@
     std::set<scheduling::UpstreamId> cut {};
     /** @brief Upstreams whose calls are answered by another upstream. */
     std::set<scheduling::UpstreamId> misdirected {};
+    /** @brief Starts are carried out and not answered. */
+    bool losesStartAnswers { false };
 };
 
 /**
@@ -69,6 +71,9 @@
     /** @brief Sets the time within which orders of two daemons to one VM break a promise. */
     void setOrderGap(kernel::Duration gap) { this->orderGap = gap; }
 
+    /** @brief Sets the longest lease that an upstream grants. */
+    void setMaxLease(kernel::Duration lease) { this->maxLease = lease; }
+
     /** @brief Sets how many ends an upstream lists at a time. */
     void setEndsPerList(std::size_t count) { this->endsPerList = count; }
 
@@ -132,6 +137,8 @@
         std::int64_t cpu { 0 };
         scheduling::UpstreamId id {};
         std::int64_t born { 0 };
+        /** @brief When its clock was 0. */
+        kernel::Instant started {};
         bool up { true };
         bool inMaintenance { false };
         bool poweredOff { false };
@@ -171,7 +178,11 @@
     void lose(Worker& worker);
     void end(Worker& worker, const jobs::TaskId& task, scheduling::EndKind kind);
     ports::LookOutcome look(const scheduling::UpstreamId& id, const ports::Look& look);
-    ports::StartOutcome start(const scheduling::StartTask& order, ports::Term term, kernel::Duration lease);
+    ports::StartOutcome start(
+        const scheduling::StartTask& order, ports::Term term, ports::UpstreamTime leaseEnd);
+    static ports::UpstreamTime clockOf(const Worker& worker);
+    /** @brief Extends the lease of all tasks of an upstream, which grants `maxLease` at most. */
+    void extendLease(Worker& worker, ports::UpstreamTime end) const;
     ports::OrderOutcome stop(const scheduling::StopTask& order, ports::Term term);
     void waitForEnd(const scheduling::UpstreamId& id, const ports::Look& look, kernel::Instant until,
         store::Callback<ports::LookOutcome> callback);
@@ -193,6 +204,7 @@
     kernel::Duration departedListed {};
     kernel::Duration departedSilent {};
     std::size_t endsPerList { 500 };
+    kernel::Duration maxLease { 6000 };
     std::uint64_t lives { 0 };
 };
 
--- a/test/platform/orders.cpp
+++ b/test/platform/orders.cpp
@@ -45,8 +45,8 @@
         == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"fencingToken":7})");
     BOOST_TEST(encodePace({ upstream, task, { 2 }, 40 }, { 7 })
         == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"percent":40,"fencingToken":7})");
-    BOOST_TEST(encodeLook({ { 7 }, 57, {}, {} }, std::nullopt) == R"({"fencingToken":7,"ackedUpto":57})");
-    BOOST_TEST(encodeLook({ { 7 }, 57, {}, { 1000 } }, UpstreamTime { 486000 })
+    BOOST_TEST(encodeLook({ { 7 }, 57, {}, {} }) == R"({"fencingToken":7,"ackedUpto":57})");
+    BOOST_TEST(encodeLook({ { 7 }, 57, ports::UpstreamTime { 486000 }, { 1000 } })
         == R"({"fencingToken":7,"ackedUpto":57,"untilMs":486000,"waitMs":1000})");
 }
 
@@ -59,12 +59,12 @@
     };
     const auto tasks = decodeTasks(answer);
     const ports::Tasks expected { { 9 }, { { task, { 2 }, "c", 41, 12 } },
-        { { 58, task, { 1 }, EndKind::LeaseExpired, "" } } };
+        { { 58, task, { 1 }, EndKind::LeaseExpired, "" } }, false, ports::UpstreamTime { 482113 } };
     BOOST_REQUIRE(tasks.has_value());
     BOOST_TEST((*tasks == expected));
-    BOOST_TEST((decodeClock(answer) == UpstreamTime { 482113 }));
+    BOOST_TEST((decodeClock(answer) == ports::UpstreamTime { 482113 }));
     BOOST_TEST(!decodeTasks(Document { "odd" }).has_value());
-    BOOST_TEST((decodeClock(Document { R"({"clockMs":482113})" }) == UpstreamTime { 482113 }));
+    BOOST_TEST((decodeClock(Document { R"({"clockMs":482113})" }) == ports::UpstreamTime { 482113 }));
     BOOST_TEST(!decodeClock(Document { "{}" }).has_value());
     BOOST_TEST(!decodeClock(Document { R"({"clockMs":9223372036854775807})" }).has_value());
     BOOST_TEST(!decodeClock(Document { R"({"clockMs":-1})" }).has_value());
--- a/test/platform/upstream_client.cpp
+++ b/test/platform/upstream_client.cpp
@@ -40,12 +40,11 @@
     BOOST_REQUIRE(link);
     constexpr std::size_t starts = 5;
     std::vector<ports::StartOutcome> outcomes;
-    // The list of tasks contains the clock of the upstream, without which no start is sent.
     (*link)->look({ { 1 } }, [&](const ports::LookOutcome&) {
         for (std::uint32_t index = 0; index < starts; ++index) {
             const scheduling::StartTask order { id, { jobs::JobId { "a" }, { 0, 0, index } }, { 1 }, "", "" };
             (*link)->start(
-                order, { 1 }, { 1000 }, [&] { return permitted; },
+                order, { 1 }, ports::UpstreamTime { 1000 }, [&] { return permitted; },
                 [&](const ports::StartOutcome& outcome) {
                     outcomes.push_back(outcome);
                     if (outcomes.size() == starts) {
@@ -57,8 +56,11 @@
     context.run_for(std::chrono::seconds { 20 });
     BOOST_REQUIRE_EQUAL(outcomes.size(), starts);
     BOOST_TEST(sent == 1U);
-    BOOST_TEST(std::ranges::count(outcomes, ports::StartOutcome { StartResult::Started }) == 1);
-    BOOST_TEST(std::ranges::count(outcomes, ports::StartOutcome { StartResult::NotTried }) == starts - 1);
+    const ports::StartOutcome started { ports::StartAnswer {
+        StartResult::Started, ports::UpstreamTime { 1 } } };
+    const ports::StartOutcome notTried { ports::StartAnswer { StartResult::NotTried } };
+    BOOST_TEST(std::ranges::count(outcomes, started) == 1);
+    BOOST_TEST(std::ranges::count(outcomes, notTried) == starts - 1);
 }
 
 } // namespace
