--- /dev/null
+++ b/test/wasabiroad/agent/restarted_upstream.cpp
@@ -0,0 +1,81 @@
+#include "wasabiroad/agent/keys.hpp"
+#include "wasabiroad/agent/site.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace wasabiroad::agent::test {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+using scheduling::UpstreamId;
+
+/** Time in ms for which calls to an earlier incarnation wait; longer than it takes to start tasks on the
+ * next. */
+constexpr kernel::Duration silentFor { 2300 };
+
+void cutOff(Site& site, const UpstreamId& lost)
+{
+    for (const auto& daemon : site.daemons) {
+        daemon->workerFaults->cut.insert(lost);
+    }
+}
+
+/** What happens after tasks have started on an upstream whose restart has not been noticed. */
+struct Row {
+    const char* title;
+    const kernel::Duration longestLease;
+    /** @brief The starts are carried out and not answered. */
+    const bool losesAnswers;
+    const std::function<void(Site&, const UpstreamId&)> trouble;
+
+    friend std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.title; }
+};
+
+const std::vector<Row> rows {
+    { "it is cut off", { 6000 }, false, cutOff },
+    { "it is cut off, and the starts were not answered", { 6000 }, true, cutOff },
+    { "it is cut off, and the owner stops", { 6000 }, false,
+        [](Site& site, const auto& lost) {
+            cutOff(site, lost);
+            site.daemons[*site.owner()]->agent->stop([] {});
+        } },
+    { "it is cut off, and the owner crashes", { 10000 }, false,
+        [](Site& site, const auto& lost) {
+            cutOff(site, lost);
+            site.daemons[*site.owner()]->agent->abandon();
+        } },
+};
+
+/** Guards against tasks that run twice since a restarted upstream grants them a longer lease than was asked
+ * for. */
+BOOST_DATA_TEST_CASE(tasks_on_a_restarted_upstream_run_once, data::make(rows), row)
+{
+    Site site { 2, 3, { 100 }, row.longestLease };
+    site.workers.setDeparture({}, silentFor);
+    BOOST_REQUIRE(site.runUntil([&] {
+        const auto entry = site.store.find(keys::usedUpstreams(service));
+        return entry && jobs::decodeUpstreams(entry->value).value_or(std::vector<std::string> {}).size() == 3;
+    }));
+    for (const auto* const name : { "vm0", "vm1", "vm2" }) {
+        site.workers.crash(name);
+    }
+    for (const auto& daemon : site.daemons) {
+        daemon->workerFaults->losesStartAnswers = row.losesAnswers;
+    }
+    site.submit(makeJob("a", 15000, 4));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 4; }));
+    site.runFor(50);
+    row.trouble(site, site.workers.busiest());
+    for (const auto& daemon : site.daemons) {
+        daemon->workerFaults->losesStartAnswers = false;
+    }
+    BOOST_TEST(site.runUntil([&] { return site.workers.startsOf(jobs::JobId { "a" }) > 4; }));
+    site.runFor(1000);
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
+} // namespace
+
+} // namespace wasabiroad::agent::test
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -71,12 +71,15 @@
         JobApi jobApi;
     };
 
-    explicit Site(std::size_t daemons, std::size_t upstreams = 4, kernel::Duration gapBetweenOrders = { 100 })
+    explicit Site(std::size_t daemons, std::size_t upstreams = 4, kernel::Duration gapBetweenOrders = { 100 },
+        kernel::Duration longest = { 6000 })
         : orderGap(gapBetweenOrders)
+        , longestLease(longest)
         , store(context)
         , workers(context)
     {
         this->workers.setOrderGap(this->orderGap);
+        this->workers.setMaxLease(this->longestLease);
         this->workers.setSparePools({ spare });
         for (std::size_t index = 0; index < upstreams; ++index) {
             this->workers.add("vm" + std::to_string(index), service, 4000);
@@ -102,9 +105,11 @@
     {
         const auto number = this->daemons.size();
         auto daemon = std::make_unique<Daemon>();
-        const settings::FleetAccess access {
-            .readiness = {}, .vms = {}, .advice = {}, .orderGap = this->orderGap
-        };
+        const settings::FleetAccess access { .readiness = {},
+            .vms = {},
+            .advice = {},
+            .taskLease = this->longestLease,
+            .orderGap = this->orderGap };
         auto agent = std::make_shared<Agent>(AgentContext {
             .context = this->context,
             .entry = model::EntryId { "entry-" + std::to_string(number) },
@@ -213,6 +218,8 @@
     }
 
     const kernel::Duration orderGap;
+    /** @brief Longest lease that upstreams grant. */
+    const kernel::Duration longestLease;
     boost::asio::io_context context { 1 };
     standin::KeyValue store;
     standin::Workers workers;
