Count on the longest lease where a restarted upstream may have granted it

A start can reach the next incarnation before its first list, on whose clock that end lies far ahead, so it grants its longest lease, 6 or 10 s by site. The owner counted on 4.48 s for each call, and so did a hand-over and the next owner. change: a start counts as carried out by the incarnation that was read only if that incarnation lists the run, or if the clock of the answer fits the reading; only such tasks are given up after the lease that was asked for. The others are given up after the longest lease of the site (Policy::maxGrantedLease), and so are those of an upstream whose list shows a restart, as a lease is never shortened. An answer with a clock that is behind ends starts, renewals and acknowledgements until the next list.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -81,17 +81,34 @@
  */
 constexpr Duration maxTaskLease { 4000 };
 
-/** Margin for the delivery of the call that renews a lease, since the lease starts on arrival. */
+/** Margin for the delivery of the call that renews a lease, and for the age of the clock reading. */
 constexpr Duration leaseDeliveryMargin { 400 };
 
-scheduling::Policy makePolicy(Duration taskLease)
+/** Time in ms from an order until it is given up; it can be carried out until then. */
+constexpr Duration orderTime { 800 };
+
+/** @return Length of a lease by our clock if the clock of the upstream is as slow as it may be. */
+Duration onSlowestClock(Duration lease)
 {
-    const Duration maxLeaseDuration { taskLease.milliseconds
-        + taskLease.milliseconds * maxClockSlowdownPercent / 100 + leaseDeliveryMargin.milliseconds };
-    // The previous owner may stay active for its lease lifetime plus the grace period, see Duties.
+    constexpr std::int64_t percent = 100;
+    return { lease.milliseconds * percent / (percent - maxClockSlowdownPercent) };
+}
+
+/**
+ * @param taskLease Lease that is asked for.
+ * @param longestLease Longest lease that an upstream grants.
+ */
+scheduling::Policy makePolicy(Duration taskLease, Duration longestLease)
+{
+    const auto maxLeaseDuration = onSlowestClock(taskLease) + leaseDeliveryMargin;
+    // A lease whose end is on the clock of another incarnation begins when the order is carried out.
+    const auto maxGrantedLease = onSlowestClock(longestLease) + leaseDeliveryMargin + orderTime;
+    // The previous owner may stay active for its lease lifetime plus the grace period, see Duties. It renews
+    // leases in that time and starts nothing.
     constexpr Duration previousOwnerActivity { 3000 };
     return { .maxLeaseDuration = maxLeaseDuration,
-        .takeoverTimeout = maxLeaseDuration + previousOwnerActivity };
+        .maxGrantedLease = maxGrantedLease,
+        .takeoverTimeout = std::max(maxLeaseDuration + previousOwnerActivity, maxGrantedLease) };
 }
 
 /** @return Whether two reports differ at most in their revision. */
@@ -245,7 +262,8 @@
     for (const auto& [id, left] : used.leaseLeft) {
         leaseLeft.emplace(UpstreamId { id }, left);
     }
-    this->scheduler.emplace(makePolicy(this->taskLease), this->term.value, now(), ids, leaseLeft);
+    this->scheduler.emplace(
+        makePolicy(this->taskLease, this->environment.taskLease), this->term.value, now(), ids, leaseLeft);
     this->unreconciled = ids.size();
     this->stallLog.emplace(this->service, this->environment.metrics, this->termStartedAt);
     addJobs(pool, progress, true);
@@ -462,7 +480,7 @@
     const auto permission = [self = shared_from_this()] { return !self->closed && self->mayStartTasks(); };
     upstream.startTask(order, permission,
         [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run](
-            const ports::StartOutcome& outcome) {
+            const StartReport& report) {
             --self->startsInFlight;
             if (self->closed) {
                 return;
@@ -476,12 +494,12 @@
                                 { { "task", jobs::toText(task) }, { "run", run.value },
                                     { "upstream", id.text() }, { "result", scheduling::name(result) } });
                         }
-                        self->apply(scheduling::StartAnswered { id, task, run, result });
+                        self->apply(scheduling::StartAnswered { id, task, run, result, report.restarted });
                     },
                     [&](const ports::Superseded&) { self->onSuperseded(); },
                     [&](const ports::OtherUpstream&) { self->onUpstreamReplaced(id); },
                 },
-                outcome);
+                report.outcome);
         });
 }
 
@@ -725,6 +743,7 @@
         kernel::logEvent("leases-expired",
             { { "upstream", expiry.upstream.text() }, { "pool", this->service.text() },
                 { "term", this->term.value }, { "born", expiry.born.milliseconds }, { "tasks", expiry.tasks },
+                { "left", expiry.left }, { "granted_ms", expiry.sinceGrant.milliseconds },
                 { "list_age_ms", expiry.sinceList.milliseconds },
                 { "renewed_ms", (kernel::bootNow() - renewed).milliseconds } });
     }
@@ -1043,14 +1062,10 @@
     const auto at = now();
     std::map<std::string, Duration> leaseLeft;
     for (const auto& id : ids) {
-        auto left = this->scheduler->leaseLeft(UpstreamId { id }, at);
-        if (const auto agent = this->upstreamAgents.find(UpstreamId { id });
-            agent != this->upstreamAgents.end()) {
-            const auto renewed
-                = agent->second->lastRenewalSent() + makePolicy(this->taskLease).maxLeaseDuration;
-            left = std::max(left, renewed - at.steady);
-        }
-        leaseLeft.emplace(id, left);
+        const auto agent = this->upstreamAgents.find(UpstreamId { id });
+        const auto lastRenewal
+            = agent != this->upstreamAgents.end() ? agent->second->lastRenewalSent() : kernel::Instant {};
+        leaseLeft.emplace(id, this->scheduler->leaseLeft(UpstreamId { id }, lastRenewal, at));
     }
     this->writer->replace({ keys::usedUpstreams(this->service),
                               jobs::encode(jobs::UsedUpstreams { { ids.begin(), ids.end() }, leaseLeft }) },
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -78,6 +78,10 @@
 
 void UpstreamAgent::onTasks(const ports::Tasks& tasks, kernel::Instant sent)
 {
+    if (tasks.born == this->born && sent < this->restartSeen) {
+        this->timer.start({}, [self = shared_from_this()] { self->poll(); });
+        return;
+    }
     if (tasks.born != this->born) {
         if (this->answering) {
             logRestart("list", tasks.clock);
@@ -132,11 +136,11 @@
     this->timer.start(retryInterval, [self = shared_from_this()] { self->poll(); });
 }
 
-void UpstreamAgent::startTask(const scheduling::StartTask& order, ports::Permission permission,
-    store::Callback<ports::StartOutcome> callback)
+void UpstreamAgent::startTask(
+    const scheduling::StartTask& order, ports::Permission permission, store::Callback<StartReport> callback)
 {
     if (!this->reading) {
-        callback(ports::StartAnswer { scheduling::StartResult::NotSent });
+        callback({ ports::StartAnswer { scheduling::StartResult::NotSent } });
         return;
     }
     const auto sent = kernel::bootNow();
@@ -144,18 +148,24 @@
         std::move(permission),
         [self = shared_from_this(), used = *this->reading, sent, callback = std::move(callback)](
             const ports::StartOutcome& outcome) {
-            self->checkIncarnation(outcome, used, sent);
-            callback(outcome);
+            const auto* const answer = std::get_if<ports::StartAnswer>(&outcome);
+            const bool restarted
+                = answer != nullptr && answer->clock && isRestarted(used, *answer->clock, sent);
+            if (restarted && self->reading && self->reading->incarnation == used.incarnation) {
+                self->onRestart(*answer->clock);
+            }
+            callback({ outcome, restarted });
         });
 }
 
-void UpstreamAgent::checkIncarnation(
-    const ports::StartOutcome& outcome, const ClockReading& used, kernel::Instant sent)
+void UpstreamAgent::onRestart(ports::UpstreamTime clock)
 {
-    const auto* const answer = std::get_if<ports::StartAnswer>(&outcome);
-    if (answer != nullptr && answer->clock && isRestarted(used, *answer->clock, sent)) {
-        logRestart("start", answer->clock);
-    }
+    logRestart("start", clock);
+    this->reading.reset();
+    this->answering = false;
+    this->restartSeen = kernel::bootNow();
+    kernel::runIsolated({ "chain", "upstream" },
+        [&] { this->callbacks.onUnresponsive(this->upstream.id, this->lastRenewal); });
 }
 
 void UpstreamAgent::logRestart(const char* seenBy, std::optional<ports::UpstreamTime> clock) const
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -22,6 +22,16 @@
     const std::function<bool(const scheduling::UpstreamId&)> needsFrequentPolling;
 };
 
+/** @brief How a start ended, and whether it has shown a restart of the upstream. */
+struct StartReport {
+    const ports::StartOutcome outcome;
+    /** @brief Another incarnation has answered than the one on whose clock the end of the lease was computed.
+     */
+    const bool restarted { false };
+
+    friend bool operator==(const StartReport&, const StartReport&) = default;
+};
+
 /** @brief Polls the tasks of one upstream, renews their leases and acknowledges their ends. */
 class UpstreamAgent : public std::enable_shared_from_this<UpstreamAgent> {
 public:
@@ -49,9 +59,9 @@
      * upstream is not known.
      */
     void startTask(const scheduling::StartTask& order, ports::Permission permission,
-        store::Callback<ports::StartOutcome> callback);
+        store::Callback<StartReport> callback);
 
-    /** @return Latest reading of the upstream's clock, or nothing before the first one. */
+    /** @return Latest reading of the upstream's clock, or nothing while its incarnation is not known. */
     const std::optional<ClockReading>& clockReading() const { return this->reading; }
 
     /** @return Boot clock time at which the last call that renews leases was sent. */
@@ -74,10 +84,10 @@
     void onOutcome(const ports::LookOutcome& outcome, kernel::Instant sent);
     void onTasks(const ports::Tasks& tasks, kernel::Instant sent);
     void onError(const kernel::Error& error);
-    /** @brief Compares the clock of an answer to a start with the reading of which its lease end was
-     * computed.
+    /** @brief Forgets what only the former incarnation has said, until the upstream has listed its tasks
+     * again.
      */
-    void checkIncarnation(const ports::StartOutcome& outcome, const ClockReading& used, kernel::Instant sent);
+    void onRestart(ports::UpstreamTime clock);
     void logRestart(const char* seenBy, std::optional<ports::UpstreamTime> clock) const;
 
     const std::shared_ptr<const ports::UpstreamLink> link;
@@ -93,6 +103,10 @@
     kernel::Instant lastRenewal {};
     std::optional<kernel::Instant> firstAnswer {};
     std::optional<ClockReading> reading {};
+    /** @brief When the answer to a start last showed a restart; lists that were requested before are
+     * outdated.
+     */
+    kernel::Instant restartSeen {};
     std::uint64_t lastListed { 0 };
     std::uint64_t lastRecorded { 0 };
 };
--- a/src/wasabiroad/scheduling/event.hpp
+++ b/src/wasabiroad/scheduling/event.hpp
@@ -158,6 +158,9 @@
     const jobs::TaskId task {};
     const jobs::Run run {};
     const StartResult result { StartResult::Started };
+    /** @brief Another incarnation has answered than the one on whose clock the end of the lease was computed.
+     */
+    const bool restarted { false };
 
     friend auto operator<=>(const StartAnswered&, const StartAnswered&) = default;
 };
@@ -173,7 +176,7 @@
     friend auto operator<=>(const StopAnswered&, const StopAnswered&) = default;
 };
 
-/** @brief An upstream did not answer a request for its tasks. */
+/** @brief An upstream did not answer a request for its tasks, or has restarted and not listed them since. */
 struct UpstreamUnresponsive {
     const UpstreamId upstream {};
     /** @brief When the last call that could renew its lease was sent. */
@@ -246,8 +249,13 @@
     /** @brief The incarnation that listed its tasks last. */
     const kernel::Instant born {};
     const std::size_t tasks { 0 };
+    /** @brief Tasks there whose leases may last longer, since it may have restarted before it started them.
+     */
+    const std::size_t left { 0 };
     /** @brief Time since the call for its last list was sent. */
     const kernel::Duration sinceList {};
+    /** @brief Time since the last call that may have extended the lease was sent. */
+    const kernel::Duration sinceGrant {};
 
     friend auto operator<=>(const LeaseExpiry&, const LeaseExpiry&) = default;
 };
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -220,6 +220,7 @@
     task.upstream = std::move(where);
     setPhase(task, Phase::Starting);
     task.run = run;
+    task.runsOn.reset();
     task.started = now.steady;
     task.lastProgress = now.steady;
     task.resumed = !task.checkpoint.empty();
@@ -229,7 +230,8 @@
     attach(id, task);
     auto& upstream = this->upstreams.at(task.upstream);
     indexUpstream(task.upstream, upstream, now);
-    upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.maxLeaseDuration);
+    upstream.lastGrant = now.steady;
+    task.orderedTo = upstream.born;
     this->orders.push_back(StartTask { task.upstream, id, run, ready.entry->job.payload, task.checkpoint });
 }
 
--- a/src/wasabiroad/scheduling/policy.hpp
+++ b/src/wasabiroad/scheduling/policy.hpp
@@ -11,6 +11,9 @@
     /** @brief Longest time, on the owner's clock, for which a task can run after the last call that may have
      * renewed its lease. */
     const kernel::Duration maxLeaseDuration { 6500 };
+    /** @brief The same if another incarnation may have carried out the call than the one on whose clock the
+     * end of the lease was computed: it may have granted the longest lease. */
+    const kernel::Duration maxGrantedLease { 6500 };
     /** @brief Tasks of an upstream whose latest list is older count as unavailable: their lease may expire
      * soon. */
     const kernel::Duration taskListMaxAge { 2000 };
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -332,6 +332,10 @@
     if (upstream.born != event.born) {
         if (upstream.born != kernel::Instant {}) {
             releaseRestarted(event, now);
+            upstream.formerLeaseEnd = now.steady + this->policy.maxGrantedLease;
+        } else if (const auto previous = this->unreconciled.find(event.upstream);
+                   previous != this->unreconciled.end()) {
+            upstream.formerLeaseEnd = previous->second;
         }
         upstream.born = event.born;
         upstream.lastEndNumber = 0;
@@ -345,7 +349,7 @@
     }
     upstream.hasUnknownTasks = false;
     markDirty(event.upstream);
-    upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.maxLeaseDuration);
+    upstream.lastGrant = now.steady;
     for (const auto& end : event.ended) {
         if (end.number > upstream.lastEndNumber) {
             upstream.lastEndNumber = end.number;
@@ -459,6 +463,7 @@
         attach(running.task, *task);
         markDirty(running.task.job, running.task.position.occurrence);
     }
+    task->runsOn = upstream.born;
     // A start that was not answered and has been carried out needs no stop, unless one may have taken effect.
     const bool wasCarriedOut = task->phase == Phase::Stopping && task->stopsUnansweredStart
         && !task->stopAnswered && !task->done && !jobs::isFinal(entry->state);
@@ -515,6 +520,9 @@
     switch (event.result) {
     case StartResult::Started:
         setPhase(*task, Phase::Running);
+        if (!event.restarted) {
+            task->runsOn = task->orderedTo;
+        }
         task->confirmed = now.steady;
         task->lastProgress = now.steady;
         markRunning(*entry);
@@ -553,7 +561,7 @@
 {
     auto& upstream = this->upstreams[event.upstream];
     upstream.listed = false;
-    upstream.leaseEnd = std::max(upstream.leaseEnd, event.lastRenewal + this->policy.maxLeaseDuration);
+    upstream.lastGrant = std::max(upstream.lastGrant, event.lastRenewal);
     markDirty(event.upstream);
 }
 
@@ -614,23 +622,14 @@
         const auto upstream = this->upstreams.find(entry.first);
         return now.steady > entry.second
             && (upstream == this->upstreams.end()
-                || (!upstream->second.listed && now.steady > upstream->second.leaseEnd));
+                || (!upstream->second.listed
+                    && now.steady > upstream->second.lastGrant + this->policy.maxLeaseDuration
+                    && now.steady > upstream->second.formerLeaseEnd));
     });
     if (expired > 0 && this->unreconciled.empty()) {
         resolveTasks();
     }
-    std::vector<UpstreamId> lapsed;
-    for (const auto& [id, upstream] : this->upstreams) {
-        if (!upstream.listed && !upstream.tasks.empty() && now.steady > upstream.leaseEnd) {
-            lapsed.push_back(id);
-        }
-    }
-    for (const auto& id : lapsed) {
-        const auto& upstream = this->upstreams.at(id);
-        this->expiries.push_back(
-            { id, upstream.born, upstream.tasks.size(), now.steady - upstream.listedAt });
-        releaseAll(id, now);
-    }
+    releaseExpired(now);
     // Drops upstreams that are not known any more, once no call from before the end of their drain can be
     // answered.
     std::erase_if(this->reopening, [&](const auto& entry) {
@@ -642,6 +641,42 @@
     this->schedulingNeeded = true;
 }
 
+Duration PoolScheduler::maxLease(const Upstream& upstream, const Task& task) const
+{
+    // A restart ends the tasks that ran before it. So a later incarnation can extend only the lease of a task
+    // whose start it may have carried out itself.
+    return task.runsOn == upstream.born ? this->policy.maxLeaseDuration : this->policy.maxGrantedLease;
+}
+
+kernel::Instant PoolScheduler::leaseEnd(const Upstream& upstream, const Task& task) const
+{
+    return std::max(upstream.lastGrant + maxLease(upstream, task), upstream.formerLeaseEnd);
+}
+
+void PoolScheduler::releaseExpired(Moment now)
+{
+    for (auto& [id, upstream] : this->upstreams) {
+        if (upstream.listed || upstream.tasks.empty()
+            || now.steady <= upstream.lastGrant + this->policy.maxLeaseDuration) {
+            continue;
+        }
+        std::vector<TaskId> expired;
+        for (const auto& task : upstream.tasks) {
+            if (now.steady > leaseEnd(upstream, *find(task).second)) {
+                expired.push_back(task);
+            }
+        }
+        if (expired.empty()) {
+            continue;
+        }
+        this->expiries.push_back({ id, upstream.born, expired.size(), upstream.tasks.size() - expired.size(),
+            now.steady - upstream.listedAt, now.steady - upstream.lastGrant });
+        for (const auto& task : expired) {
+            release(task, *find(task).second, now);
+        }
+    }
+}
+
 void PoolScheduler::checkTaskLists(Moment now)
 {
     for (auto& [id, upstream] : this->upstreams) {
@@ -650,7 +685,7 @@
             && now.steady - upstream.listedAt > this->policy.taskListTimeout) {
             upstream.listed = false;
             // A call without an answer may have renewed the lease until now.
-            upstream.leaseEnd = std::max(upstream.leaseEnd, now.steady + this->policy.maxLeaseDuration);
+            upstream.lastGrant = now.steady;
             markDirty(id);
         }
     }
@@ -1142,11 +1177,18 @@
     return ids;
 }
 
-Duration PoolScheduler::leaseLeft(const UpstreamId& id, Moment now) const
+Duration PoolScheduler::leaseLeft(const UpstreamId& id, kernel::Instant lastRenewal, Moment now) const
 {
+    auto end = std::max(now.steady, lastRenewal + this->policy.maxLeaseDuration);
     const auto upstream = this->upstreams.find(id);
+    if (upstream != this->upstreams.end()) {
+        const auto lastGrant = std::max(upstream->second.lastGrant, lastRenewal);
+        end = std::max({ end, lastGrant + this->policy.maxLeaseDuration, upstream->second.formerLeaseEnd });
+        for (const auto& task : upstream->second.tasks) {
+            end = std::max(end, lastGrant + maxLease(upstream->second, taskAt(task)));
+        }
+    }
     const auto previous = this->unreconciled.find(id);
-    auto end = upstream != this->upstreams.end() ? upstream->second.leaseEnd : now.steady;
     if (previous != this->unreconciled.end()) {
         end = std::max(end, previous->second);
     }
@@ -1179,6 +1221,12 @@
     return { &found->second, &open->second.steps[id.position.step].tasks.at(id.position.index) };
 }
 
+const internal::Task& PoolScheduler::taskAt(const TaskId& id) const
+{
+    const auto& occurrence = this->jobEntries.at(id.job).open.at(id.position.occurrence);
+    return occurrence.steps[id.position.step].tasks.peek(id.position.index);
+}
+
 const jobs::Step& PoolScheduler::stepOf(const TaskId& id) const
 {
     return this->jobEntries.at(id.job).job.steps[id.position.step];
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -92,8 +92,12 @@
      * owner. */
     std::vector<UpstreamId> unheardUpstreams() const;
 
-    /** @return Longest time for which a lease of tasks on the upstream can last, unless it is renewed. */
-    kernel::Duration leaseLeft(const UpstreamId& upstream, Moment now) const;
+    /**
+     * @brief Computes how long leases of tasks on an upstream can last, unless they are renewed.
+     * @param lastRenewal When the last call that renews leases was sent.
+     * @return The longest time.
+     */
+    kernel::Duration leaseLeft(const UpstreamId& upstream, kernel::Instant lastRenewal, Moment now) const;
 
     /** @return Sequence number of the last task end applied for an upstream. */
     std::uint64_t lastEndNumber(const UpstreamId& upstream) const;
@@ -157,6 +161,12 @@
     /** @brief Marks upstreams without a recent list as unresponsive. */
     void checkTaskLists(Moment now);
     void releaseAll(const UpstreamId& id, Moment now);
+    /** @brief Releases the tasks of upstreams that do not answer once their leases have expired. */
+    void releaseExpired(Moment now);
+    /** @return Longest time for which a task can run there after a call that extends its lease. */
+    kernel::Duration maxLease(const Upstream& upstream, const Task& task) const;
+    /** @return Time by which the lease of a task there has expired, unless it is extended. */
+    kernel::Instant leaseEnd(const Upstream& upstream, const Task& task) const;
     /** @brief Releases the tasks of the earlier incarnation of an upstream that has restarted. */
     void releaseRestarted(const TasksListed& event, Moment now);
     void release(const jobs::TaskId& id, Task& task, Moment now);
@@ -247,6 +257,8 @@
     std::size_t countFitting(const jobs::Step& step) const;
 
     std::pair<JobEntry*, Task*> find(const jobs::TaskId& id);
+    /** @return A task that is known to exist. */
+    const Task& taskAt(const jobs::TaskId& id) const;
     const jobs::Step& stepOf(const jobs::TaskId& id) const;
 
     const Policy policy;
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -109,7 +109,11 @@
     /** @brief It has listed its tasks to this owner and has answered since. */
     bool listed { false };
     kernel::Instant born {};
-    kernel::Instant leaseEnd {};
+    /** @brief When the last call that may have extended its lease was sent. */
+    kernel::Instant lastGrant {};
+    /** @brief End of the leases that calls for an earlier incarnation, or calls of the previous owner, may
+     * have obtained. */
+    kernel::Instant formerLeaseEnd {};
     /** @brief When the call that returned the latest task list was sent. */
     kernel::Instant listedAt {};
     kernel::Instant suspectUntil {};
--- a/src/wasabiroad/scheduling/task.hpp
+++ b/src/wasabiroad/scheduling/task.hpp
@@ -28,6 +28,11 @@
     bool unresolved { false };
     UpstreamId upstream {};
     jobs::Run run {};
+    /** @brief Incarnation of the upstream on whose clock the end of the lease in the start order was
+     * computed. */
+    kernel::Instant orderedTo {};
+    /** @brief Incarnation that is known to have carried out the start. */
+    std::optional<kernel::Instant> runsOn {};
     std::string checkpoint {};
     std::set<jobs::Run> failedRuns {};
     /** @brief Upstreams on which it failed. */
--- a/test/wasabiroad/scheduling/fixture.hpp
+++ b/test/wasabiroad/scheduling/fixture.hpp
@@ -68,8 +68,9 @@
 /** @brief A scheduler whose upstreams have listed their tasks, and the orders that it returned. */
 class SchedulerFixture {
 public:
-    explicit SchedulerFixture(const std::vector<UpstreamFacts>& members, std::uint64_t term = 5)
-        : scheduler(Policy {}, term, at(0))
+    explicit SchedulerFixture(
+        const std::vector<UpstreamFacts>& members, std::uint64_t term = 5, const Policy& policy = {})
+        : scheduler(policy, term, at(0))
     {
         apply(MembersListed { members }, 0);
         for (const auto& member : members) {
--- a/test/wasabiroad/scheduling/lost_upstreams.cpp
+++ b/test/wasabiroad/scheduling/lost_upstreams.cpp
@@ -1,5 +1,7 @@
 #include "wasabiroad/scheduling/fixture.hpp"
 
+#include <functional>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -58,6 +60,73 @@
     BOOST_TEST(scheduler.unheardUpstreams().empty());
 }
 
+/** What is known of a start on an upstream as it becomes unresponsive, and until when its lease may last. */
+struct LeaseRow {
+    const char* title;
+    const std::function<void(SchedulerFixture&, const StartTask&)> learn;
+    /** @brief Last time, in ms, at which the task may still run there. */
+    const std::int64_t leaseEnd;
+
+    friend std::ostream& operator<<(std::ostream& out, const LeaseRow& row) { return out << row.title; }
+};
+
+const Policy leasePolicy { .maxLeaseDuration = { 4480 }, .maxGrantedLease = { 7320 } };
+
+/** When the last call that renews leases was sent, in ms. */
+constexpr std::int64_t renewed = 60;
+
+void answer(SchedulerFixture& fixture, const StartTask& start, StartResult result, bool restarted)
+{
+    fixture.apply(StartAnswered { start.upstream, start.task, start.run, result, restarted }, 20);
+}
+
+void list(SchedulerFixture& fixture, const StartTask& start, std::int64_t born)
+{
+    fixture.apply(TasksListed { start.upstream, { born }, { 40 }, { { start.task, start.run, "", 1 } } }, 50);
+}
+
+const std::vector<LeaseRow> leaseRows {
+    { "it was answered",
+        [](auto& fixture, const auto& start) { answer(fixture, start, StartResult::Started, false); },
+        renewed + 4480 },
+    { "it was not answered",
+        [](auto& fixture, const auto& start) { answer(fixture, start, StartResult::Unknown, false); },
+        renewed + 7320 },
+    { "it was not answered, and is listed",
+        [](auto& fixture, const auto& start) {
+            answer(fixture, start, StartResult::Unknown, false);
+            list(fixture, start, 1);
+        },
+        renewed + 4480 },
+    { "another incarnation has answered",
+        [](auto& fixture, const auto& start) { answer(fixture, start, StartResult::Started, true); },
+        renewed + 7320 },
+    { "another incarnation has answered and lists it",
+        [](auto& fixture, const auto& start) {
+            answer(fixture, start, StartResult::Started, true);
+            list(fixture, start, 2);
+        },
+        50 + 7320 },
+};
+
+/** Guards against a second run while the first has a longer lease than was asked for. */
+BOOST_DATA_TEST_CASE(task_of_a_silent_upstream_waits_for_its_lease, data::make(leaseRows), row)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") }, 5, leasePolicy };
+    fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = fixture.starts.front();
+    row.learn(fixture, first);
+    fixture.apply(MembersListed { { makeUpstream("u1"), makeUpstream("u2") } }, 50);
+    fixture.apply(UpstreamUnresponsive { first.upstream, { renewed } }, 100);
+    fixture.apply(TasksListed { UpstreamId { "u2" }, { 1 }, { row.leaseEnd - 10 } }, row.leaseEnd - 5);
+    BOOST_TEST((fixture.scheduler.leaseLeft(first.upstream, { renewed }, at(1000))
+        == kernel::Duration { row.leaseEnd - 1000 }));
+    fixture.apply(Tick {}, row.leaseEnd);
+    BOOST_TEST(fixture.starts.size() == 1);
+    fixture.apply(Tick {}, row.leaseEnd + 1);
+    BOOST_TEST(fixture.starts.size() == 2);
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -18,6 +18,9 @@
 constexpr std::int64_t lease = 4000;
 /** Longest duration of a lease on the clock of the owner, as the clock of an upstream may be 2% slow. */
 constexpr std::int64_t maxLease = lease + lease * 2 / 100;
+/** Longest lease that an upstream grants, and its duration on the clock of the owner. */
+constexpr std::int64_t longestLease = 6000;
+constexpr std::int64_t maxLongestLease = longestLease + longestLease * 2 / 100;
 /** Margin of the policy over the longest lease. */
 constexpr std::int64_t leaseMargin = 400;
 constexpr std::int64_t previousOwnerActiveTime = 3000;
@@ -35,7 +38,9 @@
 constexpr std::int64_t settleTime = 60000;
 
 const Policy policy { .maxLeaseDuration = { maxLease + leaseMargin },
-    .takeoverTimeout = { maxLease + leaseMargin + previousOwnerActiveTime },
+    .maxGrantedLease = { maxLongestLease + leaseMargin + callTimeout },
+    .takeoverTimeout = { std::max(
+        maxLease + leaseMargin + previousOwnerActiveTime, maxLongestLease + leaseMargin + callTimeout) },
     .maxWaitingStepsPerJob = 1 };
 
 } // namespace
@@ -361,9 +366,15 @@
 void Model::sendStart(const OwnerPointer& owner, const StartTask& order)
 {
     const auto until = this->now + maxLease;
-    const auto answer = [this, owner, order](std::int64_t delay, StartResult result) {
-        after(delay, [this, owner, order, result] {
-            applyEvent(owner, StartAnswered { order.upstream, order.task, order.run, result });
+    const auto incarnation = owner->clockOf[order.upstream];
+    const auto answer = [this, owner, order, incarnation](
+                            std::int64_t delay, StartResult result, bool restarted = false) {
+        after(delay, [this, owner, order, incarnation, result, restarted] {
+            if (restarted && owner->clockOf[order.upstream] == incarnation) {
+                owner->unresponsive.insert(order.upstream);
+                applyEvent(owner, UpstreamUnresponsive { order.upstream });
+            }
+            applyEvent(owner, StartAnswered { order.upstream, order.task, order.run, result, restarted });
         });
     };
     const bool partitioned = at(order.upstream).partitionedUntil > this->now;
@@ -374,14 +385,15 @@
     const bool late = fails(this->faults.lateOrders);
     const bool lost = late || fails(this->faults.lostAnswers);
     const auto delay = late ? between(2000, 12000) : between(1, 60);
-    after(delay, [this, owner, order, until, lost, answer] {
+    after(delay, [this, owner, order, until, incarnation, lost, answer] {
         auto& upstream = at(order.upstream);
         if (!upstream.up) {
             lost ? void() : answer(callTimeout, StartResult::Unknown);
             return;
         }
-        const auto result = start(upstream, order, owner->term, until);
-        lost ? void() : answer(between(1, 60), result);
+        const auto granted = grantedUntil(upstream, until, incarnation);
+        const auto result = start(upstream, order, owner->term, granted);
+        lost ? void() : answer(between(1, 60), result, upstream.born != incarnation);
     });
     if (lost) {
         answer(callTimeout, StartResult::Unknown);
@@ -425,8 +437,9 @@
         return;
     }
     const auto sent = this->now;
+    const auto incarnation = owner->clockOf[id];
     // Polls of an unresponsive upstream do not renew its lease, so that the lease can expire.
-    const bool renews = !owner->unresponsive.contains(id);
+    const bool renews = !owner->unresponsive.contains(id) && incarnation != 0;
     if (renews) {
         owner->lastRenewal[id] = sent;
     }
@@ -437,11 +450,15 @@
             after(300, [this, owner, id] { poll(owner, id); });
         });
     };
+    if (at(id).listsLostUntil > this->now) {
+        after(at(id).listsLostUntil - this->now, reportUnresponsive);
+        return;
+    }
     if (at(id).partitionedUntil > this->now || fails(this->faults.lostCalls)) {
         reportUnresponsive();
         return;
     }
-    after(between(1, 60), [this, owner, id, sent, renews, reportUnresponsive] {
+    after(between(1, 60), [this, owner, id, sent, incarnation, renews, reportUnresponsive] {
         auto& upstream = at(id);
         if (!upstream.up) {
             reportUnresponsive();
@@ -453,7 +470,8 @@
         }
         upstream.highestTerm = owner->term;
         if (renews) {
-            upstream.leaseEnd = std::max(upstream.leaseEnd, sent + maxLease);
+            upstream.leaseEnd
+                = std::max(upstream.leaseEnd, grantedUntil(upstream, sent + maxLease, incarnation));
         }
         const auto& [incarnation, number] = owner->acknowledged[id];
         if (incarnation == upstream.born) {
@@ -483,6 +501,7 @@
         }
         after(between(1, 60), [this, owner, id, listed] {
             owner->unresponsive.erase(id);
+            owner->clockOf[id] = listed.born.milliseconds;
             applyEvent(owner, listed);
             after(between(50, 400), [this, owner, id] { poll(owner, id); });
         });
@@ -561,6 +580,12 @@
         this->upstreams, id, [](const Upstream& upstream) { return upstream.facts.id; });
 }
 
+std::int64_t Model::grantedUntil(const Upstream& upstream, std::int64_t until, std::int64_t incarnation) const
+{
+    // The clock of a later incarnation began anew, so the end of the lease lies far ahead there.
+    return upstream.born == incarnation ? until : this->now + maxLongestLease;
+}
+
 StartResult Model::start(Upstream& upstream, const StartTask& order, std::uint64_t ofTerm, std::int64_t until)
 {
     if (ofTerm < upstream.highestTerm) {
@@ -683,6 +708,12 @@
             crash(upstream);
             continue;
         }
+        // Rows without this fault draw no number for it, so that their seeds play as before.
+        if (this->faults.unnoticedRestarts > 0 && upstream.listsLostUntil <= this->now
+            && fails(this->faults.unnoticedRestarts)) {
+            restartUnnoticed(upstream);
+            continue;
+        }
         if (fails(this->faults.partitions)) {
             upstream.partitionedUntil = this->now + between(1000, 7000);
         }
@@ -706,6 +737,18 @@
     }
 }
 
+void Model::restartUnnoticed(Upstream& upstream)
+{
+    crash(upstream);
+    upstream.restartTime = this->now + between(20, 600);
+    upstream.listsLostUntil = upstream.restartTime + between(500, 1800);
+    if (chance(500)) {
+        const auto delay = upstream.listsLostUntil - this->now - between(0, 600);
+        after(delay,
+            [this, id = upstream.facts.id] { at(id).partitionedUntil = this->now + between(1000, 9000); });
+    }
+}
+
 void Model::crash(Upstream& upstream)
 {
     upstream.up = false;
--- a/test/wasabiroad/scheduling/model.hpp
+++ b/test/wasabiroad/scheduling/model.hpp
@@ -48,6 +48,9 @@
     const unsigned departures { 0 };
     /** @brief Pauses of the owner, after which it handles all events late, per time increment. */
     const unsigned pauses { 0 };
+    /** @brief Restarts of an upstream during a call for its tasks, which gets no answer, per time increment.
+     */
+    const unsigned unnoticedRestarts { 0 };
     /** @brief Spans in which the owner may not start tasks, per time increment. */
     const unsigned holds { 0 };
 
@@ -92,6 +95,8 @@
         bool up { true };
         std::int64_t restartTime { 0 };
         std::int64_t partitionedUntil { 0 };
+        /** @brief Until then a call for its tasks waits for an answer of its earlier incarnation. */
+        std::int64_t listsLostUntil { 0 };
         std::int64_t drainedUntil { 0 };
         std::int64_t shutdownUntil { 0 };
         std::int64_t absentUntil { 0 };
@@ -117,6 +122,8 @@
         /** @brief Incarnation of each upstream and the last end recorded for it. */
         std::map<UpstreamId, std::pair<std::int64_t, std::uint64_t>> acknowledged {};
         std::map<UpstreamId, std::int64_t> lastRenewal {};
+        /** @brief The incarnation of each upstream whose clock the owner has read last. */
+        std::map<UpstreamId, std::int64_t> clockOf {};
         std::set<UpstreamId> unresponsive {};
         std::vector<Drain> drains {};
         /** @brief Events that arrived during a pause, in order. */
@@ -159,6 +166,9 @@
 
     Upstream& at(const UpstreamId& id);
     StartResult start(Upstream& upstream, const StartTask& order, std::uint64_t term, std::int64_t until);
+    /** @return The end of a lease that a call asks for by the clock of an incarnation of the upstream. */
+    std::int64_t grantedUntil(const Upstream& upstream, std::int64_t until, std::int64_t incarnation) const;
+    void restartUnnoticed(Upstream& upstream);
     void checkStart(const Upstream& upstream, const StartTask& order);
     bool stop(Upstream& upstream, const StopTask& order, std::uint64_t term);
     void checkAcknowledged(const Upstream& upstream, std::uint64_t number);
--- a/test/wasabiroad/scheduling/model_runs.cpp
+++ b/test/wasabiroad/scheduling/model_runs.cpp
@@ -41,6 +41,13 @@
     { .title = "drains come and go", .lostAnswers = 10, .drains = 4, .shutdowns = 2 },
     { .title = "upstreams leave and return", .crashes = 2, .departures = 4 },
     { .title = "the owner pauses", .lostAnswers = 10, .pauses = 4, .holds = 4 },
+    { .title = "upstreams restart unnoticed", .unnoticedRestarts = 2 },
+    { .title = "upstreams restart unnoticed, and owners change",
+        .lostAnswers = 10,
+        .ownerChanges = 3,
+        .previousOwnersStayActive = true,
+        .partitions = 1,
+        .unnoticedRestarts = 2 },
     { .title = "all faults but late orders",
         .lostCalls = 5,
         .lostAnswers = 5,
@@ -55,6 +62,7 @@
         .shutdowns = 1,
         .departures = 1,
         .pauses = 1,
+        .unnoticedRestarts = 1,
         .holds = 1 },
 };
 
