Stop an unanswered start on each incarnation of its upstream

The owner gave it up when the former incarnation had answered its stop, of which the next one knows nothing, or when the order would be too late on the former clock. change: after a restart such a run is stopped again and released once the present incarnation has answered. The time limit holds only on the incarnation on whose clock the lease end was computed. evidence: the rows "the next" of unanswered_start_is_stopped_on_each_incarnation fail with either part switched off, and pass. open: a start that is carried out before the restart is noticed, after its run was given up on the former incarnation.

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -501,10 +501,12 @@
             && event.sent - task->started > this->policy.startAnswerTimeout) {
             stopUnanswered(id, *task, now);
         } else if (task->phase == Phase::Stopping) {
-            // By then the lease in the start order has expired, so the upstream rejects the order.
-            const auto rejected
+            // By then the lease in the start order has expired, so the upstream rejects the order; but not if
+            // it has restarted, since its clock began anew.
+            const auto expiry
                 = task->started + this->policy.startAnswerTimeout + this->policy.maxLeaseDuration;
-            if ((task->stopAnswered && *task->stopAnswered <= event.sent) || rejected < event.sent) {
+            const bool isRejected = task->orderedTo == event.born && expiry < event.sent;
+            if ((task->stopAnswered && *task->stopAnswered <= event.sent) || isRejected) {
                 release(id, *task, now);
             }
         }
@@ -1012,6 +1014,12 @@
             stop(id, task, now, "start on an earlier incarnation was not answered");
             continue;
         }
+        if (!task.runsOn && task.phase == Phase::Stopping) {
+            // The earlier incarnation may have answered the stop, and the later one does not know of it.
+            task.stopAnswered.reset();
+            task.stopSent = {};
+            continue;
+        }
         // The new incarnation may have given a later answer; the next list shows whether the task runs there.
         const auto answered = task.phase == Phase::Running ? task.confirmed : *task.stopAnswered;
         if (answered <= event.sent) {
--- a/test/wasabiroad/scheduling/lost_upstreams.cpp
+++ b/test/wasabiroad/scheduling/lost_upstreams.cpp
@@ -127,6 +127,47 @@
     BOOST_TEST(fixture.starts.size() == 2);
 }
 
+/** An incarnation that lists its tasks after a start was not answered and its stop was, and until when the
+ * task waits. */
+struct StopRow {
+    const char* title;
+    const std::int64_t born;
+    const bool isAnswered;
+    const std::size_t starts;
+    const std::size_t startsLater;
+
+    friend std::ostream& operator<<(std::ostream& out, const StopRow& row) { return out << row.title; }
+};
+
+const std::vector<StopRow> stopRows {
+    { "the same, and the stop was answered", 1, true, 2, 2 },
+    { "the same", 1, false, 1, 2 },
+    { "the next, and the stop was answered", 2, true, 1, 1 },
+    { "the next", 2, false, 1, 1 },
+};
+
+/** Guards against a start for an earlier incarnation that the next one carries out beside a second run. */
+BOOST_DATA_TEST_CASE(unanswered_start_is_stopped_on_each_incarnation, data::make(stopRows), row)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") }, 5, leasePolicy };
+    fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = fixture.starts.front();
+    fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 810);
+    if (row.isAnswered) {
+        fixture.apply(StopAnswered { first.upstream, first.task, first.run, true }, 820);
+    }
+    fixture.apply(TasksListed { first.upstream, { row.born }, { 900 } }, 910);
+    fixture.apply(Tick {}, 2000);
+    BOOST_TEST(fixture.starts.size() == row.starts);
+    // By now the same incarnation would reject the start as too late.
+    fixture.apply(TasksListed { first.upstream, { row.born }, { 8000 } }, 8010);
+    BOOST_TEST(fixture.starts.size() == row.startsLater);
+    BOOST_TEST(fixture.stops.size() >= 3 - row.startsLater);
+    fixture.apply(StopAnswered { first.upstream, first.task, first.run, true }, 8100);
+    fixture.apply(TasksListed { first.upstream, { row.born }, { 8200 } }, 8210);
+    BOOST_TEST(fixture.starts.size() == 2);
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
