Restart the upstreams of a pool silently and cut them off in the soak

cause: the soak drew each fault and its victims by itself, its crashes reset connections, and its tasks took a second or two.

--- a/test/platform/soak/faults.cpp
+++ b/test/platform/soak/faults.cpp
@@ -18,8 +18,8 @@
 constexpr std::array<const char*, std::variant_size_v<Fault>> names { "kill", "stop", "freeze", "reload",
     "throttle", "output", "store-cut", "half-open", "revoke", "store", "compact", "vms-cut", "crash",
     "upstream-cut", "upstream-half-open", "late", "drain", "wave", "odd", "revoke-in-turn", "revoke-takers",
-    "orders", "replace", "busy", "spare-queue", "empty-queues", "queue-moved", "queue-removed",
-    "queue-burst" };
+    "orders", "replace", "busy", "spare-queue", "empty-queues", "queue-moved", "queue-removed", "queue-burst",
+    "restart-cut" };
 
 /** Maximum number of processes that keep the processors busy at once. */
 constexpr std::int64_t maxBusyProcesses = 24;
@@ -34,6 +34,18 @@
 constexpr std::int64_t minSubmitTime = 300;
 constexpr std::int64_t maxSubmitTime = 2000;
 
+/** Time in ms for which an upstream is away at a silent restart; shorter than a call for its tasks waits. */
+constexpr std::int64_t minAway = 50;
+constexpr std::int64_t maxAway = 1000;
+
+/** Time in ms from a silent restart to the cut, and the time that the cut lasts. */
+constexpr std::int64_t maxBeforeCut = 2500;
+constexpr std::int64_t minCut = 1000;
+constexpr std::int64_t maxCut = 12000;
+
+/** Share of the jobs whose tasks are long during a series of restarts. */
+constexpr double shareOfLongJobs = 0.35;
+
 /** Time for the daemons to adopt a configuration. */
 constexpr milliseconds adoptionTime { 1500 };
 
@@ -109,8 +121,10 @@
         return MoveQueue { {}, lasting(1000, 15000) };
     case 27:
         return RemoveQueue {};
-    default:
+    case 28:
         return AddQueuesInTurn { {}, lasting(3000, 20000) };
+    default:
+        return RestartAndCutUpstreams { static_cast<int>(dice.within(1, 3)) };
     }
 }
 
@@ -337,6 +351,36 @@
     }
 }
 
+Task<> FaultPlayer::operator()(RestartAndCutUpstreams fault)
+{
+    const auto chosen = someUpstreams(1);
+    if (chosen.empty()) {
+        co_return;
+    }
+    auto upstreams = this->play.vms.upstreams();
+    std::erase_if(upstreams, [&](const auto* upstream) {
+        return upstream->pool() != chosen.front()->pool()
+            || upstream->place().zone != chosen.front()->place().zone;
+    });
+    this->play.longShare = shareOfLongJobs;
+    for (int turn = 0; turn < fault.times; ++turn) {
+        const milliseconds away { this->play.dice.within(minAway, maxAway) };
+        for (auto* const upstream : upstreams) {
+            start(this->play.context, this->play.vms.restartSilently(*upstream, away));
+        }
+        co_await pause(away + milliseconds { this->play.dice.within(0, maxBeforeCut) });
+        for (auto* const upstream : upstreams) {
+            upstream->path().set(Traffic::Held);
+        }
+        co_await pause(milliseconds { this->play.dice.within(minCut, maxCut) });
+        for (auto* const upstream : upstreams) {
+            upstream->path().set(Traffic::Passing);
+        }
+        co_await pause(milliseconds { this->play.dice.within(0, maxBeforeCut) });
+    }
+    this->play.longShare = 0;
+}
+
 Task<> FaultPlayer::operator()(BreakUpstreams fault)
 {
     for (auto* const upstream : someUpstreams(fault.count)) {
--- a/test/platform/soak/faults.hpp
+++ b/test/platform/soak/faults.hpp
@@ -58,6 +58,11 @@
     milliseconds duration {};
     Traffic traffic { Traffic::Held };
 };
+/** @brief The upstreams of a pool in a zone restart silently and are cut off soon after, several times in a
+ * row. Many tasks are long meanwhile. */
+struct RestartAndCutUpstreams {
+    int times { 1 };
+};
 struct BreakUpstreams {
     int count { 1 };
     bool resets { false };
@@ -116,7 +121,7 @@
     HoldOutput, CutStore, BreakConnections, RevokeLeases, DisturbStore, CompactStore, CutVms, CrashUpstreams,
     CutUpstreams, BreakUpstreams, LateUpstreams, DrainUpstreams, StartWave, AddOddEntries, RevokeInTurn,
     RevokeTakers, DisturbOrders, ReplaceUpstreams, KeepBusy, AddSpareQueue, AddEmptyQueues, MoveQueue,
-    RemoveQueue, AddQueuesInTurn>;
+    RemoveQueue, AddQueuesInTurn, RestartAndCutUpstreams>;
 
 /** @return The names of all kinds of faults. */
 std::vector<std::string> faultNames();
@@ -171,6 +176,7 @@
     Task<> operator()(MoveQueue fault);
     Task<> operator()(RemoveQueue fault);
     Task<> operator()(AddQueuesInTurn fault);
+    Task<> operator()(RestartAndCutUpstreams fault);
 
 private:
     std::vector<Daemon*> someDaemons(int count);
--- a/test/platform/soak/play.cpp
+++ b/test/platform/soak/play.cpp
@@ -13,6 +13,9 @@
 /** Time in which all daemons have to be ready, in ms. */
 constexpr std::int64_t readyTime = 20000;
 
+/** Factor of the duration of long tasks. */
+constexpr std::int64_t longTaskFactor = 12;
+
 /** Time between the start of the daemons and the traffic. */
 constexpr milliseconds leadTime { 4000 };
 
@@ -245,9 +248,11 @@
         job.steps.push_back({ 5, 2600, 4000, 0, 1, false });
     } else {
         const auto steps = std::max<std::int64_t>(1, this->dice.within(1, 2 * pool.steps - 1));
+        const bool isLong = this->longShare > 0 && this->dice.chance(this->longShare);
         for (std::int64_t step = 0; step < steps; ++step) {
             job.steps.push_back({ static_cast<int>(around(pool.width)), around(pool.cpu), around(pool.memory),
-                around(pool.duration), this->dice.chance(0.15) ? 2 : 0, pool.saves });
+                around(pool.duration) * (isLong ? longTaskFactor : 1), this->dice.chance(0.15) ? 2 : 0,
+                pool.saves });
         }
     }
     job.body = encode(job.steps);
--- a/test/platform/soak/play.hpp
+++ b/test/platform/soak/play.hpp
@@ -92,6 +92,8 @@
     int disruptions { 0 };
     std::int64_t lastDisruption { 0 };
     bool over { false };
+    /** @brief Share of new jobs whose tasks are long. */
+    double longShare { 0 };
     std::vector<ExtraQueue> queues {};
     std::size_t queueNames { 0 };
     std::int64_t configurationVersion { 0 };
--- a/test/platform/soak/vms.cpp
+++ b/test/platform/soak/vms.cpp
@@ -163,6 +163,21 @@
     }
 }
 
+Task<> Vms::restartSilently(Upstream& upstream, milliseconds away)
+{
+    if (!upstream.isUp()) {
+        co_return;
+    }
+    upstream.crash(false);
+    co_await pause(away);
+    const bool isCurrent
+        = std::ranges::any_of(this->vms, [&](const auto& vm) { return vm.upstream == &upstream; });
+    if (isCurrent && !upstream.isUp()) {
+        upstream.revive();
+        write(upstream);
+    }
+}
+
 Task<> Vms::replace(Upstream& upstream)
 {
     upstream.crash();
--- a/test/platform/soak/vms.hpp
+++ b/test/platform/soak/vms.hpp
@@ -51,6 +51,9 @@
     /** @brief An upstream crashes; it returns under its id or is lost for good. */
     Task<> crash(Upstream& upstream, milliseconds away);
 
+    /** @brief An upstream restarts under its id. Its connections stay up, and its entry stays. */
+    Task<> restartSilently(Upstream& upstream, milliseconds away);
+
     /** @brief An upstream crashes, and its VM starts another one. */
     Task<> replace(Upstream& upstream);
 
