Date the first answer and the listed ends of an upstream by its incarnation

Its ends were not logged either as long as their numbers were not above those of the former one. change: both begin anew with an incarnation. A list that was requested in the same ms in which a restart was seen is outdated as well. evidence: two rows of restart_that_a_start_shows_ends_all_that_was_meant_ for_the_former_incarnation fail without the first part ("reachedAt"), and with outdated lists accepted; all 4 pass, and test-agent-restart.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -565,8 +565,12 @@
 
 void PoolAgent::onTasks(const UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent)
 {
+    auto& seen = this->seenEnds[id];
+    if (seen.incarnation != tasks.born) {
+        seen = { tasks.born, 0 };
+    }
     for (const auto& end : tasks.ended) {
-        if (end.number > this->lastSeenEndNumbers[id]) {
+        if (end.number > seen.last) {
             this->environment.metrics->count("wasabiroad_task_ends_total",
                 { { "pool", this->service.text() }, { "kind", std::string { scheduling::name(end.kind) } } });
             kernel::logEvent("task-ended",
@@ -579,8 +583,8 @@
         applyMembers();
     }
     const auto last = this->scheduler->lastEndNumber(id);
-    if (last != this->lastSeenEndNumbers[id] || !tasks.ended.empty()) {
-        this->lastSeenEndNumbers[id] = last;
+    if (last != this->seenEnds[id].last || !tasks.ended.empty()) {
+        this->seenEnds[id] = { tasks.born, last };
         this->endsToAcknowledge[id] = { tasks.born, last };
         scheduleFlush();
     }
@@ -1003,7 +1007,7 @@
         }
         const auto id = agent->first;
         agent->second->close();
-        this->lastSeenEndNumbers.erase(id);
+        this->seenEnds.erase(id);
         agent = this->upstreamAgents.erase(agent);
         apply(scheduling::UpstreamUnresponsive { id });
     }
@@ -1018,7 +1022,7 @@
     kernel::logEvent("upstream-replaced", { { "upstream", id.text() } });
     agent->second->close();
     this->upstreamAgents.erase(agent);
-    this->lastSeenEndNumbers.erase(id);
+    this->seenEnds.erase(id);
     // The directory may still list it and be right: a late answer can come from an earlier address.
     this->replacedAt.insert_or_assign(id, kernel::bootNow());
     apply(scheduling::UpstreamReplaced { id });
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -202,7 +202,8 @@
     TaskEnds endsToAcknowledge {};
     /** @brief Listed ends by the batch of records that contains them. */
     std::map<std::uint64_t, TaskEnds> endsByBatch {};
-    std::map<scheduling::UpstreamId, std::uint64_t> lastSeenEndNumbers {};
+    /** @brief Ends that have been logged and passed to the scheduler. */
+    TaskEnds seenEnds {};
     metrics::Counter startCounter;
     metrics::Histogram jobTimes;
     std::optional<jobs::PoolReport> publishedReport {};
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -78,7 +78,7 @@
 
 void UpstreamAgent::onTasks(const ports::Tasks& tasks, kernel::Instant sent)
 {
-    if (tasks.born == this->born && sent < this->restartSeen) {
+    if (tasks.born == this->born && sent <= this->restartSeen) {
         this->timer.start({}, [self = shared_from_this()] { self->poll(); });
         return;
     }
@@ -89,6 +89,7 @@
         this->born = tasks.born;
         this->lastListed = 0;
         this->lastRecorded = 0;
+        this->firstAnswer.reset();
     }
     if (tasks.clock) {
         this->reading.emplace(ClockReading { tasks.born, *tasks.clock, kernel::bootNow() });
@@ -164,6 +165,7 @@
     this->reading.reset();
     this->answering = false;
     this->restartSeen = kernel::bootNow();
+    this->firstAnswer = this->restartSeen;
     kernel::runIsolated({ "chain", "upstream" },
         [&] { this->callbacks.onUnresponsive(this->upstream.id, this->lastRenewal); });
 }
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -67,7 +67,8 @@
     /** @return Boot clock time at which the last call that renews leases was sent. */
     kernel::Instant lastRenewalSent() const { return this->lastRenewal; }
 
-    /** @return Boot clock time of the first answer, or nothing if there was none. */
+    /** @return Boot clock time of the first answer of the present incarnation, or nothing if there was none.
+     */
     std::optional<kernel::Instant> reachedAt() const { return this->firstAnswer; }
 
     /** @return Whether the last poll was answered. */
--- a/test/wasabiroad/agent/upstream_agent.cpp
+++ b/test/wasabiroad/agent/upstream_agent.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 #include <vector>
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -139,6 +140,112 @@
     agent->close();
 }
 
+const jobs::TaskId task { jobs::JobId { "a" }, { 0, 0, 0 } };
+
+/** An answer to a start, and what the agent does then. */
+struct StartRow {
+    const char* title;
+    const ports::StartAnswer answer;
+    const bool restarted;
+
+    friend std::ostream& operator<<(std::ostream& out, const StartRow& row) { return out << row.title; }
+};
+
+const std::vector<StartRow> startRows {
+    { "the same incarnation", { scheduling::StartResult::Started, ports::UpstreamTime { 50100 } }, false },
+    { "the next incarnation", { scheduling::StartResult::Started, ports::UpstreamTime { 100 } }, true },
+    { "the next incarnation rejects it", { scheduling::StartResult::NoRoom, ports::UpstreamTime { 100 } },
+        true },
+    { "no answer", { scheduling::StartResult::Unknown }, false },
+};
+
+/** Guards against leases, acknowledgements and starts that are meant for an earlier incarnation of an
+ * upstream, and against a list of that incarnation which arrives after an answer of the next one. */
+BOOST_DATA_TEST_CASE(
+    restart_that_a_start_shows_ends_all_that_was_meant_for_the_former_incarnation, data::make(startRows), row)
+{
+    boost::asio::io_context context { 1 };
+    std::vector<ports::Look> looks;
+    std::vector<store::Callback<ports::LookOutcome>> waiting;
+    std::vector<ports::UpstreamTime> leaseEnds;
+    std::size_t unresponsive = 0;
+    std::size_t lists = 0;
+    const auto link = std::make_shared<const ports::UpstreamLink>(ports::UpstreamLink {
+        .look =
+            [&](const ports::Look& look, const store::Callback<ports::LookOutcome>& callback) {
+                looks.push_back(look);
+                waiting.push_back(callback);
+            },
+        .start =
+            [&](const scheduling::StartTask&, ports::Term, ports::UpstreamTime leaseEnd,
+                const ports::Permission&, const store::Callback<ports::StartOutcome>& callback) {
+                leaseEnds.push_back(leaseEnd);
+                callback(row.answer);
+            },
+        .stop = {},
+        .pace = {},
+    });
+    const auto agent = std::make_shared<UpstreamAgent>(context, link,
+        scheduling::UpstreamFacts { .id = upstream }, ports::Term { 1 }, kernel::Duration { 4000 },
+        UpstreamCallbacks {
+            .onTasks = [&](const auto&, const auto&, auto) { ++lists; },
+            .onUnresponsive = [&](const auto&, auto) { ++unresponsive; },
+            .onReplaced = [](const auto&) {},
+            .onSuperseded = [] {},
+            .mayRenewLeases = [] { return true; },
+            .needsFrequentPolling = [](const auto&) { return false; },
+        });
+    std::vector<StartReport> reports;
+    const scheduling::StartTask order { .upstream = upstream, .task = task, .run = { 1 } };
+    const auto startTask = [&] {
+        agent->startTask(
+            order, [] { return true; }, [&](const StartReport& report) { reports.push_back(report); });
+    };
+    const auto tasksOf = [](std::int64_t born, std::int64_t clock) {
+        return ports::Tasks { { born }, {}, {}, false, ports::UpstreamTime { clock } };
+    };
+    const auto work = boost::asio::make_work_guard(context);
+    const auto pass = [&] { context.run_for(std::chrono::milliseconds { 5 }); };
+    const auto runUntilPolls = [&](std::size_t count) {
+        const auto end = std::chrono::steady_clock::now() + testTimeout;
+        while (looks.size() < count && std::chrono::steady_clock::now() < end) {
+            pass();
+        }
+        BOOST_REQUIRE(looks.size() == count);
+    };
+
+    agent->start();
+    startTask();
+    BOOST_TEST(leaseEnds.empty());
+    waiting[0](tasksOf(1, 50000));
+    runUntilPolls(2);
+    BOOST_TEST(looks.back().leaseEnd.has_value());
+    startTask();
+    BOOST_REQUIRE(leaseEnds.size() == 1);
+    BOOST_TEST(leaseEnds.front().milliseconds >= 54000);
+    BOOST_REQUIRE(reports.size() == 2);
+    BOOST_TEST(reports.back().restarted == row.restarted);
+    BOOST_TEST(agent->isAnswering() != row.restarted);
+    BOOST_TEST(unresponsive == (row.restarted ? 1U : 0U));
+    startTask();
+    BOOST_TEST(leaseEnds.size() == (row.restarted ? 1U : 2U));
+    // The poll that was sent before the restart is answered late by the former incarnation.
+    waiting[1](tasksOf(1, 50100));
+    runUntilPolls(3);
+    BOOST_TEST(lists == (row.restarted ? 1U : 2U));
+    BOOST_TEST(looks.back().leaseEnd.has_value() != row.restarted);
+    BOOST_TEST(looks.back().wait.milliseconds > 0 != row.restarted);
+    const auto reached = agent->reachedAt();
+    pass();
+    waiting[2](tasksOf(row.restarted ? 2 : 1, row.restarted ? 200 : 50200));
+    BOOST_TEST(agent->isAnswering());
+    BOOST_TEST((agent->reachedAt() > reached) == row.restarted);
+    runUntilPolls(4);
+    BOOST_TEST(looks.back().leaseEnd.has_value());
+    BOOST_TEST((looks.back().leaseEnd->milliseconds < 50000) == row.restarted);
+    agent->close();
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
