--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -384,7 +384,8 @@
                 });
                 return;
             }
-            waitForEnd(id, wanted, until, callback);
+            // A call acknowledges ends and renews leases once, as it arrives.
+            waitForEnd(id, { .term = wanted.term, .wait = wanted.wait }, until, callback);
         });
 }
 
