--- a/tools/exchange_cost.cpp
+++ b/tools/exchange_cost.cpp
@@ -133,14 +133,15 @@
         std::string(500, 's'), "" };
     measure("look", RUSAGE_THREAD, [&] {
         repeat(context, [&](const auto& next) {
-            link->look({ { 7 }, 5, kernel::Duration { 2000 }, { 1500 } },
+            link->look({ { 7 }, 5, ports::UpstreamTime { 486000 }, { 1500 } },
                 [next](const ports::LookOutcome&) { next(); });
         });
     });
     measure("start", RUSAGE_THREAD, [&] {
         repeat(context, [&](const auto& next) {
             link->start(
-                order, { 7 }, { 2000 }, [] { return true; }, [next](const ports::StartOutcome&) { next(); });
+                order, { 7 }, ports::UpstreamTime { 486000 }, [] { return true; },
+                [next](const ports::StartOutcome&) { next(); });
         });
     });
 }
