Apply the answer to an order only to the link that sent it

A late 421 to an order of the old link closed the new one and released tasks that run there, and an answer with another clock on the closed link made the upstream unresponsive. An order that waited for its connection was sent with a lease end on a clock that was known to be of a former incarnation. change: answers with 421 count only while their link is in use, a closed link notices no restart, and a start waits for its connection only while the incarnation that it was meant for is the one that was read last. result: no test shows it yet; test-agent, -takeover and -restart pass.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -479,8 +479,8 @@
     ++this->startsInFlight;
     const auto permission = [self = shared_from_this()] { return !self->closed && self->mayStartTasks(); };
     upstream.startTask(order, permission,
-        [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run](
-            const StartReport& report) {
+        [self = shared_from_this(), id = order.upstream, task = order.task, run = order.run,
+            agent = upstream.weak_from_this()](const StartReport& report) {
             --self->startsInFlight;
             if (self->closed) {
                 return;
@@ -497,7 +497,7 @@
                         self->apply(scheduling::StartAnswered { id, task, run, result, report.restarted });
                     },
                     [&](const ports::Superseded&) { self->onSuperseded(); },
-                    [&](const ports::OtherUpstream&) { self->onUpstreamReplaced(id); },
+                    [&](const ports::OtherUpstream&) { self->onAddressReused(id, agent); },
                 },
                 report.outcome);
         });
@@ -508,8 +508,9 @@
     kernel::logEvent("task-stop",
         { { "task", jobs::toText(order.task) }, { "run", order.run.value },
             { "upstream", order.upstream.text() }, { "reason", order.reason } });
-    upstream.upstreamLink().stop(
-        order, this->term, [self = shared_from_this(), order](const ports::OrderOutcome& outcome) {
+    upstream.upstreamLink().stop(order, this->term,
+        [self = shared_from_this(), order, agent = upstream.weak_from_this()](
+            const ports::OrderOutcome& outcome) {
             if (self->closed) {
                 return;
             }
@@ -519,7 +520,7 @@
                                    order.upstream, order.task, order.run, answered });
                            },
                            [&](const ports::Superseded&) { self->onSuperseded(); },
-                           [&](const ports::OtherUpstream&) { self->onUpstreamReplaced(order.upstream); },
+                           [&](const ports::OtherUpstream&) { self->onAddressReused(order.upstream, agent); },
                        },
                 outcome);
         });
@@ -1028,6 +1029,14 @@
     apply(scheduling::UpstreamReplaced { id });
 }
 
+void PoolAgent::onAddressReused(const UpstreamId& id, const std::weak_ptr<UpstreamAgent>& caller)
+{
+    const auto agent = this->upstreamAgents.find(id);
+    if (agent != this->upstreamAgents.end() && agent->second == caller.lock()) {
+        onUpstreamReplaced(id);
+    }
+}
+
 bool PoolAgent::isReplaced(const UpstreamId& id) const
 {
     const auto found = this->replacedAt.find(id);
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -145,6 +145,9 @@
     void onVms(const ports::VmListing& listing, kernel::Instant requested);
     void onSuperseded();
     void onUpstreamReplaced(const scheduling::UpstreamId& id);
+    /** @brief Handles an order that another upstream has answered, unless the upstream has changed its
+     * address since. */
+    void onAddressReused(const scheduling::UpstreamId& id, const std::weak_ptr<UpstreamAgent>& caller);
     /** @return Whether another upstream has recently answered at the address of this one. */
     bool isReplaced(const scheduling::UpstreamId& id) const;
     scheduling::Moment now() const;
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -145,14 +145,18 @@
         return;
     }
     const auto sent = kernel::bootNow();
-    this->link->start(order, this->term, leaseEnd(*this->reading, this->taskLease, sent),
-        std::move(permission),
+    const auto mayBeSent = [self = shared_from_this(), incarnation = this->reading->incarnation,
+                               permission = std::move(permission)] {
+        return self->reading && self->reading->incarnation == incarnation && permission();
+    };
+    this->link->start(order, this->term, leaseEnd(*this->reading, this->taskLease, sent), mayBeSent,
         [self = shared_from_this(), used = *this->reading, sent, callback = std::move(callback)](
             const ports::StartOutcome& outcome) {
             const auto* const answer = std::get_if<ports::StartAnswer>(&outcome);
             const bool restarted
                 = answer != nullptr && answer->clock && isRestarted(used, *answer->clock, sent);
-            if (restarted && self->reading && self->reading->incarnation == used.incarnation) {
+            if (restarted && !self->closed && self->reading
+                && self->reading->incarnation == used.incarnation) {
                 self->onRestart(*answer->clock);
             }
             callback({ outcome, restarted });
