Count the answer to a stop for the incarnation that has given it

Since a stop that a restarted upstream never answered held up its task for ever, also where the run had ended with the former incarnation. change: the answer to a stop that was sent before the first list of the present incarnation is ignored, and the stop repeated at once. A run that is known to have run on a former incarnation ended with it. Two tests now say when the stop was sent that is answered, as the event does; they check the same.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -509,7 +509,7 @@
         { { "task", jobs::toText(order.task) }, { "run", order.run.value },
             { "upstream", order.upstream.text() }, { "reason", order.reason } });
     upstream.upstreamLink().stop(order, this->term,
-        [self = shared_from_this(), order, agent = upstream.weak_from_this()](
+        [self = shared_from_this(), order, sent = kernel::bootNow(), agent = upstream.weak_from_this()](
             const ports::OrderOutcome& outcome) {
             if (self->closed) {
                 return;
@@ -517,7 +517,7 @@
             std::visit(kernel::Overloaded {
                            [&](bool answered) {
                                self->apply(scheduling::StopAnswered {
-                                   order.upstream, order.task, order.run, answered });
+                                   order.upstream, order.task, order.run, answered, sent });
                            },
                            [&](const ports::Superseded&) { self->onSuperseded(); },
                            [&](const ports::OtherUpstream&) { self->onAddressReused(order.upstream, agent); },
--- a/src/wasabiroad/scheduling/event.hpp
+++ b/src/wasabiroad/scheduling/event.hpp
@@ -172,6 +172,8 @@
     const jobs::Run run {};
     /** @brief The upstream confirmed the stop; false if it rejected it or did not answer. */
     const bool answered { false };
+    /** @brief When the order was sent. */
+    const kernel::Instant sent {};
 
     friend auto operator<=>(const StopAnswered&, const StopAnswered&) = default;
 };
--- a/src/wasabiroad/scheduling/policy.hpp
+++ b/src/wasabiroad/scheduling/policy.hpp
@@ -40,6 +40,8 @@
     const std::size_t maxSuspectPercent { 50 };
     /** @brief Delay before the start of a task is retried after a start that failed. */
     const kernel::Duration refusalRetryDelay { 200 };
+    /** @brief Time in ms after which an order without an answer is not carried out any more. */
+    const kernel::Duration maxOrderDelay { 20000 };
     /** @brief Interval at which an unanswered stop order is repeated. */
     const kernel::Duration stopRetryInterval { 1000 };
     /** @brief Minimum interval between two increases of the pace of a filler task. */
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -332,6 +332,7 @@
     if (upstream.born != event.born) {
         if (upstream.born != kernel::Instant {}) {
             releaseRestarted(event, now);
+            upstream.restartListed = now.steady;
             upstream.formerLeaseEnd = now.steady + this->policy.maxGrantedLease;
         } else if (const auto previous = this->unreconciled.find(event.upstream);
                    previous != this->unreconciled.end()) {
@@ -464,6 +465,7 @@
         markDirty(running.task.job, running.task.position.occurrence);
     }
     task->runsOn = upstream.born;
+    task->orderedTo = upstream.born;
     // A start that was not answered and has been carried out needs no stop, unless one may have taken effect.
     const bool wasCarriedOut = task->phase == Phase::Stopping && task->stopsUnansweredStart
         && !task->stopAnswered && !task->done && !jobs::isFinal(entry->state);
@@ -503,9 +505,10 @@
         } else if (task->phase == Phase::Stopping) {
             // By then the lease in the start order has expired, so the upstream rejects the order; but not if
             // it has restarted, since its clock began anew.
-            const auto expiry
-                = task->started + this->policy.startAnswerTimeout + this->policy.maxLeaseDuration;
-            const bool isRejected = task->orderedTo == event.born && expiry < event.sent;
+            const auto expiry = task->orderedTo == event.born
+                ? this->policy.startAnswerTimeout + this->policy.maxLeaseDuration
+                : this->policy.maxOrderDelay;
+            const bool isRejected = task->started + expiry < event.sent;
             if ((task->stopAnswered && *task->stopAnswered <= event.sent) || isRejected) {
                 release(id, *task, now);
             }
@@ -553,8 +556,11 @@
 void PoolScheduler::on(const StopAnswered& event, Moment now)
 {
     const auto [entry, task] = find(event.task);
+    const auto upstream = this->upstreams.find(event.upstream);
+    // The present incarnation does not know of a stop that an earlier one has answered.
+    const bool isCurrent = upstream == this->upstreams.end() || event.sent >= upstream->second.restartListed;
     if (task != nullptr && task->phase == Phase::Stopping && task->run == event.run && event.answered
-        && !task->stopAnswered) {
+        && isCurrent && !task->stopAnswered) {
         task->stopAnswered = now.steady;
     }
 }
@@ -1009,20 +1015,18 @@
     const auto tasks = this->upstreams[event.upstream].tasks;
     for (const auto& id : tasks) {
         auto& task = *find(id).second;
-        if (task.phase == Phase::Starting || (task.phase == Phase::Stopping && !task.stopAnswered)) {
+        constexpr auto reason = "start on an earlier incarnation was not answered";
+        if (task.phase == Phase::Starting) {
             // The new incarnation may still carry out a delayed start until it has answered a stop.
-            stop(id, task, now, "start on an earlier incarnation was not answered");
-            continue;
-        }
-        if (!task.runsOn && task.phase == Phase::Stopping) {
-            // The earlier incarnation may have answered the stop, and the later one does not know of it.
+            stop(id, task, now, reason);
+        } else if (task.phase == Phase::Stopping && !task.runsOn) {
+            // The same, and only the earlier incarnation may have answered a stop.
             task.stopAnswered.reset();
-            task.stopSent = {};
-            continue;
-        }
-        // The new incarnation may have given a later answer; the next list shows whether the task runs there.
-        const auto answered = task.phase == Phase::Running ? task.confirmed : *task.stopAnswered;
-        if (answered <= event.sent) {
+            task.stopSent = now.steady;
+            this->orders.push_back(StopTask { event.upstream, id, task.run, reason });
+        } else if (task.confirmed <= event.sent) {
+            // The run ended with the earlier incarnation, unless the list shows that the new one has started
+            // it.
             release(id, task, now);
         }
     }
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -109,6 +109,8 @@
     /** @brief It has listed its tasks to this owner and has answered since. */
     bool listed { false };
     kernel::Instant born {};
+    /** @brief When the present incarnation was first listed, unless it was the first one. */
+    kernel::Instant restartListed {};
     /** @brief When the last call that may have extended its lease was sent. */
     kernel::Instant lastGrant {};
     /** @brief End of the leases that calls for an earlier incarnation, or calls of the previous owner, may
--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -64,7 +64,7 @@
     }
     fixture.apply(TasksListed { first.upstream, { 2 }, { 200 }, running, {} }, 210);
     BOOST_TEST(fixture.stops.size() == (runs ? 0 : 1));
-    fixture.apply(StopAnswered { first.upstream, first.task, first.run, true }, 300);
+    fixture.apply(StopAnswered { first.upstream, first.task, first.run, true, { 290 } }, 300);
     fixture.apply(TasksListed { first.upstream, { 2 }, { 400 }, running, {} }, 410);
     BOOST_TEST(fixture.starts.size() == (runs ? 1 : 2));
 }
--- a/test/wasabiroad/scheduling/lost_upstreams.cpp
+++ b/test/wasabiroad/scheduling/lost_upstreams.cpp
@@ -1,6 +1,8 @@
 #include "wasabiroad/scheduling/fixture.hpp"
 
 #include <functional>
+#include <optional>
+#include <utility>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -127,23 +129,27 @@
     BOOST_TEST(fixture.starts.size() == 2);
 }
 
-/** An incarnation that lists its tasks after a start was not answered and its stop was, and until when the
- * task waits. */
+/** An incarnation that lists its tasks after a start was not answered, and the stop that is answered. */
 struct StopRow {
     const char* title;
     const std::int64_t born;
-    const bool isAnswered;
+    /** @brief When the stop was sent that is answered at 950 ms, after the list; nothing if none is. */
+    const std::optional<std::int64_t> answeredStop;
+    /** @brief Starts once a list has been requested after that answer, once the same incarnation would reject
+     * the start as too late, and once no incarnation carries it out any more. */
     const std::size_t starts;
     const std::size_t startsLater;
+    const std::size_t startsInTheEnd;
 
     friend std::ostream& operator<<(std::ostream& out, const StopRow& row) { return out << row.title; }
 };
 
 const std::vector<StopRow> stopRows {
-    { "the same, and the stop was answered", 1, true, 2, 2 },
-    { "the same", 1, false, 1, 2 },
-    { "the next, and the stop was answered", 2, true, 1, 1 },
-    { "the next", 2, false, 1, 1 },
+    { "the same, and a stop was answered", 1, 820, 2, 2, 2 },
+    { "the same", 1, std::nullopt, 1, 2, 2 },
+    { "the next, and the former one has answered", 2, 820, 1, 1, 2 },
+    { "the next, and it has answered", 2, 910, 2, 2, 2 },
+    { "the next", 2, std::nullopt, 1, 1, 2 },
 };
 
 /** Guards against a start for an earlier incarnation that the next one carries out beside a second run. */
@@ -153,18 +159,41 @@
     fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
     const auto first = fixture.starts.front();
     fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 810);
-    if (row.isAnswered) {
-        fixture.apply(StopAnswered { first.upstream, first.task, first.run, true }, 820);
-    }
     fixture.apply(TasksListed { first.upstream, { row.born }, { 900 } }, 910);
+    fixture.apply(Tick {}, 920);
+    BOOST_TEST(fixture.stops.size() == static_cast<std::size_t>(row.born));
+    if (row.answeredStop) {
+        fixture.apply(
+            StopAnswered { first.upstream, first.task, first.run, true, { *row.answeredStop } }, 950);
+    }
+    fixture.apply(TasksListed { first.upstream, { row.born }, { 960 } }, 970);
     fixture.apply(Tick {}, 2000);
     BOOST_TEST(fixture.starts.size() == row.starts);
-    // By now the same incarnation would reject the start as too late.
-    fixture.apply(TasksListed { first.upstream, { row.born }, { 8000 } }, 8010);
-    BOOST_TEST(fixture.starts.size() == row.startsLater);
-    BOOST_TEST(fixture.stops.size() >= 3 - row.startsLater);
-    fixture.apply(StopAnswered { first.upstream, first.task, first.run, true }, 8100);
-    fixture.apply(TasksListed { first.upstream, { row.born }, { 8200 } }, 8210);
+    for (const auto& [time, starts] : { std::pair { 8000, row.startsLater }, { 20100, row.startsInTheEnd } }) {
+        std::vector<RunningTask> running;
+        if (fixture.starts.size() == 2) {
+            running.push_back({ first.task, fixture.starts.back().run, "", time / 1000 });
+        }
+        fixture.apply(TasksListed { first.upstream, { row.born }, { time }, running }, time + 10);
+        BOOST_TEST(fixture.starts.size() == starts);
+    }
+}
+
+/** Guards against a task that waits for ever since an upstream that has restarted answers no stop of a run
+ * that ended with its earlier incarnation. */
+BOOST_DATA_TEST_CASE(stopped_run_ends_with_its_incarnation, data::make({ true, false }), listed)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") }, 5, leasePolicy };
+    fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
+    const auto first = fixture.starts.front();
+    fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Started }, 20);
+    if (listed) {
+        fixture.applyTaskList("u1", { { first.task, first.run, "", 1 } }, {}, 50);
+    }
+    fixture.applyTaskList("u1", {}, {}, 100);
+    BOOST_REQUIRE_EQUAL(fixture.stops.size(), 1);
+    BOOST_TEST(fixture.starts.size() == 1);
+    fixture.apply(TasksListed { first.upstream, { 2 }, { 200 } }, 210);
     BOOST_TEST(fixture.starts.size() == 2);
 }
 
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -402,9 +402,10 @@
 
 void Model::sendStop(const OwnerPointer& owner, const StopTask& order)
 {
-    const auto answer = [this, owner, order](std::int64_t delay, bool answered) {
-        after(delay, [this, owner, order, answered] {
-            applyEvent(owner, StopAnswered { order.upstream, order.task, order.run, answered });
+    const kernel::Instant sent { this->now };
+    const auto answer = [this, owner, order, sent](std::int64_t delay, bool answered) {
+        after(delay, [this, owner, order, answered, sent] {
+            applyEvent(owner, StopAnswered { order.upstream, order.task, order.run, answered, sent });
         });
     };
     const bool partitioned = at(order.upstream).partitionedUntil > this->now;
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -593,7 +593,7 @@
     fixture.apply(TasksListed { first.upstream, { 2 }, { 500 }, {}, {} }, 500);
     BOOST_TEST(fixture.stops.size() == 1);
     BOOST_TEST(fixture.starts.size() == 1);
-    fixture.apply(StopAnswered { first.upstream, first.task, first.run, true }, 600);
+    fixture.apply(StopAnswered { first.upstream, first.task, first.run, true, { 500 } }, 600);
     fixture.apply(TasksListed { first.upstream, { 2 }, { 700 }, {}, {} }, 710);
     BOOST_TEST(fixture.starts.size() == 2);
 }
