Count a drain report for its own drain only

An upstream counted as drained while it ran tasks. cause: the report that a VM is drained was written on the owner's term alone. A write without an answer may be carried out seconds later, when the drain has ended and the upstream has tasks again. If it is drained anew by then, the report is newer than that drain and has the same upstream, so the owner of the fleet takes it for the answer and orders the VM. change: the report is conditional on the revision of the drain that it answers.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -288,7 +288,7 @@
     const auto prefix = keys::jobsOf(this->service);
     for (const auto& entry : pool.entries) {
         if (entry.key.starts_with(keys::drainsOf(this->service))) {
-            onDrain(entry.key, entry.value);
+            onDrain(entry.key, entry);
         }
         if (!entry.key.starts_with(prefix)) {
             continue;
@@ -387,7 +387,7 @@
     std::visit(kernel::Overloaded {
                    [&](const store::Entry& entry) {
                        if (entry.key.starts_with(keys::drainsOf(this->service))) {
-                           onDrain(entry.key, entry.value);
+                           onDrain(entry.key, entry);
                        }
                        if (!entry.key.starts_with(prefix)) {
                            return;
@@ -925,21 +925,21 @@
     }
 }
 
-void PoolAgent::onDrain(const std::string& key, const std::optional<std::string>& value)
+void PoolAgent::onDrain(const std::string& key, const std::optional<store::Entry>& entry)
 {
     const auto vm = key.substr(keys::drainsOf(this->service).size());
-    const auto drain = value ? jobs::decodeDrain(*value) : std::nullopt;
+    const auto drain = entry ? jobs::decodeDrain(entry->value) : std::nullopt;
     this->drains.erase(vm);
     if (drain) {
-        this->drains.emplace(vm, *drain);
-    } else if (value) {
+        this->drains.emplace(vm, RequestedDrain { *drain, entry->revision });
+    } else if (entry) {
         kernel::logEvent("drain-unreadable", { { "vm", vm }, { "pool", this->service.text() } });
     }
     this->reportedDrained.erase(vm);
     std::vector<scheduling::Drain> all;
     all.reserve(this->drains.size());
     for (const auto& [name, known] : this->drains) {
-        all.push_back({ UpstreamId { known.upstream }, known.stopsTasks });
+        all.push_back({ UpstreamId { known.drain.upstream }, known.drain.stopsTasks });
     }
     kernel::logEvent("drain-changed",
         { { "vm", vm }, { "upstream", drain ? drain->upstream : "" },
@@ -950,17 +950,19 @@
 
 void PoolAgent::reportDrained()
 {
-    for (const auto& [vm, drain] : this->drains) {
-        const auto& upstream = drain.upstream;
+    for (const auto& [vm, request] : this->drains) {
+        const auto& upstream = request.drain.upstream;
         if (this->reportedDrained.contains(vm) || !isDrained(UpstreamId { upstream })) {
             continue;
         }
         this->reportedDrained.insert(vm);
-        this->writer->put({ keys::drainedVms + vm, upstream },
+        // A report that is written late must not count for a later drain of the same upstream.
+        const store::Condition sameDrain { keys::drain(this->service, model::VmId { vm }), request.revision };
+        this->writer->putIf({ keys::drainedVms + vm, upstream }, sameDrain,
             [self = shared_from_this(), vm = vm, upstream = upstream](const store::ChangeOutcome& outcome) {
                 if (std::holds_alternative<store::Committed>(outcome)) {
                     kernel::logEvent("vm-emptied", { { "vm", vm }, { "upstream", upstream } });
-                } else {
+                } else if (!std::holds_alternative<store::Conflict>(outcome)) {
                     self->reportedDrained.erase(vm);
                 }
             });
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -76,6 +76,12 @@
         std::uint64_t last { 0 };
     };
 
+    /** @brief A drain and the revision of its request. */
+    struct RequestedDrain {
+        jobs::Drain drain {};
+        store::Revision revision {};
+    };
+
     /** @brief The latest listed ends of each upstream. */
     using TaskEnds = std::map<scheduling::UpstreamId, ListedEnds>;
 
@@ -138,7 +144,7 @@
     bool isDrained(const scheduling::UpstreamId& id) const;
     void writeRecordedUpstreams(const std::set<std::string>& ids);
     void onUpstreamsRecorded(const std::set<std::string>& ids, const store::ChangeOutcome& outcome);
-    void onDrain(const std::string& key, const std::optional<std::string>& value);
+    void onDrain(const std::string& key, const std::optional<store::Entry>& entry);
     void reportDrained();
     /** @brief Reads the list of VMs while upstreams that do not answer hold up tasks. */
     void checkUnheard();
@@ -167,7 +173,7 @@
      * upstreams may run tasks. */
     std::set<std::string> recordedUpstreams {};
     /** @brief Requested drains by VM. */
-    std::map<std::string, jobs::Drain> drains {};
+    std::map<std::string, RequestedDrain> drains {};
     /** @brief VMs whose completed drain has been reported to the store. */
     std::set<std::string> reportedDrained {};
     /** @brief Last known revision of that record. */
--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -74,8 +74,14 @@
     store::Put put, store::Revision expected, store::Callback<store::ChangeOutcome> callback) const
 {
     store::Condition unchanged { put.key, expected };
+    putIf(std::move(put), std::move(unchanged), std::move(callback));
+}
+
+void RecordWriter::putIf(
+    store::Put put, store::Condition condition, store::Callback<store::ChangeOutcome> callback) const
+{
     this->store->change(
-        { { ownerCondition(), std::move(unchanged) }, { std::move(put) }, {} }, std::move(callback));
+        { { ownerCondition(), std::move(condition) }, { std::move(put) }, {} }, std::move(callback));
 }
 
 store::Condition RecordWriter::ownerCondition() const
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -74,6 +74,15 @@
     void replace(
         store::Put put, store::Revision expected, store::Callback<store::ChangeOutcome> callback) const;
 
+    /**
+     * @brief Writes a key of the pool, provided that the owner's term is current and a condition holds.
+     * @param put Key and value.
+     * @param condition Condition on this key or another one.
+     * @param callback Receives the outcome.
+     */
+    void putIf(
+        store::Put put, store::Condition condition, store::Callback<store::ChangeOutcome> callback) const;
+
     /** @brief Stops writing; outcomes of calls in flight are ignored. */
     void close() { this->closed = true; }
 
--- a/test/wasabiroad/agent/takeover.cpp
+++ b/test/wasabiroad/agent/takeover.cpp
@@ -308,6 +308,49 @@
     BOOST_TEST(site.workers.broken().empty());
 }
 
+/** What happens to a drain before its report is written. */
+struct LateReportRow {
+    const char* title;
+    const bool isRequestedAgain;
+
+    friend std::ostream& operator<<(std::ostream& out, const LateReportRow& row) { return out << row.title; }
+};
+
+const std::vector<LateReportRow> lateReportRows {
+    { "the drain has ended", false },
+    { "the upstream is drained again", true },
+};
+
+/** Guards against an upstream that counts as drained while it runs tasks, since the report of an earlier
+ * drain was written late. */
+BOOST_DATA_TEST_CASE(late_drain_report_counts_for_its_own_drain_only, data::make(lateReportRows), row)
+{
+    constexpr kernel::Duration writtenAfter { 3000 };
+    Site site { 1, 2 };
+    // No daemon owns the fleet, so drains change only here.
+    site.store.put(keys::owner(keys::fleetDuty), "entry-9#9");
+    BOOST_REQUIRE(site.runUntil([&] { return usedCount(site) == 2; }));
+    const auto drain = keys::drain(service, model::VmId { "vm0" });
+    const auto request = jobs::encode(jobs::Drain { site.workers.members().front().id.text(), false });
+    site.daemons[0]->storeFaults->changeDelay = writtenAfter;
+    site.store.put(drain, request);
+    site.runFor(100);
+    const auto store = site.store.connect(std::make_shared<standin::StoreFaults>());
+    site.await<store::ChangeOutcome>([&](auto callback) {
+        store.change({ {}, {}, { drain } }, std::move(callback));
+    });
+    site.daemons[0]->storeFaults->changeDelay = {};
+    site.submit(makeJob("a", 10000, 8));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 8; }));
+    if (row.isRequestedAgain) {
+        site.store.put(drain, request);
+    }
+    // Long enough for the late report, and too short for tasks without progress to be stopped.
+    site.runFor(writtenAfter.milliseconds / 2);
+    BOOST_TEST(site.workers.runningCount() == 8);
+    BOOST_TEST(!site.store.find(keys::drainedVms + "vm0").has_value());
+}
+
 /** Guards against recording a drained upstream as used: the next owner would wait for it in vain. */
 BOOST_AUTO_TEST_CASE(drained_upstream_is_not_recorded_as_used)
 {
