--- a/test/wasabiroad/scheduling/lost_upstreams.cpp
+++ b/test/wasabiroad/scheduling/lost_upstreams.cpp
@@ -169,7 +169,8 @@
     fixture.apply(TasksListed { first.upstream, { row.born }, { 960 } }, 970);
     fixture.apply(Tick {}, 2000);
     BOOST_TEST(fixture.starts.size() == row.starts);
-    for (const auto& [time, starts] : { std::pair { 8000, row.startsLater }, { 20100, row.startsInTheEnd } }) {
+    for (const auto& [time, starts] :
+        { std::pair { 8000, row.startsLater }, { 20100, row.startsInTheEnd } }) {
         std::vector<RunningTask> running;
         if (fixture.starts.size() == 2) {
             running.push_back({ first.task, fixture.starts.back().run, "", time / 1000 });
