Start a gang only if it has tasks, and end each scheduling pass

The step counted as startable, placing its 0 tasks succeeded, and the loop of PoolScheduler::schedule, which relied on a placed step to leave the index of waiting steps, took it up again without end. Ruled out: writes that conflict, and steps of 0 tasks that are no gang. change: a gang waits only if it has a task; a step that starts nothing is blocked unless it has left the index. On related paths: occurrences without tasks are not opened, as nothing bounded how many end in one turn; the number of upstreams that a step needs does not wrap around.

--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -24,6 +24,12 @@
     return std::max(1U, (step.count + longRunningSpread - 1) / longRunningSpread);
 }
 
+/** Upstreams that a step with a limit for each of them needs; the limit may be far above the task count. */
+std::uint32_t upstreamsNeeded(const jobs::Step& step)
+{
+    return step.count == 0 ? 0 : (step.count - 1) / step.maxPerUpstream + 1;
+}
+
 /** Upstreams whose tasks end within this time may leave the pool; they get no new tasks while they drain. */
 constexpr Duration releaseWithin { 900 };
 
@@ -78,7 +84,7 @@
                 memory += counted * step.resources.memory;
                 accelerators += counted * step.resources.accelerators;
                 if (step.longRunning && step.maxPerUpstream > 0 && !jobs::isFinal(entry.state)) {
-                    spread = std::max(spread, (step.count + step.maxPerUpstream - 1) / step.maxPerUpstream);
+                    spread = std::max(spread, upstreamsNeeded(step));
                 }
             }
         }
@@ -122,14 +128,18 @@
         const ReadyStep ready { &this->jobEntries.at(id.job), id.occurrence, id.step };
         const auto& step = ready.entry->open.at(id.occurrence).steps[id.step];
         const auto requirements = step.waiting->requirements;
-        const auto runsBefore = this->assignedRuns;
+        const auto ordersBefore = this->orders.size();
         const bool placed = ready.entry->job.steps[id.step].gang ? placeGang(ready, now) : place(ready, now);
-        if (placed || this->assignedRuns != runsBefore) {
+        const bool started = this->orders.size() > ordersBefore;
+        if (placed || started) {
             refreshSteps(*ready.entry, id.occurrence, now);
             openDueOccurrences(*ready.entry, now);
             refreshDirtySteps(now);
         }
-        if (!placed && step.waiting && step.waiting->requirements == requirements) {
+        // A step that starts nothing is blocked unless it has left the index, so the loop ends whatever a
+        // step declares.
+        const bool goesOn = placed && started;
+        if (!goesOn && step.waiting && step.waiting->requirements == requirements) {
             this->waiting.block(requirements);
         }
     }
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -194,6 +194,8 @@
 {
     cancelOpening(entry);
     const auto count = internal::occurrenceCount(entry.job);
+    const bool hasTasks
+        = std::ranges::any_of(entry.job.steps, [](const jobs::Step& step) { return step.count > 0; });
     while (!jobs::isFinal(entry.state) && entry.nextOccurrence < count) {
         const auto next = entry.nextOccurrence;
         if (!entry.open.contains(next) && !boost::icl::contains(entry.completed, next)) {
@@ -208,7 +210,13 @@
             if (entry.waitingOccurrences > 0 && waitingSteps > this->policy.maxWaitingStepsPerJob) {
                 return;
             }
-            openOccurrence(entry, next, now);
+            if (hasTasks) {
+                openOccurrence(entry, next, now);
+            } else {
+                // Nothing limits how many of these end at once, so they are not opened.
+                entry.completed.add(next);
+                ++entry.completedCount;
+            }
         }
         ++entry.nextOccurrence;
     }
--- a/src/wasabiroad/scheduling/readiness.cpp
+++ b/src/wasabiroad/scheduling/readiness.cpp
@@ -41,10 +41,11 @@
     return left && *left < right ? left : right;
 }
 
-/** Whether a step can be started: one startable task, or all tasks of a gang. */
+/** Whether a step can be started: one startable task, or all tasks of a gang that has any. */
 bool hasStartable(const jobs::Step& declared, const StepEntry& step, Moment now)
 {
-    return declared.gang ? step.tasks.areAllStartable(now) : step.tasks.nextStartable(0, now).has_value();
+    return declared.gang ? step.tasks.size() > 0 && step.tasks.areAllStartable(now)
+                         : step.tasks.nextStartable(0, now).has_value();
 }
 
 /** Visits the tasks that the next start concerns: the first startable one, or all of a gang. */
--- a/test/platform/requests.cpp
+++ b/test/platform/requests.cpp
@@ -73,6 +73,33 @@
     BOOST_TEST(!decodeJob(id, queue, body, {}).has_value());
 }
 
+/** A first step, and whether a job with it is admitted. */
+struct OddStepRow {
+    const char* body;
+    const bool admitted;
+
+    friend std::ostream& operator<<(std::ostream& out, const OddStepRow& row) { return out << row.body; }
+};
+
+// A field that is omitted is 0, so a step may have no tasks; no page sets a least count.
+const std::vector<OddStepRow> oddSteps { { R"({})", true }, { R"({"count":0})", true },
+    { R"({"gang":true})", true }, { R"({"count":0,"gang":true,"sameRack":true})", true },
+    { R"({"longRunning":true})", true }, { R"({"count":2,"maxPerServer":3})", true },
+    { R"({"count":2,"longRunning":true,"mayMiss":3})", true }, { R"({"count":10000,"gang":true})", true },
+    { R"({"count":1,"cpu":900000000000})", true }, { R"({"count":-1,"gang":true})", false },
+    { R"({"count":10001,"gang":true})", false }, { R"({"after":[0]})", false },
+    { R"({"gang":true,"after":[0]})", false }, { R"({"gang":true,"after":[1]})", false },
+    { R"({"gang":true,"after":[-1]})", false } };
+
+/** Guards against a step that is admitted by its position or kind and cannot be scheduled, and against the
+ * rejection of one that can. */
+BOOST_DATA_TEST_CASE(odd_step_is_admitted_or_rejected, data::make(oddSteps), row)
+{
+    const auto job = decodeJob(
+        id, queue, R"({"steps":[)" + std::string { row.body } + R"(,{"count":1,"after":[0,0]}]})", {});
+    BOOST_TEST(job.has_value() == row.admitted);
+}
+
 /** Guards against a job with more steps than its owner can hold. */
 BOOST_DATA_TEST_CASE(number_of_steps_is_limited, data::make({ 1000, 1001 }), count)
 {
