Count the pending jobs of a queue in all pools that hold them

The count was looked up by the route of the queue, and jobs stay in the pool that has accepted them. Ruled out: that reports lose the queue, and that the former pool has no owner. change: a daemon remembers the pools to which configurations have sent a queue and those whose owners report open jobs of it, and adds their counts; each is current or counted in the store. A queue that has not moved costs one read, as before.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -23,15 +23,17 @@
 /** An entry VM whose last answer from the store is older reports that it is not ready. */
 constexpr Duration maxAnswerAge { 2500 };
 
-/** Maximum age of the pending counts that are returned to callers. */
-constexpr Duration countAgeLimit { 2000 };
-
 /** Maximum time to record the state of the owned pools before their duties are released. */
 constexpr Duration handOverTimeout { 400 };
 
-/** Interval in ms between reads of the pools that have a report. */
+/** Interval in ms between reads of the reports of all pools. */
 constexpr Duration reportedPoolsInterval { 60000 };
 
+/** The same in ms while the owner of a pool has not reported yet, for instance after a restart of all
+ * daemons.
+ */
+constexpr Duration missingReportsInterval { 2000 };
+
 /** Attempts to cancel a job whose record changes concurrently. */
 constexpr int cancelAttempts = 6;
 
@@ -49,7 +51,6 @@
     : revisions(std::make_shared<RevisionClock>())
     , environment(withRevisionTracking(std::move(agentContext), revisions))
     , submissions(std::make_shared<Submissions>(environment.context, environment.store, environment.metrics))
-    , pendingCounter(std::make_shared<PendingCounter>(environment.store))
     , reportedPoolsTimer(environment.context)
 {
 }
@@ -57,6 +58,11 @@
 void Agent::start()
 {
     const std::weak_ptr<Agent> weak = weak_from_this();
+    this->queueCounter = std::make_shared<QueueCounter>(
+        this->environment.store, this->revisions, [weak](const model::ServiceId& pool) {
+            const auto self = weak.lock();
+            return self ? self->ownPendingCounts(pool) : std::nullopt;
+        });
     this->directory
         = std::make_shared<UpstreamDirectory>(this->environment.context, this->environment.fleet, [weak] {
               if (const auto self = weak.lock()) {
@@ -172,64 +178,14 @@
         });
 }
 
-void Agent::pending(const model::ServiceId& service, const jobs::QueueId& queue,
-    store::Callback<std::optional<std::uint64_t>> callback)
+std::optional<PendingView> Agent::ownPendingCounts(const model::ServiceId& pool) const
 {
-    const auto answer = [self = shared_from_this(), service, queue, callback = std::move(callback)](
-                            std::string_view source, const PendingCounter::CountResult& counted) {
-        if (!counted) {
-            kernel::logEvent("pending-unknown",
-                { { "queue", queue.text() }, { "pool", service.text() }, { "source", source },
-                    { "code", number(counted.error().code) }, { "reason", counted.error().found } });
-            callback(std::nullopt);
-            return;
-        }
-        const auto age = self->revisions->ageOf(counted->asOf, kernel::bootNow());
-        kernel::logEvent("pending-answered",
-            { { "queue", queue.text() }, { "pool", service.text() }, { "source", source },
-                { "revision", counted->asOf.value }, { "age_ms", ageText(age) },
-                { "count", counted->countOf(queue) } });
-        callback(counted->countOf(queue));
-    };
-    const auto own = this->poolAgents.find(service);
-    if (own != this->poolAgents.end() && this->duties->withinLeaseGrace()) {
-        if (const auto counts = own->second->pendingCounts();
-            counts && isCurrent(own->second->watchedRevision())) {
-            answer("owner", PendingView { *counts, own->second->watchedRevision() });
-            return;
-        }
+    const auto own = this->poolAgents.find(pool);
+    if (own == this->poolAgents.end() || !this->duties->withinLeaseGrace()) {
+        return std::nullopt;
     }
-    this->environment.store->read(keys::report(service),
-        [self = shared_from_this(), service, answer](
-            const kernel::Expected<std::optional<store::Entry>>& entry) {
-            if (!entry) {
-                answer("report", tl::unexpected(entry.error()));
-                return;
-            }
-            const auto report = *entry ? jobs::decodePoolReport((*entry)->value) : std::nullopt;
-            if (*entry && !report) {
-                kernel::logEvent("report-unreadable",
-                    { { "key", (*entry)->key }, { "revision", (*entry)->revision.value } });
-            }
-            if (report && self->isCurrent({ report->asOf })) {
-                answer("report", PendingView { report->pending, { report->asOf } });
-                return;
-            }
-            self->pendingCounter->count(service, [self, answer](const PendingCounter::CountResult& counted) {
-                // Over a slow link the count may be outdated when it arrives.
-                const bool late = counted && !self->isCurrent(counted->asOf);
-                answer("store",
-                    late ? kernel::fail(
-                        kernel::ResultCode::PlatformTimeout, "store", "count is outdated on arrival")
-                         : counted);
-            });
-        });
-}
-
-bool Agent::isCurrent(store::Revision asOf) const
-{
-    const auto age = this->revisions->ageOf(asOf, kernel::bootNow());
-    return age && *age <= countAgeLimit;
+    const auto counts = own->second->pendingCounts();
+    return counts ? std::optional { PendingView { *counts, own->second->watchedRevision() } } : std::nullopt;
 }
 
 void Agent::readOperator()
@@ -248,22 +204,33 @@
             if (self->abandoned || self->stopping) {
                 return;
             }
-            self->reportedPoolsTimer.start(
-                reports ? reportedPoolsInterval : retryInterval, [weak = self->weak_from_this()] {
-                    if (const auto locked = weak.lock()) {
-                        locked->readReportedPools();
-                    }
-                });
-            if (!reports) {
-                return;
-            }
-            for (const auto& entry : reports->entries) {
-                self->wantedDuties.insert(keys::poolDuty + entry.key.substr(keys::reports.size()));
-            }
-            self->duties->setWanted(self->wantedDuties);
+            const bool complete = reports && self->onReports(*reports);
+            const auto interval = complete ? reportedPoolsInterval
+                : reports                  ? missingReportsInterval
+                                           : retryInterval;
+            self->reportedPoolsTimer.start(interval, [weak = self->weak_from_this()] {
+                if (const auto locked = weak.lock()) {
+                    locked->readReportedPools();
+                }
+            });
         });
 }
 
+bool Agent::onReports(const store::Listing& reports)
+{
+    for (const auto& entry : reports.entries) {
+        this->wantedDuties.insert(keys::poolDuty + entry.key.substr(keys::reports.size()));
+    }
+    this->duties->setWanted(this->wantedDuties);
+    const auto& configuration = this->environment.configurations->current();
+    const auto reported = this->queueCounter->setReports(
+        reports, configuration ? configuration->queues : std::vector<jobs::Queue> {});
+    return configuration && std::ranges::all_of(this->wantedDuties, [&](const std::string& duty) {
+        return duty == keys::fleetDuty
+            || reported.contains(model::ServiceId { duty.substr(keys::poolDuty.size()) });
+    });
+}
+
 void Agent::watchOperator(store::Revision after)
 {
     this->environment.fleet->watchOperator(
@@ -323,6 +290,7 @@
         this->wantedDuties.insert(keys::poolDuty + queue.service.text());
         this->poolsWithJobs.insert(queue.service);
     }
+    this->queueCounter->setQueues(configuration.queues);
     this->sparePools.clear();
     for (const auto& pool : configuration.pools) {
         if (!pool.spare) {
@@ -564,7 +532,7 @@
         .cancel = [self](const model::ServiceId& service, const jobs::JobId& job,
                       auto callback) { self->cancel(service, job, cancelAttempts, std::move(callback)); },
         .pending = [self](const model::ServiceId& service, const jobs::QueueId& queue,
-                       auto callback) { self->pending(service, queue, std::move(callback)); },
+                       auto callback) { self->queueCounter->count(service, queue, std::move(callback)); },
         .ready = [self] { return self->isReady(); },
     };
 }
--- a/src/wasabiroad/agent/agent.hpp
+++ b/src/wasabiroad/agent/agent.hpp
@@ -3,8 +3,8 @@
 #include "wasabiroad/agent/duties.hpp"
 #include "wasabiroad/agent/fleet_agent.hpp"
 #include "wasabiroad/agent/job_api.hpp"
-#include "wasabiroad/agent/pending_counter.hpp"
 #include "wasabiroad/agent/pool_agent.hpp"
+#include "wasabiroad/agent/queue_counter.hpp"
 #include "wasabiroad/agent/revision_clock.hpp"
 #include "wasabiroad/agent/submissions.hpp"
 #include "wasabiroad/agent/upstream_directory.hpp"
@@ -67,15 +67,6 @@
     void cancel(const model::ServiceId& service, const jobs::JobId& job, int attempts,
         store::Callback<StateOutcome> callback);
 
-    /**
-     * @brief Counts the jobs of a queue that have not begun.
-     *
-     * The owner of the pool answers from its own state, other daemons from the owner's report. If that is
-     * older than the limit for counts, the jobs are counted in the store.
-     */
-    void pending(const model::ServiceId& service, const jobs::QueueId& queue,
-        store::Callback<std::optional<std::uint64_t>> callback);
-
     /** @return The job operations, bound to this agent. */
     JobApi makeJobApi();
 
@@ -92,9 +83,16 @@
     void endDuty(const std::string& duty);
     /** @return Whether the agent of a held duty makes progress. */
     DutyHealth dutyHealth(const std::string& duty) const;
-    /** @brief Wants the duties of all pools that have a report in the store: they may hold jobs of queues
-     * that were removed. */
+    /** @brief Reads the reports of all pools again and again. */
     void readReportedPools();
+    /**
+     * @brief Wants the duties of all pools that have a report: they may hold jobs of queues that were removed
+     * or are sent elsewhere.
+     * @return Whether the owners of all pools have reported.
+     */
+    bool onReports(const store::Listing& reports);
+    /** @return Pending jobs of a pool that this daemon owns, or nothing. */
+    std::optional<PendingView> ownPendingCounts(const model::ServiceId& pool) const;
     void onUpstreams();
     /** @param readsAcceptance Whether a job without a record is looked up in the service that accepted it. */
     void readState(const model::ServiceId& service, const jobs::JobId& job, bool readsAcceptance,
@@ -131,13 +129,10 @@
     void cancelRecord(const model::ServiceId& service, const jobs::JobId& job, int attempts,
         const store::Entry& entry, const store::Callback<StateOutcome>& callback);
 
-    /** @return Whether a view as of a revision is recent enough to answer callers. */
-    bool isCurrent(store::Revision asOf) const;
-
     const std::shared_ptr<RevisionClock> revisions;
     const AgentContext environment;
     const std::shared_ptr<Submissions> submissions;
-    const std::shared_ptr<PendingCounter> pendingCounter;
+    std::shared_ptr<QueueCounter> queueCounter {};
     std::shared_ptr<Duties> duties {};
     std::set<std::string> wantedDuties {};
     std::set<model::ServiceId> poolsWithJobs {};
--- a/test/wasabiroad/agent/configuration.cpp
+++ b/test/wasabiroad/agent/configuration.cpp
@@ -96,18 +96,7 @@
     const std::vector<jobs::Queue> queues { makeQueue(queue, service), makeQueue(otherQueue, other) };
     site.configure(queues, { { service, false }, { other, false }, { spare, true } });
     BOOST_REQUIRE(site.waitForOwner());
-    const auto withPool = [&](jobs::Job job) {
-        return jobs::Job { .id = job.id,
-            .queue = otherQueue,
-            .service = other,
-            .payload = job.payload,
-            .steps = job.steps,
-            .accepted = job.accepted,
-            .maxAttempts = job.maxAttempts,
-            .stretch = job.stretch,
-            .allowance = job.allowance };
-    };
-    site.submit(withPool(makeJob("earlier", 3000, 12)));
+    site.submit(withPool(makeJob("earlier", 3000, 12), otherQueue, other));
     BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 12; }));
     site.configure(queues, { { service, false }, { other, true }, { spare, true } });
     site.runFor(adoptionTime);
--- a/test/wasabiroad/agent/pending.cpp
+++ b/test/wasabiroad/agent/pending.cpp
@@ -10,12 +10,6 @@
 
 namespace data = boost::unit_test::data;
 
-std::optional<std::uint64_t> pendingCount(Site& site, std::size_t daemon)
-{
-    return site.await<std::optional<std::uint64_t>>(
-        [&](auto callback) { site.daemons[daemon]->jobApi.pending(service, queue, std::move(callback)); });
-}
-
 /** Writes the state of a job to the store as its owner does. */
 void writeState(Site& site, const std::string& name, jobs::JobState state)
 {
@@ -63,7 +57,7 @@
     }
     writeState(site, "begun", jobs::JobState::Running);
     writeState(site, "ended", jobs::JobState::Completed);
-    BOOST_TEST((pendingCount(site, 1) == std::optional<std::uint64_t> { 2 }));
+    BOOST_TEST((site.pending(1) == std::optional<std::uint64_t> { 2 }));
 }
 
 /** Guards against a count from the outdated view of an owner whose watch is not answered. */
@@ -79,7 +73,7 @@
     // Counts may be 2 s old.
     site.runFor(2100);
     for (const auto daemon : { owner, 1 - owner }) {
-        BOOST_TEST((pendingCount(site, daemon) == std::optional<std::uint64_t> { 2 }));
+        BOOST_TEST((site.pending(daemon) == std::optional<std::uint64_t> { 2 }));
     }
 }
 
@@ -90,7 +84,7 @@
     site.store.put(keys::poolOwner(service), "entry-9#9");
     site.submit(makeJob("a"));
     site.daemons[1]->storeFaults->silent = true;
-    BOOST_TEST((pendingCount(site, 1) == std::nullopt));
+    BOOST_TEST((site.pending(1) == std::nullopt));
 }
 
 /** Guards against listing the pool once per caller. */
--- a/test/wasabiroad/agent/site.hpp
+++ b/test/wasabiroad/agent/site.hpp
@@ -54,6 +54,20 @@
         .allowance = { 1000 } };
 }
 
+/** @return The job as it is accepted for another queue or pool. */
+inline jobs::Job withPool(const jobs::Job& job, const jobs::QueueId& itsQueue, const model::ServiceId& pool)
+{
+    return { .id = job.id,
+        .queue = itsQueue,
+        .service = pool,
+        .payload = job.payload,
+        .steps = job.steps,
+        .accepted = job.accepted,
+        .maxAttempts = job.maxAttempts,
+        .stretch = job.stretch,
+        .allowance = job.allowance };
+}
+
 /** @return A queue whose jobs run in a pool. */
 inline jobs::Queue makeQueue(const jobs::QueueId& id, const model::ServiceId& pool)
 {
@@ -180,6 +194,14 @@
         });
     }
 
+    /** @brief Counts the pending jobs of `queue`, which is sent to a pool, and runs until there is an answer.
+     */
+    std::optional<std::uint64_t> pending(std::size_t daemon, const model::ServiceId& pool = service)
+    {
+        return await<std::optional<std::uint64_t>>(
+            [&](auto callback) { this->daemons[daemon]->jobApi.pending(pool, queue, std::move(callback)); });
+    }
+
     StateOutcome cancel(const std::string& job, std::size_t daemon = 0)
     {
         return await<StateOutcome>([&](auto callback) {
@@ -200,10 +222,10 @@
         return false;
     }
 
-    /** @return Index of the daemon that owns the pool, or nothing. */
-    std::optional<std::size_t> owner() const
+    /** @return Index of the daemon that owns a pool, or nothing. */
+    std::optional<std::size_t> owner(const model::ServiceId& pool = service) const
     {
-        const auto entry = this->store.find("owner/pool/" + service.text());
+        const auto entry = this->store.find("owner/pool/" + pool.text());
         if (!entry) {
             return std::nullopt;
         }
