Read run numbers of any size from the lists of upstreams

Run numbers contain that revision, shifted by 20 bits, and the decoder skipped rows of running and ended tasks with a number above 10^15. change: a run may be any whole number of 63 bits, read as an integer.

--- a/test/platform/orders.cpp
+++ b/test/platform/orders.cpp
@@ -92,6 +92,13 @@
     { R"(["5c0e.0.1.17",1,"",1e300,-1e300])", R"([1,"5c0e.0.1.17",1,"done",7])", 1, 1 },
     { R"(["5c0e.0.1.17"])", R"([1])", 0, 0 },
     { "[]", "{}", 0, 0 },
+    // Runs contain the revision of the store at which the owner's term began.
+    { R"(["5c0e.0.1.17",1258291200000005,"",0,0])", R"([1,"5c0e.0.1.17",1258291200000005,"done",""])", 1, 1 },
+    { R"(["5c0e.0.1.17",9223372036854775807,"",0,0])", R"([1,"5c0e.0.1.17",9223372036854775807,"done",""])",
+        1, 1 },
+    { R"(["5c0e.0.1.17",18446744073709551615,"",0,0])", R"([1000000000000001,"5c0e.0.1.17",1,"done",""])", 0,
+        0 },
+    { R"(["5c0e.0.1.17",1.5,"",0,0])", R"([1.5,"5c0e.0.1.17",1,"done",""])", 0, 0 },
 };
 
 /** Guards against numbers out of range, of which one would acknowledge all ends to come. */
@@ -106,6 +113,25 @@
     BOOST_TEST(tasks->ended.back().number == 2U);
 }
 
+/** Run numbers, in ascending order, as owners assign them while the store's revision grows. */
+const std::vector<std::uint64_t> runNumbers { 1, (5ULL << 20U) + 1, (1'200'000'000ULL << 20U) + 1,
+    (1ULL << 53U) + 1, (1ULL << 62U) + 1 };
+
+/** Guards against runs that are not recognized in the lists of upstreams, so that no task ever ends. */
+BOOST_DATA_TEST_CASE(runs_are_listed_as_they_were_ordered, data::make(runNumbers), number)
+{
+    const auto start
+        = encodeStart({ scheduling::UpstreamId { "i-1" }, task, { number }, "", "" }, { 7 }, { 486000 });
+    const auto run = std::to_string(number);
+    BOOST_TEST(start.find(R"("run":)" + run + ",") != std::string::npos);
+    const auto tasks = decodeTasks(Document { R"({"runningTasks":[["5c0e.0.1.17",)" + run
+        + R"(,"",0,0]],"ended":[[1,"5c0e.0.1.17",)" + run + R"(,"done",""]]})" });
+    BOOST_REQUIRE(tasks.has_value());
+    BOOST_REQUIRE(tasks->running.size() == 1 && tasks->ended.size() == 1);
+    BOOST_TEST(tasks->running.front().run.value == number);
+    BOOST_TEST(tasks->ended.front().run.value == number);
+}
+
 /** Number of listed ends, of which the first is invalid, and whether the list may be truncated. */
 struct ListRow {
     const std::size_t ends;
