--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -150,7 +150,7 @@
     const auto& tasks = ready.entry->open.at(ready.occurrence).steps[ready.step].tasks;
     auto index = tasks.nextStartable(0, now);
     while (index && mayStartMore()) {
-        const auto* const upstream = chooseUpstream(ready, tasks.peek(*index), now, nullptr);
+        const auto* const upstream = chooseUpstream(ready, tasks.peek(*index), now, nullptr, {});
         if (upstream == nullptr) {
             return false;
         }
@@ -207,13 +207,15 @@
         indexUpstream(id, upstream, now);
     };
     std::vector<UpstreamId> chosen;
+    Chosen counts;
     const auto& tasks = ready.entry->open.at(ready.occurrence).steps[ready.step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        const auto* const found = chooseUpstream(ready, tasks.peek(index), now, onlyRack);
+        const auto* const found = chooseUpstream(ready, tasks.peek(index), now, onlyRack, counts);
         if (found == nullptr) {
             break;
         }
         chosen.push_back(*found);
+        ++counts[chosen.back()];
         take(chosen.back(), 1);
     }
     for (const auto& id : chosen) {
@@ -279,6 +281,13 @@
         std::distance(upstream.tasks.lower_bound(first), upstream.tasks.upper_bound(last)));
 }
 
+std::uint32_t PoolScheduler::countOfStep(
+    const UpstreamId& upstream, const StepId& step, const Chosen& chosen) const
+{
+    const auto found = chosen.find(upstream);
+    return countOfStep(this->upstreams.at(upstream), step) + (found != chosen.end() ? found->second : 0);
+}
+
 bool PoolScheduler::admits(const jobs::Step& step, const Room& room) const
 {
     const auto& labels = this->rooms.kind(room.kind).labels;
@@ -287,15 +296,14 @@
 }
 
 std::vector<const UpstreamId*> PoolScheduler::candidates(
-    const ReadyStep& ready, const Task& task, const std::set<UpstreamId>& group)
+    const ReadyStep& ready, const Task& task, const std::set<UpstreamId>& group, const Chosen& chosen)
 {
     const auto& step = ready.entry->job.steps[ready.step];
     std::vector<const UpstreamId*> found;
     const bool counts = step.longRunning || step.maxPerUpstream > 0;
     for (const auto& id : group) {
         ++this->upstreamsExamined;
-        if (step.maxPerUpstream == 0
-            || countOfStep(this->upstreams.at(id), ready.id()) < step.maxPerUpstream) {
+        if (step.maxPerUpstream == 0 || countOfStep(id, ready.id(), chosen) < step.maxPerUpstream) {
             found.push_back(&id);
         }
         // Upstreams of a group are equivalent, so the first on which the task has not failed stands for the
@@ -308,7 +316,7 @@
 }
 
 const UpstreamId* PoolScheduler::chooseUpstream(
-    const ReadyStep& ready, const Task& task, Moment now, const model::RackId* onlyRack)
+    const ReadyStep& ready, const Task& task, Moment now, const model::RackId* onlyRack, const Chosen& chosen)
 {
     const auto& step = ready.entry->job.steps[ready.step];
     const bool waitForRack = internal::waitsForRack(step, task, now);
@@ -326,9 +334,9 @@
             continue;
         }
         const auto load = loadWith(step, room, kind.capacity);
-        for (const auto* const id : candidates(ready, task, group->second)) {
+        for (const auto* const id : candidates(ready, task, group->second, chosen)) {
             Key key { task.failedOn.contains(*id), outsideDataRack,
-                step.longRunning ? countOfStep(this->upstreams.at(*id), ready.id()) / tasksPerVm(step) : 0U,
+                step.longRunning ? countOfStep(*id, ready.id(), chosen) / tasksPerVm(step) : 0U,
                 // Long-running tasks are kept on few VMs, so that the other VMs can change their pool.
                 step.longRunning && !room.hasLongRunning,
                 // Other tasks are placed on the most loaded VMs first, so that the rest can be released.
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -234,10 +234,16 @@
     std::vector<UpstreamId> chooseGang(const ReadyStep& ready, Moment now, const model::RackId* onlyRack);
     void startOn(const ReadyStep& ready, std::uint32_t number, UpstreamId where, jobs::Run run, Moment now);
     bool admits(const jobs::Step& step, const Room& room) const;
+    /** @brief Number of tasks of a step for which each upstream is chosen, while the rest of a gang is
+     * placed.
+     */
+    using Chosen = std::map<UpstreamId, std::uint32_t>;
     std::vector<const UpstreamId*> candidates(
-        const ReadyStep& ready, const Task& task, const std::set<UpstreamId>& group);
-    const UpstreamId* chooseUpstream(
-        const ReadyStep& ready, const Task& task, Moment now, const model::RackId* onlyRack);
+        const ReadyStep& ready, const Task& task, const std::set<UpstreamId>& group, const Chosen& chosen);
+    const UpstreamId* chooseUpstream(const ReadyStep& ready, const Task& task, Moment now,
+        const model::RackId* onlyRack, const Chosen& chosen);
+    /** @return Number of tasks of the step that an upstream has or is chosen for. */
+    std::uint32_t countOfStep(const UpstreamId& upstream, const StepId& step, const Chosen& chosen) const;
     const std::vector<model::RackId>& racksInOrder();
     bool mayStartMore() const { return this->unansweredStarts < this->policy.maxStartsInFlight; }
     bool isSchedulable(const UpstreamId& id, const Upstream& upstream, Moment now) const;
--- a/test/wasabiroad/scheduling/placement.cpp
+++ b/test/wasabiroad/scheduling/placement.cpp
@@ -39,6 +39,18 @@
     { "gang that does not fit", { .count = 9, .resources = { 1000, 100, 0 }, .gang = true }, 0, 0 },
     { "gang on one rack", { .count = 4, .resources = { 1000, 100, 0 }, .gang = true, .sameRack = true }, 4,
         1 },
+    { "gang with a limit on one upstream",
+        { .count = 4, .resources = { 1000, 100, 0 }, .gang = true, .maxPerUpstream = 2 }, 4, 2 },
+    { "gang with one task on each upstream",
+        { .count = 2, .resources = { 1000, 100, 0 }, .gang = true, .maxPerUpstream = 1 }, 2, 2 },
+    { "gang above the limit of all upstreams",
+        { .count = 3, .resources = { 1000, 100, 0 }, .gang = true, .maxPerUpstream = 1 }, 0, 0 },
+    { "gang on one rack, above the limit of its upstreams",
+        { .count = 4, .resources = { 1000, 100, 0 }, .gang = true, .sameRack = true, .maxPerUpstream = 2 }, 4,
+        2 },
+    { "long-running gang with a limit on one upstream",
+        { .count = 4, .resources = { 1000, 100, 0 }, .gang = true, .maxPerUpstream = 3, .longRunning = true },
+        4, 2 },
     { "accelerators that no upstream has", { .count = 1, .resources = { 100, 100, 1 } }, 0, 0 },
 };
 
@@ -48,13 +60,16 @@
     SchedulerFixture fixture { { makeUpstream("u1", 4000, "r1"), makeUpstream("u2", 4000, "r2") } };
     fixture.apply(JobAdded { makeJob("j", { row.step }) }, 10);
     BOOST_TEST(fixture.starts.size() == row.starts);
-    std::set<UpstreamId> used;
+    std::map<UpstreamId, std::uint32_t> used;
     std::set<jobs::Run> runs;
     for (const auto& start : fixture.starts) {
-        used.insert(start.upstream);
+        ++used[start.upstream];
         runs.insert(start.run);
     }
     BOOST_TEST(used.size() == row.upstreams);
+    for (const auto& [upstream, count] : used) {
+        BOOST_TEST((row.step.maxPerUpstream == 0 || count <= row.step.maxPerUpstream));
+    }
     BOOST_TEST(runs.size() == (row.step.gang && row.starts > 0 ? 1 : row.starts));
 }
 
