Place tasks on an upstream by the facts of its present incarnation

It had restarted under its id as another kind; its list of tasks names the new incarnation, and the labels and the capacity came from the directory, which lags behind. change: an upstream gets tasks only while the directory and its list name the same incarnation; a start time of 0 matches any. pool-stalled counts the others (outdated_facts). A restarted upstream gets its first tasks when it is registered, up to a heartbeat later.

--- a/src/wasabiroad/agent/stall_log.cpp
+++ b/src/wasabiroad/agent/stall_log.cpp
@@ -28,9 +28,9 @@
     WaitReason::Blocked, WaitReason::Startable };
 
 constexpr std::array upstreamConditions { UpstreamCondition::Indexed, UpstreamCondition::Drained,
-    UpstreamCondition::NotMember, UpstreamCondition::Unlisted, UpstreamCondition::Reopening,
-    UpstreamCondition::UnknownTasks, UpstreamCondition::Draining, UpstreamCondition::Suspect,
-    UpstreamCondition::StartLimit, UpstreamCondition::Unindexed };
+    UpstreamCondition::NotMember, UpstreamCondition::Unlisted, UpstreamCondition::OutdatedFacts,
+    UpstreamCondition::Reopening, UpstreamCondition::UnknownTasks, UpstreamCondition::Draining,
+    UpstreamCondition::Suspect, UpstreamCondition::StartLimit, UpstreamCondition::Unindexed };
 
 UpstreamCondition mostFrequentCondition(const WaitingReasons& waiting)
 {
@@ -141,13 +141,13 @@
             { "startable", waiting.count(WaitReason::Startable) }, { "members", owner.members },
             { "recorded", owner.recorded }, { "answering", owner.answering },
             { "indexed", waiting.count(Indexed) }, { "not_member", waiting.count(NotMember) },
-            { "unlisted", waiting.count(Unlisted) }, { "reopening", waiting.count(Reopening) },
-            { "unknown_tasks", waiting.count(UnknownTasks) }, { "drained", waiting.count(Drained) },
-            { "draining", waiting.count(Draining) }, { "suspect", waiting.count(Suspect) },
-            { "start_limit", waiting.count(StartLimit) }, { "not_indexed", waiting.count(Unindexed) },
-            { "unreconciled", waiting.unreconciled }, { "starting", waiting.phases.starting },
-            { "running", waiting.phases.running }, { "stopping", waiting.phases.stopping },
-            { "unanswered_starts", waiting.unansweredStarts },
+            { "unlisted", waiting.count(Unlisted) }, { "outdated_facts", waiting.count(OutdatedFacts) },
+            { "reopening", waiting.count(Reopening) }, { "unknown_tasks", waiting.count(UnknownTasks) },
+            { "drained", waiting.count(Drained) }, { "draining", waiting.count(Draining) },
+            { "suspect", waiting.count(Suspect) }, { "start_limit", waiting.count(StartLimit) },
+            { "not_indexed", waiting.count(Unindexed) }, { "unreconciled", waiting.unreconciled },
+            { "starting", waiting.phases.starting }, { "running", waiting.phases.running },
+            { "stopping", waiting.phases.stopping }, { "unanswered_starts", waiting.unansweredStarts },
             { "writing_used", owner.writingRecordedUpstreams ? "yes" : "no" },
             { "unwritten_records", owner.unwrittenRecords } });
 }
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -249,7 +249,7 @@
 
 bool PoolScheduler::isSchedulable(const UpstreamId& id, const Upstream& upstream, Moment now) const
 {
-    return upstream.facts && upstream.member && upstream.listed && !upstream.hasUnknownTasks
+    return hasCurrentFacts(upstream) && upstream.member && upstream.listed && !upstream.hasUnknownTasks
         && !this->drains.contains(id) && !this->reopening.contains(id) && !upstream.facts->draining
         && upstream.suspectUntil <= now.steady;
 }
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -813,7 +813,7 @@
 
 bool PoolScheduler::mayHost(const UpstreamId& id, const Upstream& upstream, const jobs::Step& step) const
 {
-    if (!upstream.facts || !upstream.member || !upstream.listed || upstream.facts->draining
+    if (!hasCurrentFacts(upstream) || !upstream.member || !upstream.listed || upstream.facts->draining
         || this->drains.contains(id) || this->reopening.contains(id)) {
         return false;
     }
--- a/src/wasabiroad/scheduling/state.hpp
+++ b/src/wasabiroad/scheduling/state.hpp
@@ -138,6 +138,17 @@
     bool hasUnknownTasks { false };
 };
 
+/**
+ * @return Whether the facts of an upstream, which the directory gives, are those of the incarnation that has
+ * listed its tasks: a later one may have other labels and another capacity. Unknown start times match.
+ */
+inline bool hasCurrentFacts(const Upstream& upstream)
+{
+    constexpr kernel::Instant unknown {};
+    const auto& facts = upstream.facts;
+    return facts && (facts->born == upstream.born || facts->born == unknown || upstream.born == unknown);
+}
+
 /** @brief Longest time, in ms, for which a task waits for the rack of its data while other racks have room.
  */
 inline constexpr kernel::Duration maxRackWait { 2000 };
--- a/src/wasabiroad/scheduling/waiting_reasons.cpp
+++ b/src/wasabiroad/scheduling/waiting_reasons.cpp
@@ -56,6 +56,8 @@
         return "not-member";
     case UpstreamCondition::Unlisted:
         return "unlisted";
+    case UpstreamCondition::OutdatedFacts:
+        return "outdated-facts";
     case UpstreamCondition::Reopening:
         return "reopening";
     case UpstreamCondition::UnknownTasks:
@@ -176,6 +178,7 @@
     return this->drains.contains(id)                                             ? Drained
         : !upstream.facts || !upstream.member                                    ? NotMember
         : !upstream.listed                                                       ? Unlisted
+        : !hasCurrentFacts(upstream)                                             ? OutdatedFacts
         : this->reopening.contains(id)                                           ? Reopening
         : upstream.hasUnknownTasks                                               ? UnknownTasks
         : upstream.facts->draining                                               ? Draining
--- a/src/wasabiroad/scheduling/waiting_reasons.hpp
+++ b/src/wasabiroad/scheduling/waiting_reasons.hpp
@@ -38,6 +38,8 @@
     NotMember,
     /** @brief It has not listed its tasks to this owner, or does not answer. */
     Unlisted,
+    /** @brief It has restarted, and the directory gives the facts of another incarnation. */
+    OutdatedFacts,
     /** @brief Its drain has ended, and it has not answered a call since. */
     Reopening,
     /** @brief It runs tasks that this owner does not expect there. */
--- a/src/wasabiroad/standin/workers.cpp
+++ b/src/wasabiroad/standin/workers.cpp
@@ -58,15 +58,16 @@
         .switchedOff = this->sparePools.contains(service) });
 }
 
-scheduling::UpstreamFacts Workers::factsOf(const Worker& worker)
+scheduling::UpstreamFacts Workers::factsOf(const Worker& worker) const
 {
+    const bool isRegistered = worker.formerBorn == 0 || now() - worker.started >= this->registrationDelay;
     return { .id = worker.id,
         .service = worker.service,
         .address = "127.0.0.1:1",
         .zone = model::ZoneId { "a" },
         .rack = model::RackId { "r1" },
         .capacity = { worker.cpu, 65536, 0 },
-        .born = { worker.born } };
+        .born = { isRegistered ? worker.born : worker.formerBorn } };
 }
 
 std::vector<scheduling::UpstreamFacts> Workers::members() const
@@ -141,6 +142,7 @@
     worker.fence = 0;
     worker.leaseEnd = {};
     worker.born = static_cast<std::int64_t>(++this->lives);
+    worker.formerBorn = 0;
     worker.started = now();
 }
 
@@ -155,7 +157,13 @@
     worker.leaseEnd = std::max(worker.leaseEnd, now() + std::min(wanted, this->maxLease));
 }
 
-void Workers::crash(const std::string& name) { lose(*std::ranges::find(this->workers, name, &Worker::name)); }
+void Workers::crash(const std::string& name)
+{
+    auto& worker = *std::ranges::find(this->workers, name, &Worker::name);
+    const auto formerBorn = worker.born;
+    lose(worker);
+    worker.formerBorn = formerBorn;
+}
 
 void Workers::replace(const std::string& name)
 {
--- a/src/wasabiroad/standin/workers.hpp
+++ b/src/wasabiroad/standin/workers.hpp
@@ -91,6 +91,9 @@
      * never. */
     void setLateLooks(kernel::Duration delay) { this->lateLooks = delay; }
 
+    /** @brief Sets for how long the directory gives the facts of the earlier incarnation after a crash. */
+    void setRegistrationDelay(kernel::Duration delay) { this->registrationDelay = delay; }
+
     /** @brief Lets an upstream lose all that it runs and start again. */
     void crash(const std::string& name);
 
@@ -141,6 +144,8 @@
         std::int64_t cpu { 0 };
         scheduling::UpstreamId id {};
         std::int64_t born { 0 };
+        /** @brief The incarnation that has crashed last; 0 for none. */
+        std::int64_t formerBorn { 0 };
         /** @brief When its clock was 0. */
         kernel::Instant started {};
         bool up { true };
@@ -167,7 +172,7 @@
         kernel::Instant listedUntil {};
     };
 
-    static scheduling::UpstreamFacts factsOf(const Worker& worker);
+    scheduling::UpstreamFacts factsOf(const Worker& worker) const;
     /** @brief Ends an upstream; its entry and its silence last as `setDeparture` says. */
     void depart(Worker& worker);
     void comeUpLater(const Worker& worker);
@@ -208,6 +213,7 @@
     kernel::Duration departedListed {};
     kernel::Duration departedSilent {};
     kernel::Duration lateLooks {};
+    kernel::Duration registrationDelay {};
     std::size_t endsPerList { 500 };
     kernel::Duration maxLease { 6000 };
     std::uint64_t lives { 0 };
--- a/test/wasabiroad/agent/restarted_upstream.cpp
+++ b/test/wasabiroad/agent/restarted_upstream.cpp
@@ -15,6 +15,10 @@
  * next. */
 constexpr kernel::Duration silentFor { 2300 };
 
+/** Time in ms for which the directory gives the facts of an earlier incarnation; until then nothing but a
+ * list shows the restart. */
+constexpr kernel::Duration registrationDelay { 3000 };
+
 void cutOff(Site& site, const UpstreamId& lost)
 {
     for (const auto& daemon : site.daemons) {
@@ -54,6 +58,7 @@
 {
     Site site { 2, 3, { 100 }, row.longestLease };
     site.workers.setDeparture({}, silentFor);
+    site.workers.setRegistrationDelay(registrationDelay);
     BOOST_REQUIRE(site.runUntil([&] {
         const auto entry = site.store.find(keys::usedUpstreams(service));
         return entry && jobs::decodeUpstreams(entry->value).value_or(std::vector<std::string> {}).size() == 3;
@@ -98,6 +103,7 @@
     constexpr kernel::Duration carriedOutAfter { 1000 };
     Site site { 1, row.upstreams };
     site.workers.setDeparture({}, silentFor);
+    site.workers.setRegistrationDelay(registrationDelay);
     site.workers.setLateLooks(carriedOutAfter);
     const auto count = static_cast<std::uint32_t>(4 * row.upstreams);
     BOOST_REQUIRE(site.waitForOwner());
@@ -113,6 +119,26 @@
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
 }
 
+/** Guards against starts on a restarted upstream by the facts of its earlier incarnation, which may have been
+ * of another kind. */
+BOOST_DATA_TEST_CASE(starts_wait_for_the_facts_of_a_restarted_upstream, data::make({ 0, 1500 }), delay)
+{
+    /** Time in ms after which the next incarnation has listed its tasks. */
+    constexpr std::int64_t listTime = 700;
+    Site site { 1, 1 };
+    site.workers.setRegistrationDelay({ delay });
+    site.submit(makeJob("a"));
+    BOOST_REQUIRE(site.reaches("a", jobs::JobState::Completed));
+    site.workers.crash("vm0");
+    const auto crashed = kernel::now(kernel::SteadyClock {});
+    site.runFor(listTime);
+    site.submit(makeJob("b"));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.startsOf(jobs::JobId { "b" }) == 2; }));
+    BOOST_TEST((kernel::now(kernel::SteadyClock {}) - crashed).milliseconds >= delay);
+    BOOST_TEST(site.reaches("b", jobs::JobState::Completed));
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
--- a/test/wasabiroad/scheduling/fixture.hpp
+++ b/test/wasabiroad/scheduling/fixture.hpp
@@ -17,7 +17,7 @@
 }
 
 inline UpstreamFacts makeUpstream(
-    const std::string& id, std::int64_t cpu = 4000, const std::string& rack = "r1")
+    const std::string& id, std::int64_t cpu = 4000, const std::string& rack = "r1", std::int64_t born = 1)
 {
     return { .id = UpstreamId { id },
         .service = service,
@@ -26,7 +26,7 @@
         .rack = model::RackId { rack },
         .labels = { "kind", rack },
         .capacity = { cpu, 8000, 0 },
-        .born = { 1 } };
+        .born = { born } };
 }
 
 inline jobs::Step makeStep(std::uint32_t count, std::int64_t cpu = 1000)
@@ -99,6 +99,12 @@
             time);
     }
 
+    /** @brief Lists an incarnation of an upstream as the only member. */
+    void applyIncarnation(const std::string& upstream, std::int64_t born, std::int64_t time)
+    {
+        apply(MembersListed { { makeUpstream(upstream, 4000, "r1", born) } }, time);
+    }
+
     PoolScheduler scheduler;
     std::vector<StartTask> starts {};
     std::vector<StopTask> stops {};
--- a/test/wasabiroad/scheduling/liveness.cpp
+++ b/test/wasabiroad/scheduling/liveness.cpp
@@ -57,6 +57,7 @@
     const auto first = fixture.starts.front();
     fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Started }, 100);
     fixture.apply(TasksListed { first.upstream, { 2 }, { 50 }, {}, {} }, 110);
+    fixture.applyIncarnation("u1", 2, 115);
     BOOST_TEST(fixture.starts.size() == 1);
     std::vector<RunningTask> running;
     if (runs) {
--- a/test/wasabiroad/scheduling/lost_upstreams.cpp
+++ b/test/wasabiroad/scheduling/lost_upstreams.cpp
@@ -160,6 +160,7 @@
     const auto first = fixture.starts.front();
     fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 810);
     fixture.apply(TasksListed { first.upstream, { row.born }, { 900 } }, 910);
+    fixture.applyIncarnation("u1", row.born, 915);
     fixture.apply(Tick {}, 920);
     BOOST_TEST(fixture.stops.size() == static_cast<std::size_t>(row.born));
     if (row.answeredStop) {
@@ -195,6 +196,7 @@
     BOOST_REQUIRE_EQUAL(fixture.stops.size(), 1);
     BOOST_TEST(fixture.starts.size() == 1);
     fixture.apply(TasksListed { first.upstream, { 2 }, { 200 } }, 210);
+    fixture.applyIncarnation("u1", 2, 220);
     BOOST_TEST(fixture.starts.size() == 2);
 }
 
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -33,6 +33,8 @@
 constexpr std::int64_t upstreamCpu = 3000;
 constexpr std::size_t longRunningJobs = 2;
 constexpr std::int64_t longRunningStartup = 300;
+/** Time after the start of an upstream in which the directory gives the facts of its earlier incarnation. */
+constexpr std::int64_t registrationDelay = 600;
 /** Time from the last fault to the check that everything runs; exceeds the sum of the scheduler's time-outs.
  */
 constexpr std::int64_t settleTime = 60000;
@@ -303,7 +305,8 @@
                 .labels = facts.labels,
                 .capacity = facts.capacity,
                 .draining = upstream.shutdownUntil > this->now,
-                .born = facts.born });
+                .born
+                = { upstream.born + registrationDelay <= this->now ? upstream.born : upstream.formerBorn } });
         }
         if (upstream.drainedUntil > this->now) {
             drains.push_back({ facts.id, upstream.drainedUntil / timeStep % 2 == 0 });
@@ -701,7 +704,7 @@
         if (!upstream.up) {
             if (upstream.restartTime <= this->now) {
                 upstream.up = true;
-                upstream.born = this->now;
+                upstream.formerBorn = std::exchange(upstream.born, this->now);
             }
             continue;
         }
--- a/test/wasabiroad/scheduling/model.hpp
+++ b/test/wasabiroad/scheduling/model.hpp
@@ -92,6 +92,7 @@
     struct Upstream {
         UpstreamFacts facts;
         std::int64_t born { 1 };
+        std::int64_t formerBorn { 1 };
         bool up { true };
         std::int64_t restartTime { 0 };
         std::int64_t partitionedUntil { 0 };
--- a/test/wasabiroad/scheduling/placement.cpp
+++ b/test/wasabiroad/scheduling/placement.cpp
@@ -115,6 +115,65 @@
     BOOST_TEST(fixture.starts.empty());
 }
 
+/** @return Facts of the upstream "u1" with another start time and label. */
+UpstreamFacts makeIncarnation(std::int64_t born, const std::string& label, std::int64_t cpu = 4000)
+{
+    const auto facts = makeUpstream("u1", cpu);
+    return { .id = facts.id,
+        .service = facts.service,
+        .address = facts.address,
+        .zone = facts.zone,
+        .rack = facts.rack,
+        .labels = { label },
+        .capacity = facts.capacity,
+        .born = { born } };
+}
+
+TasksListed makeList(std::int64_t born, std::int64_t sent)
+{
+    return { .upstream = UpstreamId { "u1" }, .born = { born }, .sent = { sent } };
+}
+
+/** What becomes known of an upstream that restarts, and the tasks that start on it. */
+struct IncarnationRow {
+    const char* title;
+    const std::vector<Event> events;
+    const std::size_t starts;
+
+    friend std::ostream& operator<<(std::ostream& out, const IncarnationRow& row) { return out << row.title; }
+};
+
+const std::vector<IncarnationRow> incarnations {
+    { "the same incarnation", { makeList(1, 20) }, 2 },
+    { "its list first", { makeList(2, 20) }, 0 },
+    { "its facts first", { MembersListed { { makeIncarnation(2, "kind") } } }, 0 },
+    { "the same kind", { makeList(2, 20), MembersListed { { makeIncarnation(2, "kind") } } }, 2 },
+    { "another kind", { makeList(2, 20), MembersListed { { makeIncarnation(2, "other") } } }, 0 },
+    { "another capacity", { makeList(2, 20), MembersListed { { makeIncarnation(2, "kind", 1000) } } }, 1 },
+    { "its facts first, the same kind", { MembersListed { { makeIncarnation(2, "kind") } }, makeList(2, 20) },
+        2 },
+    { "facts of an earlier one, after its own",
+        { makeList(2, 20), MembersListed { { makeIncarnation(2, "kind") } },
+            MembersListed { { makeIncarnation(1, "kind") } } },
+        0 },
+    { "facts without a start time", { MembersListed { { makeIncarnation(0, "kind") } }, makeList(2, 20) },
+        2 },
+    { "a list without a start time", { makeList(0, 20) }, 2 },
+};
+
+/** Guards against starts on a restarted upstream by the labels and the capacity of its earlier incarnation.
+ */
+BOOST_DATA_TEST_CASE(restarted_upstream_gets_tasks_by_its_own_facts, data::make(incarnations), row)
+{
+    SchedulerFixture fixture { { makeIncarnation(1, "kind") } };
+    for (const auto& event : row.events) {
+        fixture.apply(event, 20);
+    }
+    const jobs::Step step { .count = 2, .resources = { 1000, 100, 0 }, .estimate = { 500 }, .label = "kind" };
+    fixture.apply(JobAdded { makeJob("j", { step }) }, 30);
+    BOOST_TEST(fixture.starts.size() == row.starts);
+}
+
 /** Guards against a job that can still meet its due time waiting behind one that cannot. */
 BOOST_AUTO_TEST_CASE(late_job_waits_behind_one_in_time)
 {
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -580,6 +580,7 @@
     const auto first = fixture.starts.front();
     fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Started }, 20);
     fixture.apply(TasksListed { first.upstream, { 2 }, { 500 }, {}, {} }, 500);
+    fixture.applyIncarnation("u1", 2, 510);
     BOOST_REQUIRE_EQUAL(fixture.starts.size(), 2);
     BOOST_TEST((fixture.starts[1].run > first.run));
 }
@@ -591,6 +592,7 @@
     fixture.apply(JobAdded { makeJob("j", { makeStep(1) }) }, 10);
     const auto first = fixture.starts.front();
     fixture.apply(TasksListed { first.upstream, { 2 }, { 500 }, {}, {} }, 500);
+    fixture.applyIncarnation("u1", 2, 510);
     BOOST_TEST(fixture.stops.size() == 1);
     BOOST_TEST(fixture.starts.size() == 1);
     fixture.apply(StopAnswered { first.upstream, first.task, first.run, true, { 500 } }, 600);
--- a/test/wasabiroad/scheduling/waiting_reasons.cpp
+++ b/test/wasabiroad/scheduling/waiting_reasons.cpp
@@ -197,6 +197,11 @@
             now.addUpstream().apply(DrainsChanged { { { upstreamId } } }, 20).apply(MembersListed {}, 25);
         },
         UpstreamCondition::Drained },
+    { "it has restarted",
+        [](Situation& now) {
+            now.addUpstream().apply(TasksListed { .upstream = upstreamId, .born = { 2 } }, 20);
+        },
+        UpstreamCondition::OutdatedFacts },
     { "it is draining", [](Situation& now) { now.addUpstream(makeDraining()); },
         UpstreamCondition::Draining },
     { "it refused a start",
