Stop an unanswered start of a limited step only after a list without it

cause: a task at work was ended while as many of its step were away as may be (AVAIL). Its start had got no answer and was carried out seconds later; the stop that followed was repeated each second, until one ended the run before any list had shown it. Ruled out: drains and stops for lack of progress. change: in steps that limit how many tasks may be away, such a stop is sent right after a list without the run, and after each further one. Without a list the run is given up when its lease has expired, as before.

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -519,6 +519,8 @@
             const bool isRejected = task->started + expiry < event.sent;
             if ((task->stopAnswered && *task->stopAnswered <= event.sent) || isRejected) {
                 release(id, *task, now);
+            } else if (awaitsList(id, *task) && now.steady - event.sent <= this->policy.taskListMaxAge) {
+                sendStop(id, *task, now, "start was not answered");
             }
         }
     }
@@ -716,10 +718,9 @@
         for (const auto& id : upstream.tasks) {
             const auto [entry, task] = find(id);
             const auto& step = entry->job.steps[id.position.step];
-            if (task->phase == Phase::Stopping && !task->stopAnswered
+            if (task->phase == Phase::Stopping && !task->stopAnswered && !awaitsList(id, *task)
                 && now.steady - task->stopSent > this->policy.stopRetryInterval) {
-                task->stopSent = now.steady;
-                this->orders.push_back(StopTask { task->upstream, id, task->run, "stop was not answered" });
+                sendStop(id, *task, now, "stop was not answered");
             }
             if (task->phase != Phase::Running || step.gang) {
                 continue;
@@ -984,20 +985,35 @@
 
 void PoolScheduler::stop(const TaskId& id, Task& task, Moment now, std::string_view reason)
 {
-    if (task.phase != Phase::Starting && task.phase != Phase::Running) {
+    if (task.phase != Phase::Starting && task.phase != Phase::Running && !awaitsList(id, task)) {
         return;
     }
     setPhase(task, Phase::Stopping);
     task.stopsUnansweredStart = false;
     task.stopAnswered.reset();
+    sendStop(id, task, now, reason);
+}
+
+void PoolScheduler::sendStop(const TaskId& id, Task& task, Moment now, std::string_view reason)
+{
     task.stopSent = now.steady;
     this->orders.push_back(StopTask { task.upstream, id, task.run, std::string { reason } });
 }
 
 void PoolScheduler::stopUnanswered(const TaskId& id, Task& task, Moment now)
 {
-    stop(id, task, now, "start was not answered");
+    setPhase(task, Phase::Stopping);
     task.stopsUnansweredStart = true;
+    task.stopAnswered.reset();
+    if (!awaitsList(id, task)) {
+        sendStop(id, task, now, "start was not answered");
+    }
+}
+
+bool PoolScheduler::awaitsList(const TaskId& id, const Task& task) const
+{
+    return task.phase == Phase::Stopping && task.stopsUnansweredStart && !task.stopAnswered
+        && stepOf(id).maxUnavailable > 0;
 }
 
 void PoolScheduler::stopUnexpected(
@@ -1024,14 +1040,17 @@
     for (const auto& id : tasks) {
         auto& task = *find(id).second;
         constexpr auto reason = "start on an earlier incarnation was not answered";
-        if (task.phase == Phase::Starting) {
+        if (task.phase == Phase::Starting && stepOf(id).maxUnavailable > 0) {
+            stopUnanswered(id, task, now);
+        } else if (task.phase == Phase::Starting) {
             // The new incarnation may still carry out a delayed start until it has answered a stop.
             stop(id, task, now, reason);
         } else if (task.phase == Phase::Stopping && !task.runsOn) {
             // The same, and only the earlier incarnation may have answered a stop.
             task.stopAnswered.reset();
-            task.stopSent = now.steady;
-            this->orders.push_back(StopTask { event.upstream, id, task.run, reason });
+            if (!awaitsList(id, task)) {
+                sendStop(id, task, now, reason);
+            }
         } else if (task.confirmed <= event.sent) {
             // The run ended with the earlier incarnation, unless the list shows that the new one has started
             // it.
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -187,8 +187,12 @@
     void attach(const jobs::TaskId& id, const Task& task);
     void detach(const jobs::TaskId& id, Task& task);
     void stop(const jobs::TaskId& id, Task& task, Moment now, std::string_view reason);
-    /** @brief Stops a run whose start was not answered and may still be carried out. */
+    /** @brief Stops a run whose start was not answered and may still be carried out; where that could end a
+     * task at work, only once a list shows that it has not been. */
     void stopUnanswered(const jobs::TaskId& id, Task& task, Moment now);
+    /** @return Whether the stop of a run is sent only after a list without the run. */
+    bool awaitsList(const jobs::TaskId& id, const Task& task) const;
+    void sendStop(const jobs::TaskId& id, Task& task, Moment now, std::string_view reason);
     void stopUnexpected(
         const UpstreamId& upstream, const jobs::TaskId& id, jobs::Run run, std::string_view reason);
     void markChanged(const jobs::JobId& job, bool isUrgent);
--- a/src/wasabiroad/scheduling/task.hpp
+++ b/src/wasabiroad/scheduling/task.hpp
@@ -49,7 +49,8 @@
     /** @brief The run began at a checkpoint or was adopted, so its duration is not that of the whole task. */
     bool resumed { false };
     kernel::Instant readySince {};
-    /** @brief It is stopped only as its start was not answered and may have failed. */
+    /** @brief It is stopped only as its start was not answered and may have failed. See
+     * PoolScheduler::awaitsList for when the stop is sent. */
     bool stopsUnansweredStart { false };
     kernel::Instant stopSent {};
     std::optional<kernel::Instant> stopAnswered {};
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -94,6 +94,79 @@
     BOOST_TEST(fixture.starts.size() == (row.stopIsAnswered ? 2 : 1));
 }
 
+/** @brief What the owner hears after a start of a long-running task was not answered. */
+struct Hearsay {
+    /** @brief Incarnation that lists its tasks; 0 if the job is cancelled instead. */
+    const std::int64_t born { 1 };
+    const std::int64_t sent { 0 };
+    const std::int64_t received { 0 };
+    /** @brief The list contains the run. */
+    const bool runs { false };
+};
+
+/** The limit of a step, and the stops that are ordered for a start that was not answered: after what is
+ * heard, and once an unanswered stop would be repeated. */
+struct UnansweredRow {
+    const char* title;
+    const std::uint32_t maxUnavailable;
+    const std::vector<Hearsay> heard;
+    const std::size_t stops;
+    const std::size_t stopsLater;
+
+    friend std::ostream& operator<<(std::ostream& out, const UnansweredRow& row) { return out << row.title; }
+};
+
+const std::vector<UnansweredRow> unansweredRows {
+    { "no limit", 0, { { 1, 900, 950, false } }, 1, 2 },
+    { "no limit, and a list with the run", 0, { { 1, 900, 950, true } }, 1, 1 },
+    { "no list", 1, {}, 0, 0 },
+    { "a list without the run", 1, { { 1, 900, 950, false } }, 1, 1 },
+    { "a list with the run", 1, { { 1, 900, 950, true } }, 0, 0 },
+    { "a list without the run, and one with it", 1, { { 1, 900, 950, false }, { 1, 1900, 1950, true } }, 1,
+        1 },
+    { "two lists without the run", 1, { { 1, 900, 950, false }, { 1, 1900, 1950, false } }, 2, 2 },
+    { "a list that is handled late", 1, { { 1, 900, 3000, false } }, 0, 0 },
+    { "the job is cancelled", 1, { { 0, 0, 950, false } }, 1, 2 },
+    { "a list of the next incarnation without the run", 1, { { 2, 900, 950, false } }, 1, 1 },
+    { "a list of the next incarnation with the run", 1, { { 2, 900, 950, true } }, 0, 0 },
+};
+
+/** Guards against a stop for an unanswered start that ends a task at work while too many of its step are
+ * away: the start may have been carried out since the last list. */
+BOOST_DATA_TEST_CASE(
+    unanswered_start_of_a_limited_step_is_stopped_after_a_list, data::make(unansweredRows), row)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    const jobs::Step step {
+        .count = 2, .resources = { 1000, 100, 0 }, .longRunning = true, .maxUnavailable = row.maxUnavailable
+    };
+    fixture.apply(JobAdded { makeJob("j", { step }) }, 10);
+    BOOST_REQUIRE_EQUAL(fixture.starts.size(), 2);
+    const auto first = fixture.starts[0];
+    const auto other = fixture.starts[1];
+    fixture.apply(StartAnswered { other.upstream, other.task, other.run, StartResult::Started }, 20);
+    fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 810);
+    for (const auto& heard : row.heard) {
+        if (heard.born == 0) {
+            fixture.apply(JobCancelled { first.task.job }, heard.received);
+            continue;
+        }
+        std::vector<RunningTask> running { { other.task, other.run, "", 100 } };
+        if (heard.runs) {
+            running.push_back({ first.task, first.run, "", 100 });
+        }
+        fixture.apply(
+            TasksListed { first.upstream, { heard.born }, { heard.sent }, running }, heard.received);
+    }
+    const auto ofFirst = [&](const auto& orders) {
+        return std::ranges::count(orders, first.task, [](const auto& order) { return order.task; });
+    };
+    BOOST_TEST(ofFirst(fixture.stops) == row.stops);
+    fixture.apply(Tick {}, 3100);
+    BOOST_TEST(ofFirst(fixture.stops) == row.stopsLater);
+    BOOST_TEST(ofFirst(fixture.starts) == 1);
+}
+
 /** Result of a start that was not carried out, and whether it makes the upstream suspect. */
 struct SuspicionRow {
     const StartResult result;
