Poll an upstream often while a stop awaits its list

cause: with the stop for an unanswered start waits for a list, up to 1.5 s, and its task is away meanwhile. change: such an upstream is polled each 0.5 s, as one with drains is.

--- a/src/wasabiroad/agent/agent.cpp
+++ b/src/wasabiroad/agent/agent.cpp
@@ -29,9 +29,7 @@
 /** Interval in ms between reads of the reports of all pools. */
 constexpr Duration reportedPoolsInterval { 60000 };
 
-/** The same in ms while the owner of a pool has not reported yet, for instance after a restart of all
- * daemons.
- */
+/** The same in ms while the owner of a pool has not reported, as after a restart of all daemons. */
 constexpr Duration missingReportsInterval { 2000 };
 
 /** Attempts to cancel a job whose record changes concurrently. */
--- a/src/wasabiroad/scheduling/pace.cpp
+++ b/src/wasabiroad/scheduling/pace.cpp
@@ -71,12 +71,14 @@
     bool hasServingTask = false;
     bool hasFiller = false;
     bool limitsDrains = false;
+    bool hasStopToSend = false;
     for (const auto& id : found->second.tasks) {
         hasServingTask = hasServingTask || stepOf(id).tailLatencyTarget.milliseconds > 0;
         hasFiller = hasFiller || stepOf(id).filler;
         limitsDrains = limitsDrains || stepOf(id).maxUnavailable > 0;
+        hasStopToSend = hasStopToSend || awaitsList(id, taskAt(id));
     }
-    return (hasServingTask && hasFiller) || (limitsDrains && !this->drains.empty());
+    return (hasServingTask && hasFiller) || (limitsDrains && !this->drains.empty()) || hasStopToSend;
 }
 
 } // namespace wasabiroad::scheduling
--- a/src/wasabiroad/scheduling/placement.cpp
+++ b/src/wasabiroad/scheduling/placement.cpp
@@ -138,8 +138,7 @@
         }
         // A step that starts nothing is blocked unless it has left the index, so the loop ends whatever a
         // step declares.
-        const bool goesOn = placed && started;
-        if (!goesOn && step.waiting && step.waiting->requirements == requirements) {
+        if (!(placed && started) && step.waiting && step.waiting->requirements == requirements) {
             this->waiting.block(requirements);
         }
     }
--- a/src/wasabiroad/scheduling/pool_scheduler.hpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.hpp
@@ -103,8 +103,8 @@
     std::uint64_t lastEndNumber(const UpstreamId& upstream) const;
 
     /** @return Whether pace control or a drain needs lists of its tasks in short intervals: it runs both
-     * filler and serving tasks, or tasks of a step that limits how many a drain may stop, or it has no tasks
-     * and is being drained, or has not answered since its drain ended. */
+     * filler and serving tasks, or tasks of a step that limits how many a drain may stop, or a run whose stop
+     * awaits a list, or it has no tasks and is being drained, or has not answered since its drain ended. */
     bool needsFrequentPolling(const UpstreamId& upstream) const;
 
     /** @brief Reports that the record of a job was written; an ended job is erased once none of its tasks
@@ -238,9 +238,7 @@
     std::vector<UpstreamId> chooseGang(const ReadyStep& ready, Moment now, const model::RackId* onlyRack);
     void startOn(const ReadyStep& ready, std::uint32_t number, UpstreamId where, jobs::Run run, Moment now);
     bool admits(const jobs::Step& step, const Room& room) const;
-    /** @brief Number of tasks of a step for which each upstream is chosen, while the rest of a gang is
-     * placed.
-     */
+    /** @brief Number of tasks of a gang for which each upstream is chosen while the rest is placed. */
     using Chosen = std::map<UpstreamId, std::uint32_t>;
     std::vector<const UpstreamId*> candidates(
         const ReadyStep& ready, const Task& task, const std::set<UpstreamId>& group, const Chosen& chosen);
--- a/test/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/test/wasabiroad/scheduling/pool_scheduler.cpp
@@ -146,6 +146,7 @@
     const auto other = fixture.starts[1];
     fixture.apply(StartAnswered { other.upstream, other.task, other.run, StartResult::Started }, 20);
     fixture.apply(StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown }, 810);
+    BOOST_TEST(fixture.scheduler.needsFrequentPolling(first.upstream) == (row.maxUnavailable > 0));
     for (const auto& heard : row.heard) {
         if (heard.born == 0) {
             fixture.apply(JobCancelled { first.task.job }, heard.received);
