--- a/test/wasabiroad/scheduling/model_runs.cpp
+++ b/test/wasabiroad/scheduling/model_runs.cpp
@@ -91,6 +91,19 @@
     BOOST_TEST(completed > seeds * completedJobsPerRun / (faults.ownerChanges + faults.crashes > 0 ? 10 : 1));
 }
 
+/** Guards against a start that the next incarnation of an upstream carries out after the owner has given up
+ * its run on the former one. */
+BOOST_AUTO_TEST_CASE(invariants_hold_if_a_later_incarnation_carries_out_orders)
+{
+    const Faults faults {
+        .title = "late orders and unnoticed restarts", .lateOrders = 30, .unnoticedRestarts = 2
+    };
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto violation = Model { seed, faults }.run();
+        BOOST_TEST_REQUIRE(!violation.has_value(), "seed " << seed << ": " << violation.value_or(""));
+    }
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
