Count a list of tasks as later than an answer only after its millisecond

An owner started a long-running task at .887, the upstream answered, and at .889 the owner stopped it, 'run is not listed any more'. cause: the poll that follows the first answer of an upstream leaves in the millisecond of the start, on another connection, and overtook it. Within a zone an order is answered in under 1 ms, so the answer and the call for the list had the same time, and resolveUnlisted took a list of the same millisecond for a later one.

--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -495,6 +495,7 @@
 
 void PoolScheduler::resolveUnlisted(const TasksListed& event, Moment now)
 {
+    // A call that was sent in the millisecond of an answer may have been sent before it.
     std::set<TaskId> present;
     for (const auto& running : event.running) {
         present.insert(running.task);
@@ -505,7 +506,7 @@
         if (task == nullptr || present.contains(id)) {
             continue;
         }
-        if (task->phase == Phase::Running && task->confirmed <= event.sent) {
+        if (task->phase == Phase::Running && task->confirmed < event.sent) {
             stop(id, *task, now, "run is not listed any more");
         } else if (task->phase == Phase::Starting
             && event.sent - task->started > this->policy.startAnswerTimeout) {
@@ -517,7 +518,7 @@
                 ? this->policy.startAnswerTimeout + this->policy.maxLeaseDuration
                 : this->policy.maxOrderDelay;
             const bool isRejected = task->started + expiry < event.sent;
-            if ((task->stopAnswered && *task->stopAnswered <= event.sent) || isRejected) {
+            if ((task->stopAnswered && *task->stopAnswered < event.sent) || isRejected) {
                 release(id, *task, now);
             } else if (awaitsList(id, *task) && now.steady - event.sent <= this->policy.taskListMaxAge) {
                 sendStop(id, *task, now, "start was not answered");
@@ -1051,7 +1052,7 @@
             if (!awaitsList(id, task)) {
                 sendStop(id, task, now, reason);
             }
-        } else if (task.confirmed <= event.sent) {
+        } else if (task.confirmed < event.sent) {
             // The run ended with the earlier incarnation, unless the list shows that the new one has started
             // it.
             release(id, task, now);
