--- a/test/platform/soak/ledger.hpp
+++ b/test/platform/soak/ledger.hpp
@@ -19,6 +19,9 @@
     /** @brief Tasks on one upstream at most; 0 without a limit. */
     int perServer { 0 };
     bool saves { false };
+    /** @brief Whether the step is sent as a gang; upstreams run no gangs, so only steps without tasks may be.
+     */
+    bool gang { false };
 
     bool lasts() const { return this->duration == 0; }
     auto operator<=>(const Step&) const = default;
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -22,8 +22,9 @@
         "throttled", "daemons that are throttled all the time", cxxopts::value<int>()->default_value("0"))(
         "unlimited", "daemons have no processor quota")("calm-gap",
         "calm time after a series of faults in ms", cxxopts::value<std::int64_t>()->default_value("9000"))(
-        "daemons", "number of daemons", cxxopts::value<int>()->default_value("7"))(
-        "spare-queue", "a queue without jobs names the spare pool")("help", "shows the options");
+        "daemons", "number of daemons", cxxopts::value<int>()->default_value("7"))("spare-queue",
+        "a queue without jobs names the spare pool")("empty-steps", "share of the steps that have no tasks",
+        cxxopts::value<double>()->default_value("0"))("help", "shows the options");
     try {
         const auto given = options.parse(argc, argv);
         if (given.count("help") != 0 || given.count("daemon") == 0 || given.count("keep") == 0) {
@@ -40,6 +41,7 @@
         settings.calmGap = given["calm-gap"].as<std::int64_t>();
         settings.throttled = given["throttled"].as<int>();
         settings.spareQueue = given.count("spare-queue") != 0;
+        settings.emptyStepShare = given["empty-steps"].as<double>();
         settings.limited = given.count("unlimited") == 0;
         settings.powerLoss = given.count("calm") == 0 && given.count("no-power-loss") == 0;
         const auto without = given["without"].as<std::vector<std::string>>();
--- a/test/platform/soak/play.cpp
+++ b/test/platform/soak/play.cpp
@@ -79,8 +79,15 @@
 {
     json::array rows;
     for (const auto& step : steps) {
-        json::object row { { "count", step.count }, { "cpu", step.cpu }, { "memMb", step.memory },
+        json::object row { { "cpu", step.cpu }, { "memMb", step.memory },
             { "estimateMs", step.lasts() ? 500 : step.duration } };
+        // Fields whose value is 0 are omitted.
+        if (step.count > 0) {
+            row["count"] = step.count;
+        }
+        if (step.gang) {
+            row["gang"] = true;
+        }
         if (!rows.empty()) {
             row["after"] = json::array { rows.size() - 1 };
         }
@@ -250,6 +257,13 @@
         const auto steps = std::max<std::int64_t>(1, this->dice.within(1, 2 * pool.steps - 1));
         const bool isLong = this->longShare > 0 && this->dice.chance(this->longShare);
         for (std::int64_t step = 0; step < steps; ++step) {
+            if (this->settings.emptyStepShare > 0 && this->dice.chance(this->settings.emptyStepShare)) {
+                job.steps.push_back({ .cpu = pool.cpu,
+                    .memory = pool.memory,
+                    .duration = pool.duration,
+                    .gang = this->dice.chance(0.5) });
+                continue;
+            }
             job.steps.push_back({ static_cast<int>(around(pool.width)), around(pool.cpu), around(pool.memory),
                 around(pool.duration) * (isLong ? longTaskFactor : 1), this->dice.chance(0.15) ? 2 : 0,
                 pool.saves });
--- a/test/platform/soak/play.hpp
+++ b/test/platform/soak/play.hpp
@@ -30,6 +30,8 @@
     int throttled { 0 };
     /** @brief Whether a queue without jobs names the spare pool all the time. */
     bool spareQueue { false };
+    /** @brief Share of the steps that have no tasks; half of these are gangs. */
+    double emptyStepShare { 0 };
     std::set<std::string> disabled {};
     /** @brief Calm time after a series of faults, in ms. */
     std::int64_t calmGap { 9000 };
