Raise the fencing token for an upstream once a restart of it is seen

Calls to the former incarnation that it carries out seconds late extend the lease of its tasks by the former clock, beyond what the owner counts on, acknowledge ends that no list has shown, and start runs that were given up. The owner used one token, its term, for all calls, so nothing rejected them. change: calls to one incarnation have one token. It rises when a list or an answer shows a restart, to the revision of the owner's latest change, which requires its term and so is below each later term. No start is sent to the new incarnation before there is a higher token (not-tried, again in 0.2 s; pools write at least once a second). A rejected token ends the term only if it was the highest one of the owner, since answers on several connections overtake each other. Weighed: a token for each call also fences late calls on the same incarnation, but rejects orders that a poll has overtaken. test: agent-restart, late_call_to_the_former_incarnation_has_no_effect: both rows fail without the raise (8 starts of 4 tasks, two runs of one task); agent, restart_raises_the_fencing_token (4 of 5 rows) and only_the_rejection_of_the_highest_token_ends_the_term.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -508,7 +508,7 @@
     kernel::logEvent("task-stop",
         { { "task", jobs::toText(order.task) }, { "run", order.run.value },
             { "upstream", order.upstream.text() }, { "reason", order.reason } });
-    upstream.upstreamLink().stop(order, this->term,
+    upstream.stopTask(order,
         [self = shared_from_this(), order, sent = kernel::bootNow(), agent = upstream.weak_from_this()](
             const ports::OrderOutcome& outcome) {
             if (self->closed) {
@@ -531,12 +531,11 @@
     kernel::logEvent("task-pace",
         { { "task", jobs::toText(order.task) }, { "run", order.run.value },
             { "upstream", order.upstream.text() }, { "percent", order.percent } });
-    upstream.upstreamLink().pace(
-        order, this->term, [self = shared_from_this(), order](const ports::OrderOutcome& outcome) {
-            if (!self->closed && std::holds_alternative<ports::Superseded>(outcome)) {
-                self->onSuperseded();
-            }
-        });
+    upstream.paceTask(order, [self = shared_from_this(), order](const ports::OrderOutcome& outcome) {
+        if (!self->closed && std::holds_alternative<ports::Superseded>(outcome)) {
+            self->onSuperseded();
+        }
+    });
 }
 
 UpstreamCallbacks PoolAgent::upstreamCallbacks()
@@ -561,6 +560,11 @@
                 const auto self = weak.lock();
                 return self && self->scheduler->needsFrequentPolling(id);
             },
+        .latestFence =
+            [weak = weak_from_this(), ownTerm = this->term] {
+                const auto self = weak.lock();
+                return self ? self->writer->latestFence() : ownTerm;
+            },
     };
 }
 
@@ -991,7 +995,7 @@
             continue;
         }
         auto agent = std::make_shared<UpstreamAgent>(
-            this->environment.context, *link, facts, this->term, this->taskLease, upstreamCallbacks());
+            this->environment.context, *link, facts, this->taskLease, upstreamCallbacks());
         this->upstreamAgents.emplace(facts.id, agent);
         agent->start();
     }
--- a/src/wasabiroad/agent/record_writer.cpp
+++ b/src/wasabiroad/agent/record_writer.cpp
@@ -33,6 +33,7 @@
     , service(std::move(pool))
     , term(ownTerm)
     , callbacks(std::move(recordCallbacks))
+    , fence(ownTerm)
 {
 }
 
@@ -65,23 +66,33 @@
     return this->lastBatch;
 }
 
-void RecordWriter::put(store::Put put, store::Callback<store::ChangeOutcome> callback) const
+void RecordWriter::change(const store::Change& change, store::Callback<store::ChangeOutcome> callback)
 {
-    this->store->change({ { ownerCondition() }, { std::move(put) }, {} }, std::move(callback));
+    this->store->change(change,
+        [self = shared_from_this(), callback = std::move(callback)](const store::ChangeOutcome& outcome) {
+            if (const auto* const committed = std::get_if<store::Committed>(&outcome)) {
+                self->fence = std::max(self->fence, ports::Term { committed->revision.value });
+            }
+            callback(outcome);
+        });
+}
+
+void RecordWriter::put(store::Put put, store::Callback<store::ChangeOutcome> callback)
+{
+    change({ { ownerCondition() }, { std::move(put) }, {} }, std::move(callback));
 }
 
 void RecordWriter::replace(
-    store::Put put, store::Revision expected, store::Callback<store::ChangeOutcome> callback) const
+    store::Put put, store::Revision expected, store::Callback<store::ChangeOutcome> callback)
 {
     store::Condition unchanged { put.key, expected };
     putIf(std::move(put), std::move(unchanged), std::move(callback));
 }
 
 void RecordWriter::putIf(
-    store::Put put, store::Condition condition, store::Callback<store::ChangeOutcome> callback) const
+    store::Put put, store::Condition condition, store::Callback<store::ChangeOutcome> callback)
 {
-    this->store->change(
-        { { ownerCondition(), std::move(condition) }, { std::move(put) }, {} }, std::move(callback));
+    change({ { ownerCondition(), std::move(condition) }, { std::move(put) }, {} }, std::move(callback));
 }
 
 store::Condition RecordWriter::ownerCondition() const
@@ -100,7 +111,7 @@
     }
     const auto chosen = chooseJobs();
     this->inFlight = true;
-    this->store->change(makeChange(chosen),
+    change(makeChange(chosen),
         [self = shared_from_this(), chosen, batch = this->lastBatch](const store::ChangeOutcome& outcome) {
             self->inFlight = false;
             if (!self->closed) {
--- a/src/wasabiroad/agent/record_writer.hpp
+++ b/src/wasabiroad/agent/record_writer.hpp
@@ -61,8 +61,14 @@
     /** @return Whether a change is in flight. */
     bool isBusy() const { return this->inFlight; }
 
+    /**
+     * @return The term, or the revision of the latest change that was committed in it. It only rises, and it
+     * is below each later term, as a change requires that the owner's term is current.
+     */
+    ports::Term latestFence() const { return this->fence; }
+
     /** @brief Writes a key of the pool, provided that the owner's term is current. */
-    void put(store::Put put, store::Callback<store::ChangeOutcome> callback) const;
+    void put(store::Put put, store::Callback<store::ChangeOutcome> callback);
 
     /**
      * @brief Writes a key of the pool, provided that the owner's term is current and the key has the expected
@@ -71,8 +77,7 @@
      * @param expected Expected revision of the key; 0 when it must not exist.
      * @param callback Receives the outcome.
      */
-    void replace(
-        store::Put put, store::Revision expected, store::Callback<store::ChangeOutcome> callback) const;
+    void replace(store::Put put, store::Revision expected, store::Callback<store::ChangeOutcome> callback);
 
     /**
      * @brief Writes a key of the pool, provided that the owner's term is current and a condition holds.
@@ -80,8 +85,7 @@
      * @param condition Condition on this key or another one.
      * @param callback Receives the outcome.
      */
-    void putIf(
-        store::Put put, store::Condition condition, store::Callback<store::ChangeOutcome> callback) const;
+    void putIf(store::Put put, store::Condition condition, store::Callback<store::ChangeOutcome> callback);
 
     /** @brief Stops writing; outcomes of calls in flight are ignored. */
     void close() { this->closed = true; }
@@ -96,6 +100,8 @@
     };
 
     void send();
+    /** @brief Sends a change and notes its revision once it is committed. */
+    void change(const store::Change& change, store::Callback<store::ChangeOutcome> callback);
     /** @return Condition that this writer's term is current, which each change requires. */
     store::Condition ownerCondition() const;
     /**
@@ -117,6 +123,7 @@
     const model::ServiceId service;
     const ports::Term term;
     const RecordCallbacks callbacks;
+    ports::Term fence;
     std::map<jobs::JobId, store::Revision> revisions {};
     std::map<jobs::JobId, Pending> pending {};
     std::uint64_t lastBatch { 0 };
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -29,14 +29,14 @@
 } // namespace
 
 UpstreamAgent::UpstreamAgent(boost::asio::io_context& context,
-    std::shared_ptr<const ports::UpstreamLink> upstreamLink, scheduling::UpstreamFacts facts,
-    ports::Term ownTerm, Duration lease, UpstreamCallbacks upstreamCallbacks)
+    std::shared_ptr<const ports::UpstreamLink> upstreamLink, scheduling::UpstreamFacts facts, Duration lease,
+    UpstreamCallbacks upstreamCallbacks)
     : link(std::move(upstreamLink))
     , upstream(std::move(facts))
-    , term(ownTerm)
     , taskLease(lease)
     , callbacks(std::move(upstreamCallbacks))
     , timer(context)
+    , fence(callbacks.latestFence())
 {
 }
 
@@ -46,22 +46,44 @@
         return;
     }
     this->awaitingRecord = false;
+    raiseFence();
     const auto sent = kernel::bootNow();
     const bool renews = this->answering && this->callbacks.mayRenewLeases();
     if (renews) {
         this->lastRenewal = sent;
     }
     const auto wait = this->callbacks.needsFrequentPolling(this->upstream.id) ? frequentPollWait : pollWait;
-    const auto acknowledged = endsToAcknowledge();
     const auto end = renews && this->reading
         ? std::optional { leaseEnd(*this->reading, this->taskLease, sent) }
         : std::nullopt;
-    this->link->look({ this->term, acknowledged, end, this->answering ? wait : Duration {} },
-        [self = shared_from_this(), sent, acknowledged](const ports::LookOutcome& outcome) {
-            if (!self->closed) {
-                self->onOutcome(outcome, sent, acknowledged);
-            }
-        });
+    const ports::Look look { this->fence, endsToAcknowledge(), end, this->answering ? wait : Duration {} };
+    this->link->look(look, [self = shared_from_this(), sent, look](const ports::LookOutcome& outcome) {
+        if (!self->closed) {
+            self->onOutcome(outcome, sent, look);
+        }
+    });
+}
+
+bool UpstreamAgent::isOutdated(ports::Term used)
+{
+    const bool outdated = used < this->callbacks.latestFence();
+    this->mustRaiseFence = this->mustRaiseFence || (outdated && used == this->fence);
+    return outdated;
+}
+
+void UpstreamAgent::raiseFence()
+{
+    if (!this->mustRaiseFence) {
+        return;
+    }
+    const auto latest = this->callbacks.latestFence();
+    if (latest > this->fence) {
+        this->fence = latest;
+        this->mustRaiseFence = false;
+        kernel::logEvent("fence-raised",
+            { { "upstream", this->upstream.id.text() }, { "fence", this->fence.value },
+                { "born", this->born.milliseconds } });
+    }
 }
 
 std::uint64_t UpstreamAgent::endsToAcknowledge() const
@@ -72,11 +94,18 @@
 }
 
 void UpstreamAgent::onOutcome(
-    const ports::LookOutcome& outcome, kernel::Instant sent, std::uint64_t acknowledged)
+    const ports::LookOutcome& outcome, kernel::Instant sent, const ports::Look& look)
 {
     std::visit(kernel::Overloaded {
-                   [&](const ports::Tasks& tasks) { onTasks(tasks, sent, acknowledged); },
-                   [&](const ports::Superseded&) { this->callbacks.onSuperseded(); },
+                   [&](const ports::Tasks& tasks) { onTasks(tasks, sent, look.acknowledged); },
+                   [&](const ports::Superseded&) {
+                       if (isOutdated(look.term)) {
+                           onError({ kernel::ResultCode::PlatformRejected, this->upstream.id.text(),
+                               "outdated fencing token" });
+                       } else {
+                           this->callbacks.onSuperseded();
+                       }
+                   },
                    [&](const ports::OtherUpstream&) { this->callbacks.onReplaced(this->upstream.id); },
                    [&](const kernel::Error& error) { onError(error); },
                },
@@ -93,6 +122,7 @@
         if (this->answering) {
             logRestart("list", tasks.clock);
         }
+        this->mustRaiseFence = this->mustRaiseFence || this->born != kernel::Instant {};
         this->born = tasks.born;
         this->lastListed = 0;
         this->lastRecorded = 0;
@@ -110,7 +140,7 @@
             { { "upstream", this->upstream.id.text() }, { "born", tasks.born.milliseconds },
                 { "clock_ms", tasks.clock.value_or(ports::UpstreamTime {}).milliseconds },
                 { "running", tasks.running.size() }, { "ended", tasks.ended.size() },
-                { "more_ends", tasks.moreEnds ? "yes" : "no" }, { "term", this->term.value } });
+                { "more_ends", tasks.moreEnds ? "yes" : "no" }, { "fence", this->fence.value } });
     }
     this->answering = true;
     if (!this->firstAnswer) {
@@ -119,6 +149,8 @@
     for (const auto& end : tasks.ended) {
         this->lastListed = std::max(this->lastListed, end.number);
     }
+    // Before any order that the list leads to.
+    raiseFence();
     // The upstream is polled again whatever happens to this list: polls renew the leases of its tasks.
     kernel::runIsolated(
         { "chain", "upstream" }, [&] { this->callbacks.onTasks(this->upstream.id, tasks, sent); });
@@ -154,14 +186,23 @@
         callback({ ports::StartAnswer { scheduling::StartResult::NotSent } });
         return;
     }
+    raiseFence();
+    if (this->mustRaiseFence) {
+        callback({ ports::StartAnswer { scheduling::StartResult::NotTried } });
+        return;
+    }
     const auto sent = kernel::bootNow();
     const auto mayBeSent = [self = shared_from_this(), incarnation = this->reading->incarnation,
                                permission = std::move(permission)] {
         return self->reading && self->reading->incarnation == incarnation && permission();
     };
-    this->link->start(order, this->term, leaseEnd(*this->reading, this->taskLease, sent), mayBeSent,
-        [self = shared_from_this(), used = *this->reading, sent, callback = std::move(callback)](
-            const ports::StartOutcome& outcome) {
+    this->link->start(order, this->fence, leaseEnd(*this->reading, this->taskLease, sent), mayBeSent,
+        [self = shared_from_this(), used = *this->reading, fence = this->fence, sent,
+            callback = std::move(callback)](const ports::StartOutcome& outcome) {
+            if (std::holds_alternative<ports::Superseded>(outcome) && self->isOutdated(fence)) {
+                callback({ ports::StartAnswer { scheduling::StartResult::NotTried } });
+                return;
+            }
             const auto* const answer = std::get_if<ports::StartAnswer>(&outcome);
             const bool restarted
                 = answer != nullptr && answer->clock && isRestarted(used, *answer->clock, sent);
@@ -173,9 +214,32 @@
         });
 }
 
+void UpstreamAgent::stopTask(const scheduling::StopTask& order, store::Callback<ports::OrderOutcome> callback)
+{
+    raiseFence();
+    this->link->stop(order, this->fence, unlessOutdated(std::move(callback)));
+}
+
+void UpstreamAgent::paceTask(const scheduling::PaceTask& order, store::Callback<ports::OrderOutcome> callback)
+{
+    raiseFence();
+    this->link->pace(order, this->fence, unlessOutdated(std::move(callback)));
+}
+
+store::Callback<ports::OrderOutcome> UpstreamAgent::unlessOutdated(
+    store::Callback<ports::OrderOutcome> callback)
+{
+    return [self = shared_from_this(), used = this->fence, callback = std::move(callback)](
+               const ports::OrderOutcome& outcome) {
+        const bool isOutdated = std::holds_alternative<ports::Superseded>(outcome) && self->isOutdated(used);
+        callback(isOutdated ? ports::OrderOutcome { false } : outcome);
+    };
+}
+
 void UpstreamAgent::onRestart(ports::UpstreamTime clock)
 {
     logRestart("start", clock);
+    this->mustRaiseFence = true;
     this->reading.reset();
     this->answering = false;
     this->restartSeen = kernel::bootNow();
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -20,6 +20,8 @@
     const std::function<bool()> mayRenewLeases;
     /** @brief Whether the upstream must be polled at short intervals. */
     const std::function<bool(const scheduling::UpstreamId&)> needsFrequentPolling;
+    /** @brief The highest fencing token of the owner; it only rises. */
+    const std::function<ports::Term()> latestFence;
 };
 
 /** @brief How a start ended, and whether it has shown a restart of the upstream. */
@@ -32,12 +34,16 @@
     friend bool operator==(const StartReport&, const StartReport&) = default;
 };
 
-/** @brief Polls the tasks of one upstream, renews their leases and acknowledges their ends. */
+/**
+ * @brief Polls the tasks of one upstream, renews their leases and acknowledges their ends.
+ *
+ * Calls to one incarnation of the upstream have the same fencing token. It is raised once a restart is seen,
+ * since the next incarnation may carry out delayed calls that were meant for the former one.
+ */
 class UpstreamAgent : public std::enable_shared_from_this<UpstreamAgent> {
 public:
     UpstreamAgent(boost::asio::io_context& context, std::shared_ptr<const ports::UpstreamLink> link,
-        scheduling::UpstreamFacts facts, ports::Term term, kernel::Duration taskLease,
-        UpstreamCallbacks callbacks);
+        scheduling::UpstreamFacts facts, kernel::Duration taskLease, UpstreamCallbacks callbacks);
 
     void start() { poll(); }
 
@@ -49,18 +55,23 @@
     void acknowledge(kernel::Instant incarnation, std::uint64_t number);
 
     const scheduling::UpstreamFacts& facts() const { return this->upstream; }
-    const ports::UpstreamLink& upstreamLink() const { return *this->link; }
 
     /**
      * @brief Sends a start with a lease that ends on the upstream's clock.
      * @param order Order to send.
      * @param permission Asked right before the order is written to its connection.
      * @param callback Receives the outcome, also after `close`; the result is NotSent while the clock of the
-     * upstream is not known.
+     * upstream is not known, and NotTried while there is no fencing token for its present incarnation.
      */
     void startTask(const scheduling::StartTask& order, ports::Permission permission,
         store::Callback<StartReport> callback);
 
+    /** @brief Sends a stop; the callback receives the outcome, also after `close`. */
+    void stopTask(const scheduling::StopTask& order, store::Callback<ports::OrderOutcome> callback);
+
+    /** @brief Sends a pace; the callback receives the outcome, also after `close`. */
+    void paceTask(const scheduling::PaceTask& order, store::Callback<ports::OrderOutcome> callback);
+
     /** @return Latest reading of the upstream's clock, or nothing while its incarnation is not known. */
     const std::optional<ClockReading>& clockReading() const { return this->reading; }
 
@@ -87,9 +98,9 @@
     /**
      * @param outcome Outcome of a poll.
      * @param sent Boot clock time at which the poll was sent.
-     * @param acknowledged Number up to which the poll has acknowledged ends.
+     * @param look The poll.
      */
-    void onOutcome(const ports::LookOutcome& outcome, kernel::Instant sent, std::uint64_t acknowledged);
+    void onOutcome(const ports::LookOutcome& outcome, kernel::Instant sent, const ports::Look& look);
     void onTasks(const ports::Tasks& tasks, kernel::Instant sent, std::uint64_t acknowledged);
     void onError(const kernel::Error& error);
     /** @brief Forgets what only the former incarnation has said, until the upstream has listed its tasks
@@ -97,13 +108,28 @@
      */
     void onRestart(ports::UpstreamTime clock);
     void logRestart(const char* seenBy, std::optional<ports::UpstreamTime> clock) const;
+    /** @brief Raises the fencing token above that of calls to a former incarnation, if that is needed. */
+    void raiseFence();
+    /**
+     * @brief Judges the rejection of a fencing token: the same owner may have used a higher one meanwhile.
+     * The next call then has the highest token, whose rejection shows that another owner has taken over.
+     * @param used Fencing token of the rejected call.
+     * @return Whether the owner has a higher fencing token.
+     */
+    bool isOutdated(ports::Term used);
+    /** @return A callback to which the rejection of an outdated fencing token is an order without an answer.
+     */
+    store::Callback<ports::OrderOutcome> unlessOutdated(store::Callback<ports::OrderOutcome> callback);
 
     const std::shared_ptr<const ports::UpstreamLink> link;
     const scheduling::UpstreamFacts upstream;
-    const ports::Term term;
     const kernel::Duration taskLease;
     const UpstreamCallbacks callbacks;
     kernel::Timer timer;
+    /** @brief Fencing token of calls to the present incarnation. */
+    ports::Term fence;
+    /** @brief The token was used for a former incarnation, or a higher one was used since. */
+    bool mustRaiseFence { false };
     bool closed { false };
     bool answering { false };
     bool awaitingRecord { false };
--- a/test/wasabiroad/agent/restarted_upstream.cpp
+++ b/test/wasabiroad/agent/restarted_upstream.cpp
@@ -119,6 +119,56 @@
     BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
 }
 
+/** A call to the former incarnation of an upstream that the next one carries out late, while its owner does
+ * not reach it. */
+struct LateCallRow {
+    const char* title;
+    /** @brief Run time of the tasks on the next incarnation, in ms. */
+    const std::int64_t runMs;
+    /** @brief When the call is carried out, in ms after the crash. */
+    const kernel::Duration carriedOutAfter;
+    /** @brief How long the upstream is cut off, in ms. */
+    const std::int64_t cutMs;
+    /** @brief How long it is reached again until the starts are counted, in ms. */
+    const std::int64_t reachedMs;
+    /** @brief Starts of the four tasks. */
+    const std::size_t starts;
+
+    friend std::ostream& operator<<(std::ostream& out, const LateCallRow& row) { return out << row.title; }
+};
+
+const std::vector<LateCallRow> lateCallRows {
+    { "it acknowledges ends that no list has shown", 1800, { 2800 }, 2600, 5000, 4 },
+    { "it extends the lease of tasks that start elsewhere", 9000, { 3500 }, 6000, 500, 8 },
+};
+
+/** Guards against tasks that run twice since a restarted upstream carries out a call to its former
+ * incarnation (TWICE). */
+BOOST_DATA_TEST_CASE(late_call_to_the_former_incarnation_has_no_effect, data::make(lateCallRows), row)
+{
+    constexpr kernel::Duration shortSilence { 300 };
+    Site site { 1, 1 };
+    site.workers.setDeparture({}, shortSilence);
+    site.workers.setLateLooks(row.carriedOutAfter);
+    site.submit(makeJob("a", 50, 4));
+    BOOST_REQUIRE(site.reaches("a", jobs::JobState::Completed));
+    // The poll that waits now acknowledges the ends and renews the lease.
+    site.runFor(50);
+    site.workers.crash("vm0");
+    site.runFor(600);
+    site.submit(makeJob("b", row.runMs, 4));
+    BOOST_REQUIRE(site.runUntil([&] { return site.workers.runningCount() == 4; }));
+    site.runFor(20);
+    const auto restarted = site.workers.members().front().id;
+    site.workers.add("vm1", service, 4000);
+    cutOff(site, restarted);
+    site.runFor(row.cutMs);
+    site.daemons.front()->workerFaults->cut.clear();
+    site.runFor(row.reachedMs);
+    BOOST_TEST(site.workers.startsOf(jobs::JobId { "b" }) == row.starts);
+    BOOST_TEST(site.workers.broken().empty(), boost::test_tools::per_element());
+}
+
 /** Guards against starts on a restarted upstream by the facts of its earlier incarnation, which may have been
  * of another kind. */
 BOOST_DATA_TEST_CASE(starts_wait_for_the_facts_of_a_restarted_upstream, data::make({ 0, 1500 }), delay)
--- a/test/wasabiroad/agent/upstream_agent.cpp
+++ b/test/wasabiroad/agent/upstream_agent.cpp
@@ -84,7 +84,7 @@
         .pace = {},
     });
     agent = std::make_shared<UpstreamAgent>(context, link, scheduling::UpstreamFacts { .id = upstream },
-        ports::Term { 1 }, kernel::Duration { 4000 },
+        kernel::Duration { 4000 },
         UpstreamCallbacks {
             .onTasks = [](const auto&, const auto&, auto) {},
             .onUnresponsive = [](const auto&, auto) {},
@@ -92,6 +92,7 @@
             .onSuperseded = [] {},
             .mayRenewLeases = [] { return true; },
             .needsFrequentPolling = [](const auto&) { return false; },
+            .latestFence = [] { return ports::Term { 1 }; },
         });
     agent->start();
     const auto end = std::chrono::steady_clock::now() + testTimeout;
@@ -121,7 +122,7 @@
         .pace = {},
     });
     const auto agent = std::make_shared<UpstreamAgent>(context, link,
-        scheduling::UpstreamFacts { .id = upstream }, ports::Term { 1 }, kernel::Duration { 4000 },
+        scheduling::UpstreamFacts { .id = upstream }, kernel::Duration { 4000 },
         UpstreamCallbacks {
             .onTasks = [](const auto&, const auto&, auto) { throw std::runtime_error { "unexpected task" }; },
             .onUnresponsive = [](const auto&, auto) { throw std::runtime_error { "unexpected upstream" }; },
@@ -129,6 +130,7 @@
             .onSuperseded = [] {},
             .mayRenewLeases = [] { return true; },
             .needsFrequentPolling = [](const auto&) { return false; },
+            .latestFence = [] { return ports::Term { 1 }; },
         });
     agent->start();
     for (int step = 0; step < 400 && polled < polls; ++step) {
@@ -188,7 +190,7 @@
         .pace = {},
     });
     const auto agent = std::make_shared<UpstreamAgent>(context, link,
-        scheduling::UpstreamFacts { .id = upstream }, ports::Term { 1 }, kernel::Duration { 4000 },
+        scheduling::UpstreamFacts { .id = upstream }, kernel::Duration { 4000 },
         UpstreamCallbacks {
             .onTasks = [&](const auto&, const auto&, auto) { ++lists; },
             .onUnresponsive = [&](const auto&, auto) { ++unresponsive; },
@@ -196,6 +198,7 @@
             .onSuperseded = [] {},
             .mayRenewLeases = [] { return true; },
             .needsFrequentPolling = [](const auto&) { return false; },
+            .latestFence = [] { return ports::Term { 1 }; },
         });
     std::vector<StartReport> reports;
     const scheduling::StartTask order { .upstream = upstream, .task = task, .run = { 1 } };
@@ -248,6 +251,174 @@
     agent->close();
 }
 
+/** What shows a restart of the upstream, and the fencing tokens of the calls after it. */
+struct FenceRow {
+    const char* title;
+    const bool listShowsRestart;
+    const bool startShowsRestart;
+    /** @brief Highest token of the owner after the restart; it was 1 before. */
+    const std::uint64_t latest;
+    /** @brief Token of the next start; nothing if it must not be sent. */
+    const std::optional<std::uint64_t> expected;
+
+    friend std::ostream& operator<<(std::ostream& out, const FenceRow& row) { return out << row.title; }
+};
+
+const std::vector<FenceRow> fenceRows {
+    { "no restart", false, false, 9, 1 },
+    { "a list shows a restart", true, false, 9, 9 },
+    { "a start shows a restart", false, true, 9, 9 },
+    { "a list shows a restart, and there is no higher token yet", true, false, 1, {} },
+    { "a start shows a restart, and there is no higher token yet", false, true, 1, {} },
+};
+
+/** Guards against calls to the former incarnation that the present one carries out, as it rejects only lower
+ * fencing tokens than it has seen (TWICE). */
+BOOST_DATA_TEST_CASE(restart_raises_the_fencing_token, data::make(fenceRows), row)
+{
+    boost::asio::io_context context { 1 };
+    const auto work = boost::asio::make_work_guard(context);
+    std::vector<ports::Look> looks;
+    std::vector<store::Callback<ports::LookOutcome>> waiting;
+    std::vector<ports::Term> startTerms;
+    // The clock of the upstream began this long before the test.
+    kernel::Duration age { 50000 };
+    const auto begin = kernel::bootNow();
+    const auto clock = [&] { return ports::UpstreamTime { (kernel::bootNow() - begin + age).milliseconds }; };
+    ports::Term latest { 1 };
+    const auto link = std::make_shared<const ports::UpstreamLink>(ports::UpstreamLink {
+        .look =
+            [&](const ports::Look& look, const store::Callback<ports::LookOutcome>& callback) {
+                looks.push_back(look);
+                waiting.push_back(callback);
+            },
+        .start =
+            [&](const scheduling::StartTask&, ports::Term term, ports::UpstreamTime, const ports::Permission&,
+                const store::Callback<ports::StartOutcome>& callback) {
+                startTerms.push_back(term);
+                callback(ports::StartAnswer { scheduling::StartResult::Started, clock() });
+            },
+        .stop = {},
+        .pace = {},
+    });
+    const auto agent = std::make_shared<UpstreamAgent>(context, link,
+        scheduling::UpstreamFacts { .id = upstream }, kernel::Duration { 4000 },
+        UpstreamCallbacks {
+            .onTasks = [](const auto&, const auto&, auto) {},
+            .onUnresponsive = [](const auto&, auto) {},
+            .onReplaced = [](const auto&) {},
+            .onSuperseded = [] {},
+            .mayRenewLeases = [] { return true; },
+            .needsFrequentPolling = [](const auto&) { return false; },
+            .latestFence = [&] { return latest; },
+        });
+    std::vector<StartReport> reports;
+    const auto startTask = [&] {
+        agent->startTask(
+            { .upstream = upstream, .task = task, .run = { 1 } }, [] { return true; },
+            [&](const StartReport& report) { reports.push_back(report); });
+    };
+    const auto answerPoll = [&](std::int64_t born) {
+        const auto polls = looks.size();
+        const auto answer = waiting.back();
+        answer(ports::Tasks { { born }, {}, {}, false, clock() });
+        const auto end = std::chrono::steady_clock::now() + testTimeout;
+        while (looks.size() == polls && std::chrono::steady_clock::now() < end) {
+            context.run_for(std::chrono::milliseconds { 5 });
+        }
+        BOOST_REQUIRE(looks.size() == polls + 1);
+    };
+
+    agent->start();
+    answerPoll(1);
+    startTask();
+    BOOST_REQUIRE(startTerms.size() == 1);
+    BOOST_TEST(startTerms.back().value == 1);
+    latest = { row.latest };
+    const bool restarts = row.listShowsRestart || row.startShowsRestart;
+    age = restarts ? kernel::Duration {} : age;
+    if (row.startShowsRestart) {
+        startTask();
+        BOOST_TEST(reports.back().restarted);
+    }
+    answerPoll(restarts ? 2 : 1);
+    if (row.startShowsRestart) {
+        // The poll that was sent before the restart was seen is outdated.
+        answerPoll(2);
+    }
+    startTerms.clear();
+    startTask();
+    const ports::StartAnswer notTried { scheduling::StartResult::NotTried };
+    BOOST_TEST(startTerms.size() == (row.expected ? 1U : 0U));
+    BOOST_TEST((reports.back().outcome == ports::StartOutcome { notTried }) == !row.expected);
+    if (row.expected) {
+        BOOST_TEST(startTerms.front().value == *row.expected);
+        BOOST_TEST(looks.back().term.value == *row.expected);
+    }
+    agent->close();
+}
+
+/** Rejections of a fencing token, and whether they show that another owner has taken over. */
+struct RejectionRow {
+    const char* title;
+    /** @brief Highest token of the owner as the poll is rejected; the poll had 1. */
+    const std::uint64_t latest;
+    const bool superseded;
+
+    friend std::ostream& operator<<(std::ostream& out, const RejectionRow& row) { return out << row.title; }
+};
+
+const std::vector<RejectionRow> rejectionRows {
+    { "the highest token", 1, true },
+    { "a lower one", 9, false },
+};
+
+/** Guards against an owner that gives up its pool since it has overtaken itself with a higher token. */
+BOOST_DATA_TEST_CASE(only_the_rejection_of_the_highest_token_ends_the_term, data::make(rejectionRows), row)
+{
+    boost::asio::io_context context { 1 };
+    std::vector<ports::Look> looks;
+    std::size_t superseded = 0;
+    ports::Term latest { 1 };
+    const auto link = std::make_shared<const ports::UpstreamLink>(ports::UpstreamLink {
+        .look =
+            [&](const ports::Look& look, const store::Callback<ports::LookOutcome>& callback) {
+                looks.push_back(look);
+                if (looks.size() == 1) {
+                    latest = { row.latest };
+                    boost::asio::post(context, [callback] { callback(ports::Superseded {}); });
+                }
+            },
+        .start = {},
+        .stop = [](const scheduling::StopTask&, ports::Term,
+                    const store::Callback<ports::OrderOutcome>& callback) { callback(ports::Superseded {}); },
+        .pace = {},
+    });
+    const auto agent = std::make_shared<UpstreamAgent>(context, link,
+        scheduling::UpstreamFacts { .id = upstream }, kernel::Duration { 4000 },
+        UpstreamCallbacks {
+            .onTasks = [](const auto&, const auto&, auto) {},
+            .onUnresponsive = [](const auto&, auto) {},
+            .onReplaced = [](const auto&) {},
+            .onSuperseded = [&] { ++superseded; },
+            .mayRenewLeases = [] { return true; },
+            .needsFrequentPolling = [](const auto&) { return false; },
+            .latestFence = [&] { return latest; },
+        });
+    agent->start();
+    std::optional<ports::OrderOutcome> stopped;
+    agent->stopTask({ .upstream = upstream, .task = task, .run = { 1 } },
+        [&](const ports::OrderOutcome& outcome) { stopped.emplace(outcome); });
+    BOOST_TEST((stopped == (row.superseded ? ports::OrderOutcome { ports::Superseded {} } : false)));
+    const auto end = std::chrono::steady_clock::now() + testTimeout;
+    while (superseded == 0 && looks.size() == 1 && std::chrono::steady_clock::now() < end) {
+        context.run_for(std::chrono::milliseconds { 5 });
+    }
+    BOOST_TEST(superseded == (row.superseded ? 1U : 0U));
+    BOOST_TEST(looks.back().term.value == row.latest);
+    agent->close();
+}
+
 } // namespace
 
 } // namespace wasabiroad::agent::test
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -354,6 +354,14 @@
     }
 }
 
+void Model::raiseFence(const OwnerPointer& owner, const UpstreamId& id)
+{
+    // Like revisions of the store, tokens and terms come from one counter.
+    if (owner == this->owners.back()) {
+        owner->fences[id] = ++this->term;
+    }
+}
+
 void Model::send(const OwnerPointer& owner, const Order& order)
 {
     if (fails(this->faults.droppedOrders)) {
@@ -370,10 +378,12 @@
 {
     const auto until = this->now + maxLease;
     const auto incarnation = owner->clockOf[order.upstream];
+    const auto fence = owner->fenceOf(order.upstream);
     const auto answer = [this, owner, order, incarnation](
                             std::int64_t delay, StartResult result, bool restarted = false) {
         after(delay, [this, owner, order, incarnation, result, restarted] {
             if (restarted && owner->clockOf[order.upstream] == incarnation) {
+                raiseFence(owner, order.upstream);
                 owner->unresponsive.insert(order.upstream);
                 applyEvent(owner, UpstreamUnresponsive { order.upstream });
             }
@@ -388,14 +398,14 @@
     const bool late = fails(this->faults.lateOrders);
     const bool lost = late || fails(this->faults.lostAnswers);
     const auto delay = late ? between(2000, 12000) : between(1, 60);
-    after(delay, [this, owner, order, until, incarnation, lost, answer] {
+    after(delay, [this, order, until, incarnation, fence, lost, answer] {
         auto& upstream = at(order.upstream);
         if (!upstream.up) {
             lost ? void() : answer(callTimeout, StartResult::Unknown);
             return;
         }
         const auto granted = grantedUntil(upstream, until, incarnation);
-        const auto result = start(upstream, order, owner->term, granted);
+        const auto result = start(upstream, order, fence, granted);
         lost ? void() : answer(between(1, 60), result, upstream.born != incarnation);
     });
     if (lost) {
@@ -417,9 +427,10 @@
         return;
     }
     const bool lost = fails(this->faults.lostAnswers);
-    after(between(1, 60), [this, owner, order, lost, answer] {
+    const auto fence = owner->fenceOf(order.upstream);
+    after(between(1, 60), [this, order, fence, lost, answer] {
         auto& upstream = at(order.upstream);
-        const bool stopped = upstream.up && stop(upstream, order, owner->term);
+        const bool stopped = upstream.up && stop(upstream, order, fence);
         answer(stopped && !lost ? between(1, 60) : callTimeout, stopped && !lost);
     });
 }
@@ -443,6 +454,7 @@
     const auto sent = this->now;
     const auto incarnation = owner->clockOf[id];
     // Polls of an unresponsive upstream do not renew its lease, so that the lease can expire.
+    const auto fence = owner->fenceOf(id);
     const bool renews = !owner->unresponsive.contains(id) && incarnation != 0;
     if (renews) {
         owner->lastRenewal[id] = sent;
@@ -462,17 +474,21 @@
         reportUnresponsive();
         return;
     }
-    after(between(1, 60), [this, owner, id, sent, incarnation, renews, reportUnresponsive] {
+    after(between(1, 60), [this, owner, id, sent, incarnation, fence, renews, reportUnresponsive] {
         auto& upstream = at(id);
         if (!upstream.up) {
             reportUnresponsive();
             return;
         }
-        if (owner->term < upstream.highestTerm) {
-            owner->terminated = true;
+        if (fence < upstream.highestTerm) {
+            if (fence < owner->fenceOf(id)) {
+                reportUnresponsive();
+            } else {
+                owner->terminated = true;
+            }
             return;
         }
-        upstream.highestTerm = owner->term;
+        upstream.highestTerm = fence;
         if (renews) {
             upstream.leaseEnd
                 = std::max(upstream.leaseEnd, grantedUntil(upstream, sent + maxLease, incarnation));
@@ -505,7 +521,10 @@
         }
         after(between(1, 60), [this, owner, id, listed] {
             owner->unresponsive.erase(id);
-            owner->clockOf[id] = listed.born.milliseconds;
+            const auto known = std::exchange(owner->clockOf[id], listed.born.milliseconds);
+            if (known != 0 && known != listed.born.milliseconds) {
+                raiseFence(owner, id);
+            }
             applyEvent(owner, listed);
             after(between(50, 400), [this, owner, id] { poll(owner, id); });
         });
--- a/test/wasabiroad/scheduling/model.hpp
+++ b/test/wasabiroad/scheduling/model.hpp
@@ -125,6 +125,15 @@
         std::map<UpstreamId, std::int64_t> lastRenewal {};
         /** @brief The incarnation of each upstream whose clock the owner has read last. */
         std::map<UpstreamId, std::int64_t> clockOf {};
+        /** @brief Fencing tokens above the term, for upstreams whose restart the owner has seen. */
+        std::map<UpstreamId, std::uint64_t> fences {};
+
+        /** @return Fencing token of calls to the upstream. */
+        std::uint64_t fenceOf(const UpstreamId& id) const
+        {
+            const auto found = this->fences.find(id);
+            return found != this->fences.end() ? found->second : this->term;
+        }
         std::set<UpstreamId> unresponsive {};
         std::vector<Drain> drains {};
         /** @brief Events that arrived during a pause, in order. */
@@ -158,6 +167,8 @@
     void applyEvent(const OwnerPointer& owner, const Event& event);
     void applyMissed(const OwnerPointer& owner);
     void handle(const OwnerPointer& owner, const Event& event);
+    /** @brief Raises the fencing token for an upstream, unless another owner has taken over. */
+    void raiseFence(const OwnerPointer& owner, const UpstreamId& id);
     void send(const OwnerPointer& owner, const Order& order);
     void sendStart(const OwnerPointer& owner, const StartTask& order);
     void sendStop(const OwnerPointer& owner, const StopTask& order);
