Close a loan only by a borrower's ledger of the same manifest

seen: test fleet, shares_and_loans_never_exceed_the_budget: allowances of 3 against a budget of 2. cause: a zone that adopts a newer manifest drops its credits. The lender, on the older one, took the missing credit for a returned one and closed the loan, though the zone had lent the unit on and the third zone still used it. change: the step names the generation of the borrower's ledger and is rejected unless it is the lender's own; the planner does not propose it.

--- a/src/wasabiroad/fleet/step.cpp
+++ b/src/wasabiroad/fleet/step.cpp
@@ -308,6 +308,12 @@
 
 Expected<Ledger> applyStep(const Ledger& ledger, const Layout&, const CloseLoan& step, kernel::Instant)
 {
+    if (step.borrowerGeneration != ledger.generation) {
+        return fail(ResultCode::StaleGeneration, ledger.zone.text(),
+            "borrower of loan " + std::to_string(step.number) + " at generation "
+                + std::to_string(step.borrowerGeneration.value),
+            "generation " + std::to_string(ledger.generation.value));
+    }
     if (!ledger.loans.contains(step.number) || step.redeemed < step.number || step.isCredited) {
         return fail(ResultCode::BudgetExhausted, ledger.zone.text(),
             "loan " + std::to_string(step.number) + " not returned by the borrower");
--- a/src/wasabiroad/fleet/step.hpp
+++ b/src/wasabiroad/fleet/step.hpp
@@ -74,6 +74,9 @@
 /** @brief Removes a loan, once the borrower's ledger shows that it was accepted and returned. */
 struct CloseLoan {
     const std::uint64_t number { 0 };
+    /** @brief Generation of the borrower's ledger. One of a newer generation lists no credits of this one,
+     * though the borrower may have lent the unit on. */
+    const model::Generation borrowerGeneration {};
     /** @brief Highest number of a loan of this zone that the borrower has accepted. */
     const std::uint64_t redeemed { 0 };
     /** @brief Whether the borrower's ledger still lists the loan as a credit; then it cannot be removed. */
--- a/src/wasabiroad/fleet/wave_planner.cpp
+++ b/src/wasabiroad/fleet/wave_planner.cpp
@@ -146,13 +146,13 @@
 {
     for (const auto& [number, loan] : ownLedger.loans) {
         const auto borrower = ledgers.find(loan.to);
-        if (borrower == ledgers.end()) {
+        if (borrower == ledgers.end() || borrower->second.generation != ownLedger.generation) {
             continue;
         }
         const auto redeemed = borrower->second.redeemed.find(ownLedger.zone);
         const bool isCredited = borrower->second.credits.contains(LoanKey { ownLedger.zone, number });
         if (redeemed != borrower->second.redeemed.end() && redeemed->second >= number && !isCredited) {
-            return CloseLoan { number, redeemed->second, isCredited };
+            return CloseLoan { number, borrower->second.generation, redeemed->second, isCredited };
         }
     }
     return std::nullopt;
--- a/test/wasabiroad/fleet/step.cpp
+++ b/test/wasabiroad/fleet/step.cpp
@@ -99,6 +99,11 @@
             fleet::ReturnCredit { { model::ZoneId { "y" }, 3 } } },
         fleet::AcceptLoan { model::ZoneId { "y" }, { 1 }, 3, { service, zone } },
         ResultCode::StaleGeneration },
+    Row { "closes a returned loan", 2, { fleet::LendShare { service, model::ZoneId { "y" } } },
+        fleet::CloseLoan { 3, { 1 }, 3, false }, ResultCode::Ok },
+    Row { "rejects closing a loan by a ledger of a newer manifest, which has no credits of the older", 2,
+        { fleet::LendShare { service, model::ZoneId { "y" } } }, fleet::CloseLoan { 3, { 2 }, 3, false },
+        ResultCode::StaleGeneration },
     Row { "rejects raising shares before the other zones lowered theirs", 2, {},
         fleet::RaiseShares { { { model::ZoneId { "z" }, { 1 } } } }, ResultCode::StaleGeneration },
 };
@@ -211,7 +216,8 @@
         if (choice % 6 == 4 && !own.loans.empty() && own.loans.begin()->second.to == peer) {
             const auto number = own.loans.begin()->first;
             const auto redeemed = seen.redeemed.find(self);
-            return fleet::CloseLoan { number, redeemed == seen.redeemed.end() ? 0 : redeemed->second,
+            return fleet::CloseLoan { number, seen.generation,
+                redeemed == seen.redeemed.end() ? 0 : redeemed->second,
                 seen.credits.contains({ self, number }) };
         }
         return fleet::LendShare { service, peer };
