Give up an unanswered start by its fencing token instead of a stop

A list that was requested with a higher token than the start's shows either the run, which is adopted, or that it is never carried out there, also not by a later incarnation that gave the list. Such a start of a step with limited unavailability needs no stop any more; others still get one at once and are given up by whichever answer comes first.

--- a/src/wasabiroad/agent/pool_agent.cpp
+++ b/src/wasabiroad/agent/pool_agent.cpp
@@ -494,7 +494,8 @@
                                 { { "task", jobs::toText(task) }, { "run", run.value },
                                     { "upstream", id.text() }, { "result", scheduling::name(result) } });
                         }
-                        self->apply(scheduling::StartAnswered { id, task, run, result, report.restarted });
+                        self->apply(scheduling::StartAnswered {
+                            id, task, run, result, report.restarted, report.fence.value });
                     },
                     [&](const ports::Superseded&) { self->onSuperseded(); },
                     [&](const ports::OtherUpstream&) { self->onAddressReused(id, agent); },
@@ -541,8 +542,9 @@
 UpstreamCallbacks PoolAgent::upstreamCallbacks()
 {
     return {
-        .onTasks = unlessClosed([](PoolAgent& self, const UpstreamId& id, const ports::Tasks& tasks,
-                                    kernel::Instant sent) { self.onTasks(id, tasks, sent); }),
+        .onTasks = unlessClosed(
+            [](PoolAgent& self, const UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent,
+                ports::Term fence) { self.onTasks(id, tasks, sent, fence); }),
         .onUnresponsive
         = unlessClosed([](PoolAgent& self, const UpstreamId& id, kernel::Instant lastRenewal) {
               self.apply(scheduling::UpstreamUnresponsive { id, lastRenewal });
@@ -568,7 +570,8 @@
     };
 }
 
-void PoolAgent::onTasks(const UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent)
+void PoolAgent::onTasks(
+    const UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent, ports::Term fence)
 {
     auto& seen = this->seenEnds[id];
     if (seen.incarnation != tasks.born) {
@@ -583,7 +586,8 @@
                     { "kind", scheduling::name(end.kind) }, { "number", end.number } });
         }
     }
-    apply(scheduling::TasksListed { id, tasks.born, sent, tasks.running, tasks.ended, tasks.moreEnds });
+    apply(scheduling::TasksListed {
+        id, tasks.born, sent, tasks.running, tasks.ended, tasks.moreEnds, fence.value });
     if (!this->recordedUpstreams.contains(id.text()) && !this->writingRecordedUpstreams) {
         applyMembers();
     }
--- a/src/wasabiroad/agent/pool_agent.hpp
+++ b/src/wasabiroad/agent/pool_agent.hpp
@@ -121,7 +121,8 @@
     void execute(const scheduling::StartTask& order, UpstreamAgent& upstream);
     void execute(const scheduling::StopTask& order, UpstreamAgent& upstream);
     void execute(const scheduling::PaceTask& order, UpstreamAgent& upstream);
-    void onTasks(const scheduling::UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent);
+    void onTasks(
+        const scheduling::UpstreamId& id, const ports::Tasks& tasks, kernel::Instant sent, ports::Term fence);
     void scheduleFlush();
     void flush();
     void onFlushed(std::uint64_t batch);
--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -80,6 +80,7 @@
     if (latest > this->fence) {
         this->fence = latest;
         this->mustRaiseFence = false;
+        this->isFenceOfFormer = false;
         kernel::logEvent("fence-raised",
             { { "upstream", this->upstream.id.text() }, { "fence", this->fence.value },
                 { "born", this->born.milliseconds } });
@@ -97,7 +98,7 @@
     const ports::LookOutcome& outcome, kernel::Instant sent, const ports::Look& look)
 {
     std::visit(kernel::Overloaded {
-                   [&](const ports::Tasks& tasks) { onTasks(tasks, sent, look.acknowledged); },
+                   [&](const ports::Tasks& tasks) { onTasks(tasks, sent, look); },
                    [&](const ports::Superseded&) {
                        if (isOutdated(look.term)) {
                            onError({ kernel::ResultCode::PlatformRejected, this->upstream.id.text(),
@@ -112,7 +113,7 @@
         outcome);
 }
 
-void UpstreamAgent::onTasks(const ports::Tasks& tasks, kernel::Instant sent, std::uint64_t acknowledged)
+void UpstreamAgent::onTasks(const ports::Tasks& tasks, kernel::Instant sent, const ports::Look& look)
 {
     if (tasks.born == this->born && sent <= this->restartSeen) {
         this->timer.start({}, [self = shared_from_this()] { self->poll(); });
@@ -122,14 +123,15 @@
         if (this->answering) {
             logRestart("list", tasks.clock);
         }
-        this->mustRaiseFence = this->mustRaiseFence || this->born != kernel::Instant {};
+        this->isFenceOfFormer = this->isFenceOfFormer || this->born != kernel::Instant {};
+        this->mustRaiseFence = this->mustRaiseFence || this->isFenceOfFormer;
         this->born = tasks.born;
         this->lastListed = 0;
         this->lastRecorded = 0;
         this->firstAnswer.reset();
         this->lastAcknowledged = 0;
     } else {
-        this->lastAcknowledged = std::max(this->lastAcknowledged, acknowledged);
+        this->lastAcknowledged = std::max(this->lastAcknowledged, look.acknowledged);
     }
     if (tasks.clock) {
         this->reading.emplace(ClockReading { tasks.born, *tasks.clock, kernel::bootNow() });
@@ -153,7 +155,7 @@
     raiseFence();
     // The upstream is polled again whatever happens to this list: polls renew the leases of its tasks.
     kernel::runIsolated(
-        { "chain", "upstream" }, [&] { this->callbacks.onTasks(this->upstream.id, tasks, sent); });
+        { "chain", "upstream" }, [&] { this->callbacks.onTasks(this->upstream.id, tasks, sent, look.term); });
     if (this->closed) {
         return;
     }
@@ -187,7 +189,7 @@
         return;
     }
     raiseFence();
-    if (this->mustRaiseFence) {
+    if (this->isFenceOfFormer) {
         callback({ ports::StartAnswer { scheduling::StartResult::NotTried } });
         return;
     }
@@ -210,7 +212,10 @@
                 && self->reading->incarnation == used.incarnation) {
                 self->onRestart(*answer->clock);
             }
-            callback({ outcome, restarted });
+            if (answer != nullptr && answer->result == scheduling::StartResult::Unknown) {
+                self->mustRaiseFence = true;
+            }
+            callback({ outcome, restarted, fence });
         });
 }
 
@@ -240,6 +245,7 @@
 {
     logRestart("start", clock);
     this->mustRaiseFence = true;
+    this->isFenceOfFormer = true;
     this->reading.reset();
     this->answering = false;
     this->restartSeen = kernel::bootNow();
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -11,7 +11,9 @@
 
 /** @brief Callbacks of an upstream agent to the owner of the pool; called on the control thread only. */
 struct UpstreamCallbacks {
-    const std::function<void(const scheduling::UpstreamId&, const ports::Tasks&, kernel::Instant sent)>
+    /** @brief Receives a list, when the call for it was sent, and its fencing token. */
+    const std::function<void(
+        const scheduling::UpstreamId&, const ports::Tasks&, kernel::Instant sent, ports::Term fence)>
         onTasks;
     const std::function<void(const scheduling::UpstreamId&, kernel::Instant lastRenewal)> onUnresponsive;
     const std::function<void(const scheduling::UpstreamId&)> onReplaced;
@@ -30,6 +32,8 @@
     /** @brief Another incarnation has answered than the one on whose clock the end of the lease was computed.
      */
     const bool restarted { false };
+    /** @brief Fencing token of the start; 0 if it was not sent. */
+    const ports::Term fence {};
 
     friend bool operator==(const StartReport&, const StartReport&) = default;
 };
@@ -37,8 +41,9 @@
 /**
  * @brief Polls the tasks of one upstream, renews their leases and acknowledges their ends.
  *
- * Calls to one incarnation of the upstream have the same fencing token. It is raised once a restart is seen,
- * since the next incarnation may carry out delayed calls that were meant for the former one.
+ * The fencing token of the calls is raised once a restart is seen, since the next incarnation may carry out
+ * delayed calls that were meant for the former one, and after a start without an answer, so that the upstream
+ * rejects it from its next list on.
  */
 class UpstreamAgent : public std::enable_shared_from_this<UpstreamAgent> {
 public:
@@ -101,7 +106,7 @@
      * @param look The poll.
      */
     void onOutcome(const ports::LookOutcome& outcome, kernel::Instant sent, const ports::Look& look);
-    void onTasks(const ports::Tasks& tasks, kernel::Instant sent, std::uint64_t acknowledged);
+    void onTasks(const ports::Tasks& tasks, kernel::Instant sent, const ports::Look& look);
     void onError(const kernel::Error& error);
     /** @brief Forgets what only the former incarnation has said, until the upstream has listed its tasks
      * again.
@@ -126,10 +131,12 @@
     const kernel::Duration taskLease;
     const UpstreamCallbacks callbacks;
     kernel::Timer timer;
-    /** @brief Fencing token of calls to the present incarnation. */
+    /** @brief Fencing token of the calls. */
     ports::Term fence;
-    /** @brief The token was used for a former incarnation, or a higher one was used since. */
+    /** @brief The token is raised as soon as the owner has a higher one. */
     bool mustRaiseFence { false };
+    /** @brief The token was used for a former incarnation, so no start is sent with it. */
+    bool isFenceOfFormer { false };
     bool closed { false };
     bool answering { false };
     bool awaitingRecord { false };
--- a/src/wasabiroad/scheduling/event.hpp
+++ b/src/wasabiroad/scheduling/event.hpp
@@ -129,6 +129,8 @@
     const std::vector<EndedTask> ended {};
     /** @brief Further ends are not listed yet, so a run that is missing from both lists may have ended. */
     const bool moreEnds { false };
+    /** @brief Fencing token of the call: the upstream does not carry out starts with a lower one any more. */
+    const std::uint64_t fence { 0 };
 
     friend bool operator==(const TasksListed&, const TasksListed&) = default;
 };
@@ -161,6 +163,8 @@
     /** @brief Another incarnation has answered than the one on whose clock the end of the lease was computed.
      */
     const bool restarted { false };
+    /** @brief Fencing token of the start; 0 if it is not known. */
+    const std::uint64_t fence { 0 };
 
     friend auto operator<=>(const StartAnswered&, const StartAnswered&) = default;
 };
--- a/src/wasabiroad/scheduling/pool_scheduler.cpp
+++ b/src/wasabiroad/scheduling/pool_scheduler.cpp
@@ -477,6 +477,7 @@
     // A start that was not answered and has been carried out needs no stop, unless one may have taken effect.
     const bool wasCarriedOut = task->phase == Phase::Stopping && task->stopsUnansweredStart
         && !task->stopAnswered && !task->done && !jobs::isFinal(entry->state);
+    task->unansweredFence.reset();
     if (task->phase == Phase::Starting || wasCarriedOut) {
         setPhase(*task, Phase::Running);
         task->confirmed = now.steady;
@@ -518,9 +519,11 @@
                 ? this->policy.startAnswerTimeout + this->policy.maxLeaseDuration
                 : this->policy.maxOrderDelay;
             const bool isRejected = task->started + expiry < event.sent;
-            if ((task->stopAnswered && *task->stopAnswered < event.sent) || isRejected) {
+            const bool isFenced = task->unansweredFence && *task->unansweredFence < event.fence;
+            if ((task->stopAnswered && *task->stopAnswered < event.sent) || isRejected || isFenced) {
                 release(id, *task, now);
-            } else if (awaitsList(id, *task) && now.steady - event.sent <= this->policy.taskListMaxAge) {
+            } else if (awaitsList(id, *task) && !task->unansweredFence
+                && now.steady - event.sent <= this->policy.taskListMaxAge) {
                 sendStop(id, *task, now, "start was not answered");
             }
         }
@@ -530,7 +533,15 @@
 void PoolScheduler::on(const StartAnswered& event, Moment now)
 {
     const auto [entry, task] = find(event.task);
-    if (task == nullptr || task->phase != Phase::Starting || task->run != event.run) {
+    if (task == nullptr || task->run != event.run) {
+        return;
+    }
+    const bool isGivenUp = task->phase == Phase::Stopping && task->stopsUnansweredStart;
+    if ((task->phase == Phase::Starting || isGivenUp) && event.result == StartResult::Unknown
+        && event.fence != 0) {
+        task->unansweredFence = event.fence;
+    }
+    if (task->phase != Phase::Starting) {
         return;
     }
     switch (event.result) {
@@ -947,6 +958,7 @@
     task.percent = 0;
     task.pace = 100;
     task.stopAnswered.reset();
+    task.unansweredFence.reset();
     task.readySince = now.steady;
     markDirty(id.job, id.position.occurrence);
     this->schedulingNeeded = true;
--- a/src/wasabiroad/scheduling/task.hpp
+++ b/src/wasabiroad/scheduling/task.hpp
@@ -52,6 +52,8 @@
     /** @brief It is stopped only as its start was not answered and may have failed. See
      * PoolScheduler::awaitsList for when the stop is sent. */
     bool stopsUnansweredStart { false };
+    /** @brief Fencing token of the start that was not answered, if it is known. */
+    std::optional<std::uint64_t> unansweredFence {};
     kernel::Instant stopSent {};
     std::optional<kernel::Instant> stopAnswered {};
 };
--- a/test/wasabiroad/agent/upstream_agent.cpp
+++ b/test/wasabiroad/agent/upstream_agent.cpp
@@ -86,7 +86,7 @@
     agent = std::make_shared<UpstreamAgent>(context, link, scheduling::UpstreamFacts { .id = upstream },
         kernel::Duration { 4000 },
         UpstreamCallbacks {
-            .onTasks = [](const auto&, const auto&, auto) {},
+            .onTasks = [](const auto&, const auto&, auto, auto) {},
             .onUnresponsive = [](const auto&, auto) {},
             .onReplaced = [](const auto&) {},
             .onSuperseded = [] {},
@@ -124,7 +124,8 @@
     const auto agent = std::make_shared<UpstreamAgent>(context, link,
         scheduling::UpstreamFacts { .id = upstream }, kernel::Duration { 4000 },
         UpstreamCallbacks {
-            .onTasks = [](const auto&, const auto&, auto) { throw std::runtime_error { "unexpected task" }; },
+            .onTasks
+            = [](const auto&, const auto&, auto, auto) { throw std::runtime_error { "unexpected task" }; },
             .onUnresponsive = [](const auto&, auto) { throw std::runtime_error { "unexpected upstream" }; },
             .onReplaced = [](const auto&) {},
             .onSuperseded = [] {},
@@ -192,7 +193,7 @@
     const auto agent = std::make_shared<UpstreamAgent>(context, link,
         scheduling::UpstreamFacts { .id = upstream }, kernel::Duration { 4000 },
         UpstreamCallbacks {
-            .onTasks = [&](const auto&, const auto&, auto) { ++lists; },
+            .onTasks = [&](const auto&, const auto&, auto, auto) { ++lists; },
             .onUnresponsive = [&](const auto&, auto) { ++unresponsive; },
             .onReplaced = [](const auto&) {},
             .onSuperseded = [] {},
@@ -256,6 +257,8 @@
     const char* title;
     const bool listShowsRestart;
     const bool startShowsRestart;
+    /** @brief The last start before it has no answer. */
+    const bool losesAnswer;
     /** @brief Highest token of the owner after the restart; it was 1 before. */
     const std::uint64_t latest;
     /** @brief Token of the next start; nothing if it must not be sent. */
@@ -265,16 +268,18 @@
 };
 
 const std::vector<FenceRow> fenceRows {
-    { "no restart", false, false, 9, 1 },
-    { "a list shows a restart", true, false, 9, 9 },
-    { "a start shows a restart", false, true, 9, 9 },
-    { "a list shows a restart, and there is no higher token yet", true, false, 1, {} },
-    { "a start shows a restart, and there is no higher token yet", false, true, 1, {} },
+    { "no restart", false, false, false, 9, 1 },
+    { "a list shows a restart", true, false, false, 9, 9 },
+    { "a start shows a restart", false, true, false, 9, 9 },
+    { "a list shows a restart, and there is no higher token yet", true, false, false, 1, {} },
+    { "a start shows a restart, and there is no higher token yet", false, true, false, 1, {} },
+    { "a start has no answer", false, false, true, 9, 9 },
+    { "a start has no answer, and there is no higher token yet", false, false, true, 1, 1 },
 };
 
 /** Guards against calls to the former incarnation that the present one carries out, as it rejects only lower
  * fencing tokens than it has seen (TWICE). */
-BOOST_DATA_TEST_CASE(restart_raises_the_fencing_token, data::make(fenceRows), row)
+BOOST_DATA_TEST_CASE(restart_or_missing_answer_raises_the_fencing_token, data::make(fenceRows), row)
 {
     boost::asio::io_context context { 1 };
     const auto work = boost::asio::make_work_guard(context);
@@ -286,6 +291,7 @@
     const auto begin = kernel::bootNow();
     const auto clock = [&] { return ports::UpstreamTime { (kernel::bootNow() - begin + age).milliseconds }; };
     ports::Term latest { 1 };
+    bool isAnswered = !row.losesAnswer;
     const auto link = std::make_shared<const ports::UpstreamLink>(ports::UpstreamLink {
         .look =
             [&](const ports::Look& look, const store::Callback<ports::LookOutcome>& callback) {
@@ -296,7 +302,8 @@
             [&](const scheduling::StartTask&, ports::Term term, ports::UpstreamTime, const ports::Permission&,
                 const store::Callback<ports::StartOutcome>& callback) {
                 startTerms.push_back(term);
-                callback(ports::StartAnswer { scheduling::StartResult::Started, clock() });
+                callback(isAnswered ? ports::StartAnswer { scheduling::StartResult::Started, clock() }
+                                    : ports::StartAnswer { scheduling::StartResult::Unknown });
             },
         .stop = {},
         .pace = {},
@@ -304,7 +311,7 @@
     const auto agent = std::make_shared<UpstreamAgent>(context, link,
         scheduling::UpstreamFacts { .id = upstream }, kernel::Duration { 4000 },
         UpstreamCallbacks {
-            .onTasks = [](const auto&, const auto&, auto) {},
+            .onTasks = [](const auto&, const auto&, auto, auto) {},
             .onUnresponsive = [](const auto&, auto) {},
             .onReplaced = [](const auto&) {},
             .onSuperseded = [] {},
@@ -334,6 +341,7 @@
     startTask();
     BOOST_REQUIRE(startTerms.size() == 1);
     BOOST_TEST(startTerms.back().value == 1);
+    isAnswered = true;
     latest = { row.latest };
     const bool restarts = row.listShowsRestart || row.startShowsRestart;
     age = restarts ? kernel::Duration {} : age;
@@ -397,7 +405,7 @@
     const auto agent = std::make_shared<UpstreamAgent>(context, link,
         scheduling::UpstreamFacts { .id = upstream }, kernel::Duration { 4000 },
         UpstreamCallbacks {
-            .onTasks = [](const auto&, const auto&, auto) {},
+            .onTasks = [](const auto&, const auto&, auto, auto) {},
             .onUnresponsive = [](const auto&, auto) {},
             .onReplaced = [](const auto&) {},
             .onSuperseded = [&] { ++superseded; },
--- a/test/wasabiroad/scheduling/lost_upstreams.cpp
+++ b/test/wasabiroad/scheduling/lost_upstreams.cpp
@@ -200,6 +200,54 @@
     BOOST_TEST(fixture.starts.size() == 2);
 }
 
+/** A list after a start of a step with limited unavailability that was not answered. */
+struct FencedRow {
+    const char* title;
+    /** @brief Fencing tokens of the start and of the list; 0 if unknown. */
+    const std::uint64_t startFence;
+    const std::uint64_t listFence;
+    const bool listsRun;
+    const std::int64_t born;
+    const std::size_t starts;
+    const std::size_t stops;
+
+    friend std::ostream& operator<<(std::ostream& out, const FencedRow& row) { return out << row.title; }
+};
+
+const std::vector<FencedRow> fencedRows {
+    { "the upstream may still carry it out", 5, 5, false, 1, 1, 0 },
+    { "the upstream rejects it", 5, 6, false, 1, 2, 0 },
+    { "the upstream has carried it out", 5, 6, true, 1, 1, 0 },
+    { "the next incarnation rejects it", 5, 6, false, 2, 2, 0 },
+    { "its token is not known", 0, 6, false, 1, 1, 1 },
+};
+
+/** Guards against a stop that ends a task at work since its start is carried out after a list without it
+ * (AVAIL). */
+BOOST_DATA_TEST_CASE(unanswered_start_is_given_up_once_it_is_fenced, data::make(fencedRows), row)
+{
+    SchedulerFixture fixture { { makeUpstream("u1") } };
+    const jobs::Step step {
+        .count = 1, .resources = { 1000, 100, 0 }, .longRunning = true, .maxUnavailable = 1
+    };
+    fixture.apply(JobAdded { makeJob("j", { step }) }, 10);
+    const auto first = fixture.starts.front();
+    fixture.apply(
+        StartAnswered { first.upstream, first.task, first.run, StartResult::Unknown, false, row.startFence },
+        810);
+    std::vector<RunningTask> running;
+    if (row.listsRun) {
+        running.push_back({ first.task, first.run, "", 100 });
+    }
+    fixture.apply(
+        TasksListed { first.upstream, { row.born }, { 900 }, running, {}, false, row.listFence }, 910);
+    fixture.applyIncarnation("u1", row.born, 920);
+    // The upstream is not used for a while after a start without an answer.
+    fixture.apply(Tick {}, 810 + Policy {}.refusalRetryDelay.milliseconds + 100);
+    BOOST_TEST(fixture.starts.size() == row.starts);
+    BOOST_TEST(fixture.stops.size() == row.stops);
+}
+
 } // namespace
 
 } // namespace wasabiroad::scheduling::test
--- a/test/wasabiroad/scheduling/model.cpp
+++ b/test/wasabiroad/scheduling/model.cpp
@@ -379,15 +379,19 @@
     const auto until = this->now + maxLease;
     const auto incarnation = owner->clockOf[order.upstream];
     const auto fence = owner->fenceOf(order.upstream);
-    const auto answer = [this, owner, order, incarnation](
+    const auto answer = [this, owner, order, incarnation, fence](
                             std::int64_t delay, StartResult result, bool restarted = false) {
-        after(delay, [this, owner, order, incarnation, result, restarted] {
+        after(delay, [this, owner, order, incarnation, fence, result, restarted] {
             if (restarted && owner->clockOf[order.upstream] == incarnation) {
                 raiseFence(owner, order.upstream);
                 owner->unresponsive.insert(order.upstream);
                 applyEvent(owner, UpstreamUnresponsive { order.upstream });
             }
-            applyEvent(owner, StartAnswered { order.upstream, order.task, order.run, result, restarted });
+            if (result == StartResult::Unknown) {
+                raiseFence(owner, order.upstream);
+            }
+            applyEvent(
+                owner, StartAnswered { order.upstream, order.task, order.run, result, restarted, fence });
         });
     };
     const bool partitioned = at(order.upstream).partitionedUntil > this->now;
@@ -514,7 +518,7 @@
             }
         }
         const bool moreEnds = ended.size() >= this->faults.endsPerList;
-        const TasksListed listed { id, { upstream.born }, { sent }, running, ended, moreEnds };
+        const TasksListed listed { id, { upstream.born }, { sent }, running, ended, moreEnds, fence };
         if (fails(this->faults.lostAnswers)) {
             reportUnresponsive();
             return;
