--- a/src/wasabiroad/agent/upstream_agent.cpp
+++ b/src/wasabiroad/agent/upstream_agent.cpp
@@ -64,13 +64,6 @@
     });
 }
 
-bool UpstreamAgent::isOutdated(ports::Term used)
-{
-    const bool outdated = used < this->callbacks.latestFence();
-    this->mustRaiseFence = this->mustRaiseFence || (outdated && used == this->fence);
-    return outdated;
-}
-
 void UpstreamAgent::raiseFence()
 {
     if (!this->mustRaiseFence) {
--- a/src/wasabiroad/agent/upstream_agent.hpp
+++ b/src/wasabiroad/agent/upstream_agent.hpp
@@ -116,12 +116,11 @@
     /** @brief Raises the fencing token above that of calls to a former incarnation, if that is needed. */
     void raiseFence();
     /**
-     * @brief Judges the rejection of a fencing token: the same owner may have used a higher one meanwhile.
-     * The next call then has the highest token, whose rejection shows that another owner has taken over.
+     * @brief Judges the rejection of a fencing token: this owner may have used a higher one meanwhile, also
+     * through the agent that has replaced this one. Otherwise another owner has taken over.
      * @param used Fencing token of the rejected call.
-     * @return Whether the owner has a higher fencing token.
      */
-    bool isOutdated(ports::Term used);
+    bool isOutdated(ports::Term used) const { return this->closed || used < this->fence; }
     /** @return A callback to which the rejection of an outdated fencing token is an order without an answer.
      */
     store::Callback<ports::OrderOutcome> unlessOutdated(store::Callback<ports::OrderOutcome> callback);
