--- a/review/standin-3/entry.cpp
+++ b/review/standin-3/entry.cpp
@@ -29,10 +29,9 @@
 
 } // namespace
 
-Entry::Entry(std::string name, Place place, Store::Entrance& storeEntrance)
+Entry::Entry(std::string name, Place place)
     : id(std::move(name))
     , at(std::move(place))
-    , entrance(storeEntrance)
 {
     chooseAddresses();
 }
@@ -49,7 +48,7 @@
     // The settings template of the deploy file with the figures of hallbach-foundry.
     const json::object settings { { "version", 1 }, { "entry", this->id }, { "zone", "zone-a" },
         { "callers", this->callerAddress }, { "operators", this->operatorAddress },
-        { "platform", this->entrance.server.address() }, { "traffic-threads", 1 },
+        { "platform", this->at.store }, { "traffic-threads", 1 },
         { "vm", { { "cores", 0.25 }, { "link-mbps", 1000.0 } } },
         { "fleet",
             { { "readiness", this->readinessAddress }, { "vms", this->at.vms }, { "advice", "" },
--- a/review/standin-3/entry.hpp
+++ b/review/standin-3/entry.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "store.hpp"
+#include "http.hpp"
 
 #include <string>
 
@@ -13,17 +13,18 @@
 /** @brief A machine of the system: its process, started as the deploy file says, and its way to the store. */
 class Entry {
 public:
-    /** @param place Program, folder for settings and logs, and address of the service for machines. */
+    /** @param place Program, folder for settings and logs, addresses of the service for machines and of the
+     * store. */
     struct Place {
         std::string program {};
         std::string folder {};
         std::string vms {};
+        std::string store {};
     };
 
-    Entry(std::string name, Place place, Store::Entrance& entrance);
+    Entry(std::string name, Place place);
 
     const std::string& callers() const { return this->callerAddress; }
-    Store::Entrance& store() { return this->entrance; }
 
     void launch();
 
@@ -40,7 +41,6 @@
 
     const std::string id;
     const Place at;
-    Store::Entrance& entrance;
     std::string callerAddress {};
     std::string readinessAddress {};
     std::string operatorAddress {};
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -38,11 +38,13 @@
     return parts;
 }
 
-std::string encodeCheckpoint(std::int64_t progress, const std::string& task)
+std::string encodeCheckpoint(std::int64_t progress, const std::string& task, std::size_t size)
 {
     char text[17] {};
     std::snprintf(text, sizeof text, "%08llx", static_cast<unsigned long long>(progress));
-    return text + task.substr(0, 8);
+    auto checkpoint = text + task.substr(0, 8);
+    checkpoint.resize(size, '0');
+    return checkpoint;
 }
 
 std::int64_t decodeCheckpoint(const std::string& text)
@@ -50,13 +52,20 @@
     return text.empty() ? 0 : std::stoll(text.substr(0, 8), nullptr, 16);
 }
 
+/** @return The beginning of a checkpoint, for the record. */
+std::string shorten(const std::string& checkpoint)
+{
+    constexpr std::size_t shown = 16;
+    return checkpoint.substr(0, shown);
+}
+
 std::string encode(const Job& job)
 {
     json::array rows;
     for (const auto& step : job.steps) {
         json::object row { { "count", step.count }, { "cpu", step.cpu }, { "memMb", 256 },
             { "estimateMs", step.duration } };
-        if (!rows.empty()) {
+        if (!rows.empty() && step.chained) {
             row["after"] = json::array { rows.size() - 1 };
         }
         if (step.gang) {
@@ -171,6 +180,13 @@
     }
     const auto body = bodyOf(request);
     const auto life = this->born;
+    if (path == "/run-start" && this->holdsStarts) {
+        this->world.note("kept back " + this->name + " " + textField(body, "task") + " run "
+            + std::to_string(numberField(body, "run")));
+        this->keptStart = body;
+        this->holdsStarts = false;
+        co_return std::nullopt;
+    }
     auto first = act(path, body);
     if (path != "/hold" || first.status != 200) {
         co_return first;
@@ -185,6 +201,13 @@
     co_return list();
 }
 
+void Worker::deliverStart()
+{
+    this->world.note("delivers the start that was kept back");
+    act("/run-start", this->keptStart);
+    this->keptStart.clear();
+}
+
 Answer Worker::act(const std::string& path, const json::object& body)
 {
     const auto token = numberField(body, "fencingToken");
@@ -208,6 +231,9 @@
         for (auto end = this->ends.begin(); end != last; ++end) {
             this->world.note("acknowledged " + this->name + " " + end->second.task + " run "
                 + std::to_string(end->second.run) + " " + end->second.how);
+            if (end->second.how == "done") {
+                this->world.completed.insert(end->second.task);
+            }
         }
         this->ends.erase(this->ends.begin(), last);
     }
@@ -227,7 +253,7 @@
     const auto checkpoint = textField(body, "checkpoint");
     const auto* const step = this->world.stepOf(task);
     const auto order = "order " + this->name + " " + task + " run " + std::to_string(run) + " checkpoint "
-        + (checkpoint.empty() ? "-" : checkpoint);
+        + (checkpoint.empty() ? "-" : shorten(checkpoint));
     if (step == nullptr) {
         this->world.note(order + " -> 400");
         this->world.violate("UNASKED", task + " was handed in by no client");
@@ -270,6 +296,9 @@
             task + " requires " + step->label + " and is started on " + this->name + ", a worker of kind "
                 + this->label);
     }
+    if (this->world.completed.contains(task)) {
+        this->world.violate("TWICE", task + " is started on " + this->name + " after an end that was noted");
+    }
     std::int64_t used = step->cpu;
     for (const auto& [other, running] : this->runs) {
         used += this->world.stepOf(other)->cpu;
@@ -326,7 +355,7 @@
     const auto done = progress(task, run);
     const auto carried = decodeCheckpoint(run.checkpoint);
     const auto value = exactly ? done : carried + (done - carried) / checkpointInterval * checkpointInterval;
-    return value > carried ? encodeCheckpoint(value, task) : run.checkpoint;
+    return value > carried ? encodeCheckpoint(value, task, this->world.checkpointSize) : run.checkpoint;
 }
 
 Answer Worker::list()
@@ -355,13 +384,16 @@
     const auto* const step = this->world.stepOf(task);
     const auto value = saved(task, run, how == "stopped");
     this->runs.erase(task);
+    if (how == "done") {
+        this->world.ended.insert(task);
+    }
     auto& last = this->lastRuns[task];
     last = std::max(last, run.number);
     if (how != "lost") {
         this->ends[++this->lastEnd] = { task, run.number, how, how == "done" ? "" : value };
     }
     this->world.note("end " + this->name + " " + task + " run " + std::to_string(run.number) + " " + how
-        + " saved " + (value.empty() ? "-" : value));
+        + " saved " + (value.empty() ? "-" : shorten(value)));
     if (how == "alone" && nowMs() - this->world.lastDisruption > contact + gangWait
         && this->world.jobOf(task)->cancelled == 0) {
         this->world.violate("GANG", task + " run " + std::to_string(run.number) + " ended alone");
@@ -422,9 +454,11 @@
     for (int number = 1; number <= count; ++number) {
         this->platforms.emplace_back(
             this->context, [this](Request request) { return answer(std::move(request)); });
+        this->gates.emplace_back(this->context, this->store.addEntrance().server.address(),
+            [this](const std::string& line) { note(line); });
         this->daemons.push_back(std::make_unique<Entry>("front-" + std::to_string(number),
-            Entry::Place { this->at.program, this->at.folder, this->platforms.back().address() },
-            this->store.addEntrance()));
+            Entry::Place { this->at.program, this->at.folder, this->platforms.back().address(),
+                this->gates.back().address() }));
     }
     start(this->context, heartbeat());
     start(this->context, advance());
@@ -571,6 +605,35 @@
     return found != this->broken.end() ? found->second : 0;
 }
 
+bool World::stands(const std::string& id) const
+{
+    const auto& steps = this->jobs.at(id).steps;
+    bool isDone = true;
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        for (int index = 0; index < steps[step].count; ++index) {
+            const auto task = id + ".0." + std::to_string(step) + "." + std::to_string(index);
+            const bool runs = std::ranges::any_of(
+                this->workers, [&](const auto& worker) { return worker->isRunning(task); });
+            if (runs) {
+                return false;
+            }
+            isDone = isDone && this->ended.contains(task);
+        }
+    }
+    return !isDone;
+}
+
+double World::usedShare() const
+{
+    std::int64_t used = 0;
+    for (const auto& worker : this->workers) {
+        for (const auto& [task, run] : worker->runs) {
+            used += stepOf(task)->cpu;
+        }
+    }
+    return static_cast<double>(used) / static_cast<double>(cores * std::ssize(this->workers));
+}
+
 const Job* World::jobOf(const std::string& task) const
 {
     const auto found = this->jobs.find(task.substr(0, task.find('.')));
--- a/review/standin-3/world.hpp
+++ b/review/standin-3/world.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry.hpp"
+#include "gate.hpp"
 #include "http.hpp"
 #include "store.hpp"
 
@@ -26,6 +27,8 @@
     bool saves { false };
     std::string label {};
     int perServer { 0 };
+    /** @brief Whether it begins after the step before it. */
+    bool chained { true };
     /** @brief Whether each of its runs fails. */
     bool fails { false };
 };
@@ -64,6 +67,13 @@
     /** @brief Ends what is done, has lapsed or waits for its gang in vain. */
     void advance();
 
+    /** @brief Keeps the next start from being answered and carried out. */
+    void delayStarts(bool held) { this->holdsStarts = held; }
+
+    /** @brief Delivers the start that was kept back. */
+    void deliverStart();
+    bool hasKeptStart() const { return !this->keptStart.empty(); }
+
     /** @brief Ends a run. */
     void end(const std::string& task, const std::string& how);
 
@@ -110,6 +120,8 @@
     std::int64_t born { 0 };
     std::int64_t sequence { 0 };
     bool up { true };
+    bool holdsStarts { false };
+    boost::json::object keptStart {};
     Signal ended {};
     Server server;
 };
@@ -152,6 +164,12 @@
     Task<> publish(Worker& worker);
     Task<> forget(Worker& worker, milliseconds after);
 
+    /** @return Whether a job has tasks that haven't ended `done`, and nothing of it runs. */
+    bool stands(const std::string& id) const;
+
+    /** @return Share of the processors of the workers that is in use. */
+    double usedShare() const;
+
     void note(const std::string& line);
     void disrupt() { this->lastDisruption = nowMs(); }
     /** @brief Notes a broken rule. */
@@ -163,6 +181,12 @@
 
     std::map<std::string, Job> jobs {};
     std::map<std::string, Gang> gangs {};
+    /** @brief Tasks with an end `done` that was taken note of. */
+    std::set<std::string> completed {};
+    /** @brief Tasks that have ended `done`. */
+    std::set<std::string> ended {};
+    /** @brief Length of a checkpoint. */
+    std::size_t checkpointSize { 16 };
     std::int64_t lastDisruption { -100000 };
 
 private:
@@ -177,6 +201,7 @@
     Store store;
     std::vector<std::unique_ptr<Worker>> workers {};
     std::list<Server> platforms {};
+    std::list<Gate> gates {};
     std::vector<std::unique_ptr<Entry>> daemons {};
     std::map<std::string, std::size_t> broken {};
 };
